Start the workspace: ids, units, the bundle's shape and the platform trait

Cause: nothing stands yet; every part needs the same ids, units, bundle fields and platform calls before it can be built beside the others. Conclusion: the parts can be built on this.

--- /dev/null
+++ b/crates/th-model/tests/explore.rs
@@ -0,0 +1,43 @@
+//! The search itself: it counts states, and it finds a shortest way to a broken one.
+
+use th_model::{Model, Outcome, explore};
+
+/// A counter from 0 to 9 that may step by one or by two; `bad` must not be reached.
+struct Counter {
+    bad: Option<u8>,
+}
+
+impl Model for Counter {
+    type State = u8;
+    type Action = u8;
+
+    fn start(&self) -> u8 {
+        0
+    }
+
+    fn steps(&self, state: &u8) -> Vec<(u8, u8)> {
+        let mut steps = Vec::new();
+        for by in [1, 2] {
+            if state + by <= 9 {
+                steps.push((by, state + by));
+            }
+        }
+        steps
+    }
+
+    fn broken(&self, state: &u8) -> Option<&'static str> {
+        (Some(*state) == self.bad).then_some("the bad state is not reached")
+    }
+}
+
+#[test]
+fn all_states_are_counted() {
+    assert_eq!(explore(&Counter { bad: None }), Outcome::Holds { states: 10 });
+}
+
+#[test]
+fn a_shortest_trace_is_given() {
+    let expected =
+        Outcome::Broken { invariant: "the bad state is not reached", trace: vec![1, 2, 2] };
+    assert_eq!(explore(&Counter { bad: Some(5) }), expected);
+}
--- /dev/null
+++ b/crates/th-protocol/src/ids.rs
@@ -0,0 +1,110 @@
+//! Names of the things that a bundle speaks of.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The result of reading an id.
+pub(crate) type Result<T, E = IdError> = std::result::Result<T, E>;
+
+/// Longest id, in bytes.
+pub const MAX_ID_BYTES: usize = 63;
+
+/// Why a text is not an id.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum IdError {
+    /// The text has no characters.
+    #[error("an id must not be empty")]
+    Empty,
+    /// The text is longer than [`MAX_ID_BYTES`].
+    #[error("an id has at most {MAX_ID_BYTES} bytes, this one has {0}")]
+    Long(usize),
+    /// The text holds a character that ids do not allow.
+    #[error("an id has only a-z, 0-9, '-' and '.', not {0:?}")]
+    Character(char),
+}
+
+fn check(text: &str) -> Result<()> {
+    if text.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if MAX_ID_BYTES < text.len() {
+        return Err(IdError::Long(text.len()));
+    }
+    for c in text.chars() {
+        let allowed = c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '.';
+        if !allowed {
+            return Err(IdError::Character(c));
+        }
+    }
+    Ok(())
+}
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self> {
+                check(text)?;
+                Ok($name(Arc::from(text)))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.as_str().to_owned()
+            }
+        }
+    )*};
+}
+
+ids! {
+    /// A service that callers ask for.
+    ServiceId;
+    /// One operation of a service.
+    OperationId;
+    /// A region: data centres with short links between them.
+    RegionId;
+    /// A data centre.
+    ZoneId;
+    /// An entry VM.
+    VmId;
+    /// A backend server.
+    BackendId;
+    /// A link from one region to another, one way.
+    LinkId;
+    /// A customer of a deployment, which shares it with others.
+    CustomerId;
+    /// Client blocks that have the same delay to each region.
+    ClassId;
+    /// An operator, who signs bundles.
+    OperatorId;
+}
--- /dev/null
+++ b/crates/th-protocol/tests/units.rs
@@ -0,0 +1,49 @@
+//! Ids, units and blocks: what is read is what was written, and nonsense is refused.
+
+use rstest::rstest;
+use th_protocol::{Block, IdError, Mbit, Millis, Permille, Time, ZoneId};
+
+#[rstest]
+#[case("pl-1", true)]
+#[case("", false)]
+#[case("Port Louis", false)]
+fn ids_allow_lower_case_names_only(#[case] text: &str, #[case] good: bool) {
+    assert_eq!(text.parse::<ZoneId>().is_ok(), good);
+}
+
+#[test]
+fn an_id_over_the_bound_says_its_length() {
+    assert_eq!("a".repeat(64).parse::<ZoneId>(), Err(IdError::Long(64)));
+}
+
+#[rstest]
+#[case("250ms", Millis(250))]
+#[case("250", Millis(250))]
+fn units_are_read_with_or_without_their_suffix(#[case] text: &str, #[case] expected: Millis) {
+    assert_eq!(text.parse(), Ok(expected));
+    assert_eq!(expected.to_string().parse(), Ok(expected));
+}
+
+#[rstest]
+#[case("10.1.2.3/24", "10.1.2.0/24")]
+#[case("10.1.2.3", "10.1.2.3/32")]
+#[case("10.1.2.3/0", "0.0.0.0/0")]
+fn blocks_drop_the_host_bits(#[case] text: &str, #[case] expected: &str) {
+    assert_eq!(text.parse::<Block>().unwrap().to_string(), expected);
+}
+
+#[rstest]
+#[case("10.1.2.3/33")]
+#[case("10.1.2/24")]
+#[case("10.1.2.3/x")]
+fn malformed_blocks_are_refused(#[case] text: &str) {
+    assert!(text.parse::<Block>().is_err());
+}
+
+#[test]
+fn arithmetic_saturates() {
+    assert_eq!(Millis(1) - Millis(2), Millis::ZERO);
+    assert_eq!(Time(u64::MAX).after(Millis(1)), Time(u64::MAX));
+    assert_eq!(Permille(500).of(u64::MAX), u64::MAX / 2);
+    assert_eq!(Mbit(280).bytes_per_ms(), 35_000);
+}
--- /dev/null
+++ b/crates/th-report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reports on service-level burn, headroom and drain time.
--- /dev/null
+++ b/crates/th-steer/src/backend/mod.rs
@@ -0,0 +1,1 @@
+//! Backend servers: slots, connections, health, choice and drain.
--- /dev/null
+++ b/crates/th-steer/src/explain/mod.rs
@@ -0,0 +1,1 @@
+//! Reasons of decisions, kept in a bounded ring.
--- /dev/null
+++ b/crates/th-steer/src/limit/mod.rs
@@ -0,0 +1,1 @@
+//! Caps: shares of region and link caps, and the cap on shifts.
--- /dev/null
+++ b/crates/th-steer/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! Membership of entry VMs and the spread of bundles among them.
--- /dev/null
+++ b/crates/th-steer/src/queue/mod.rs
@@ -0,0 +1,1 @@
+//! Requests that wait for a slot, in fair order.
--- /dev/null
+++ b/crates/th-steer/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retries, hedges and deadlines.
--- /dev/null
+++ b/crates/th-steer/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Look-ups: which entry VMs a block of clients is sent to.
--- /dev/null
+++ b/crates/th-steer/src/ticket/mod.rs
@@ -0,0 +1,1 @@
+//! Operations that may run at most once.
--- /dev/null
+++ b/src/bin/thctl/main.rs
@@ -0,0 +1,2 @@
+//! The operators' tool.
+fn main() {}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The entry process.
+fn main() {}
