--- a/crates/th-platform/src/platform.rs
+++ b/crates/th-platform/src/platform.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use th_protocol::{Millis, Revision, VmId, ZoneId};
 
-use crate::{PlatformError, Result};
+use crate::{PlatformError, Result, wire::base64_bytes};
 
 /// Largest value that the service holds, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
@@ -59,6 +59,7 @@
     /// The value's name.
     pub key: Key,
     /// The value; `None` where it was removed.
+    #[serde(with = "base64_bytes")]
     pub value: Option<Vec<u8>>,
     /// Raised by one on each write to any value of the service.
     pub revision: Revision,
--- /dev/null
+++ b/crates/th-testing/src/backend/fake.rs
@@ -0,0 +1,264 @@
+//! A fake backend server: slots, a service time and a load report.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use eyre::{Result, eyre};
+use salvo::{
+    conn::tcp::TcpAcceptor,
+    http::{ResBody, StatusCode},
+    prelude::*,
+    server::ServerHandle,
+};
+use th_platform::{BootClock, Clock};
+use th_protocol::{LoadReport, Millis, Slots, header};
+use tokio::{net::TcpListener, sync::Notify, time::sleep};
+
+use super::{Ledger, Run};
+use crate::listen::listen;
+
+/// The header that names a request; the answer repeats it.
+pub const REQUEST: &str = "x-request";
+
+/// How the server behaves at the moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Behaviour {
+    /// How long a request takes.
+    pub service: Millis,
+    /// Bytes that an answer has at least.
+    pub size: usize,
+    /// Whether it says that it leaves.
+    pub leaving: bool,
+    /// Whether it sheds everything.
+    pub shed: bool,
+    /// Whether its health endpoint says that it is well.
+    pub healthy: bool,
+    /// Whether its load report always says that it is idle.
+    pub lying: bool,
+    /// Whether its answers break off half way.
+    pub cut: bool,
+    /// Whether its answers carry the id of another attempt.
+    pub crossed: bool,
+    /// Whether it runs requests and never answers.
+    pub mute: bool,
+}
+
+impl Default for Behaviour {
+    fn default() -> Behaviour {
+        Behaviour {
+            service: Millis(5),
+            size: 0,
+            leaving: false,
+            shed: false,
+            healthy: true,
+            lying: false,
+            cut: false,
+            crossed: false,
+            mute: false,
+        }
+    }
+}
+
+/// Settings of a fake backend server.
+#[derive(Debug, Clone)]
+pub struct BackendSettings {
+    /// Its name.
+    pub name: String,
+    /// Where it listens; port 0 takes any free port.
+    pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: Slots,
+    /// How it behaves at first.
+    pub behaviour: Behaviour,
+    /// Where it writes down its runs.
+    pub ledger: Ledger,
+}
+
+impl Default for BackendSettings {
+    fn default() -> BackendSettings {
+        BackendSettings {
+            name: "backend".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            slots: Slots(4),
+            behaviour: Behaviour::default(),
+            ledger: Ledger::default(),
+        }
+    }
+}
+
+struct Shared {
+    name: String,
+    slots: u32,
+    busy: AtomicU32,
+    probes: AtomicU64,
+    behaviour: Mutex<Behaviour>,
+    ledger: Ledger,
+    begun: Notify,
+}
+
+/// A running fake backend server.
+pub struct FakeBackend {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    handle: ServerHandle,
+}
+
+impl FakeBackend {
+    /// Starts the server.
+    pub async fn start(settings: BackendSettings) -> Result<FakeBackend> {
+        let listener = TcpListener::bind(settings.address).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            name: settings.name,
+            slots: settings.slots.0,
+            busy: AtomicU32::new(0),
+            probes: AtomicU64::new(0),
+            behaviour: Mutex::new(settings.behaviour),
+            ledger: settings.ledger,
+            begun: Notify::new(),
+        });
+        let router = Router::with_hoop(affix_state::inject(Arc::clone(&shared)))
+            .push(Router::with_path("load").get(load))
+            .push(Router::with_path("health").get(health))
+            .push(Router::with_path("{**path}").goal(run));
+        let handle = listen(TcpAcceptor::try_from(listener)?, router);
+        Ok(FakeBackend { address, shared, handle })
+    }
+
+    /// Changes how the server behaves.
+    pub fn behave(&self, change: impl FnOnce(&mut Behaviour)) {
+        change(&mut self.shared.lock());
+    }
+
+    /// Requests that run at the moment.
+    pub fn busy(&self) -> u32 {
+        self.shared.busy.load(Ordering::SeqCst)
+    }
+
+    /// Calls of the load and health endpoints so far.
+    pub fn probes(&self) -> u64 {
+        self.shared.probes.load(Ordering::SeqCst)
+    }
+
+    /// Waits until a request begins to run.
+    pub async fn begun(&self) {
+        self.shared.begun.notified().await;
+    }
+
+    /// Ends the server and every connection.
+    pub fn stop(&self) {
+        self.handle.stop_forcible();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Behaviour> {
+        self.behaviour.lock().expect("no holder of this lock panics")
+    }
+}
+
+/// A slot in use, free again when dropped.
+struct Slot(Arc<Shared>);
+
+impl Slot {
+    fn take(shared: &Arc<Shared>) -> Option<Slot> {
+        let busy = shared.busy.fetch_add(1, Ordering::SeqCst);
+        let slot = Slot(Arc::clone(shared));
+        (busy < shared.slots).then_some(slot)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.busy.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn shared(depot: &Depot) -> Result<Arc<Shared>> {
+    let shared = depot.obtain::<Arc<Shared>>();
+    shared.cloned().map_err(|_| eyre!("the router injects the state"))
+}
+
+#[handler]
+async fn load(depot: &mut Depot, res: &mut Response) -> Result<()> {
+    let shared = shared(depot)?;
+    shared.probes.fetch_add(1, Ordering::SeqCst);
+    let behaviour = shared.lock().clone();
+    let busy = if behaviour.lying { 0 } else { shared.busy.load(Ordering::SeqCst) };
+    let slots = Slots(shared.slots);
+    res.render(Json(LoadReport { busy: Slots(busy), slots, leaving: behaviour.leaving }));
+    Ok(())
+}
+
+#[handler]
+async fn health(depot: &mut Depot, res: &mut Response) -> Result<()> {
+    let shared = shared(depot)?;
+    shared.probes.fetch_add(1, Ordering::SeqCst);
+    if !shared.lock().healthy {
+        res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    Ok(())
+}
+
+#[handler]
+async fn run(req: &mut Request, depot: &mut Depot, res: &mut Response) -> Result<()> {
+    let shared = shared(depot)?;
+    let behaviour = shared.lock().clone();
+    let request: String = req.header(REQUEST).unwrap_or_default();
+    let attempt: u64 = req.header(header::ATTEMPT).unwrap_or_default();
+    let sent = req.payload_with_max_size(16 << 20).await?.len();
+    if behaviour.leaving {
+        res.add_header(header::LEAVING, "1", true)?;
+    }
+    let echoed = if behaviour.crossed { attempt + 1 } else { attempt };
+    res.add_header(header::ATTEMPT, echoed.to_string(), true)?;
+    let slot = Slot::take(&shared);
+    if slot.is_none() {
+        shared.ledger.overrun();
+    }
+    if behaviour.shed || slot.is_none() {
+        res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        res.add_header(header::SHED, "1", true)?;
+        res.add_header("retry-after", "1", true)?;
+        return Ok(());
+    }
+    let number = begin(&shared, &request, req.uri().path());
+    sleep(Duration::from_millis(behaviour.service.0)).await;
+    if behaviour.mute {
+        std::future::pending::<()>().await;
+    }
+    shared.ledger.end(number, BootClock.now());
+    res.add_header(REQUEST, request.clone(), true)?;
+    let mut body = format!("{request} ran at {} with {sent} bytes\n", shared.name);
+    while body.len() < behaviour.size {
+        body.push('.');
+    }
+    if behaviour.cut {
+        let half = body[..body.len() / 2].to_owned();
+        let chunks = vec![Ok(half), Err(std::io::Error::other("cut"))];
+        res.body(ResBody::stream(futures_util::stream::iter(chunks)));
+    } else {
+        res.body(body);
+    }
+    Ok(())
+}
+
+fn begin(shared: &Shared, request: &str, path: &str) -> usize {
+    let operation = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+    let number = shared.ledger.begin(Run {
+        request: request.to_owned(),
+        operation: operation.to_owned(),
+        server: shared.name.clone(),
+        began: BootClock.now(),
+        ended: None,
+    });
+    shared.begun.notify_waiters();
+    number
+}
--- /dev/null
+++ b/crates/th-testing/src/platform/fake.rs
@@ -0,0 +1,202 @@
+//! The fake service in process, with faults that can be switched on.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use th_platform::{
+    BootClock, Clock, Entry, Key, LeaseId, Platform, PlatformError, Result, Step, VmRecord, Write,
+};
+use th_protocol::{Millis, Revision};
+use tokio::{sync::watch, time};
+
+use super::Store;
+
+/// What is wrong with the service at the moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// Every call fails at once.
+    pub down: bool,
+    /// Calls are accepted and never answered.
+    pub deaf: bool,
+    /// Watches stay silent.
+    pub silent: bool,
+    /// So many writes from now on take effect while their answers are lost.
+    pub lost: u32,
+    /// Each call takes this long.
+    pub delay: Millis,
+}
+
+/// Calls that the service has taken.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Taken {
+    /// Reads, watches and readings of the VM list.
+    pub reads: u64,
+    /// Compare-and-swaps, leases and keep-alives.
+    pub writes: u64,
+}
+
+#[derive(Default)]
+struct Inner {
+    store: Store,
+    faults: Faults,
+    taken: Taken,
+}
+
+/// A platform's service in memory. Clones share it.
+#[derive(Clone)]
+pub struct FakePlatform {
+    inner: Arc<Mutex<Inner>>,
+    clock: Arc<dyn Clock>,
+    changed: watch::Sender<()>,
+}
+
+impl Default for FakePlatform {
+    fn default() -> FakePlatform {
+        FakePlatform::new(Arc::new(BootClock))
+    }
+}
+
+impl FakePlatform {
+    /// An empty service whose leases follow `clock`.
+    pub fn new(clock: Arc<dyn Clock>) -> FakePlatform {
+        FakePlatform { inner: Arc::default(), clock, changed: watch::Sender::new(()) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+        self.changed.send_replace(());
+    }
+
+    /// Calls taken so far.
+    pub fn taken(&self) -> Taken {
+        self.lock().taken
+    }
+
+    /// Adds or changes a VM of the list.
+    pub fn list_vm(&self, record: VmRecord) {
+        self.lock().store.vms.insert(record.vm.clone(), record);
+    }
+
+    /// Removes a VM from the list.
+    pub fn unlist_vm(&self, vm: &th_protocol::VmId) {
+        self.lock().store.vms.remove(vm);
+    }
+
+    async fn enter(&self, step: Step, write: bool) -> Result<()> {
+        let faults = {
+            let mut inner = self.lock();
+            if write {
+                inner.taken.writes += 1;
+            } else {
+                inner.taken.reads += 1;
+            }
+            inner.faults
+        };
+        if faults.down {
+            return Err(fault(step, "the service is down"));
+        }
+        if faults.deaf {
+            std::future::pending::<()>().await;
+        }
+        if faults.delay != Millis::ZERO {
+            time::sleep(Duration::from_millis(faults.delay.0)).await;
+        }
+        let now = self.clock.now();
+        self.lock().store.expire(now);
+        Ok(())
+    }
+
+    async fn write<T>(
+        &self,
+        step: Step,
+        change: impl FnOnce(&mut Store) -> std::result::Result<T, Option<Entry>>,
+    ) -> Write<T> {
+        if let Err(error) = self.enter(step, true).await {
+            return Write::Unknown(error);
+        }
+        let (answer, lost) = {
+            let mut inner = self.lock();
+            let answer = change(&mut inner.store);
+            let lost = 0 < inner.faults.lost;
+            inner.faults.lost = inner.faults.lost.saturating_sub(1);
+            (answer, lost)
+        };
+        self.changed.send_replace(());
+        match answer {
+            _ if lost => Write::Unknown(fault(step, "the answer is lost")),
+            Ok(value) => Write::Applied(value),
+            Err(entry) => Write::Refused(entry),
+        }
+    }
+}
+
+fn fault(step: Step, cause: &str) -> PlatformError {
+    PlatformError { step, peer: "the fake platform".to_owned(), cause: cause.to_owned() }
+}
+
+#[async_trait]
+impl Platform for FakePlatform {
+    async fn read(&self, key: &Key) -> Result<Option<Entry>> {
+        self.enter(Step::Read, false).await?;
+        Ok(self.lock().store.read(key).cloned())
+    }
+
+    async fn cas(
+        &self,
+        key: &Key,
+        expected: Option<Revision>,
+        value: Option<Vec<u8>>,
+        lease: Option<LeaseId>,
+    ) -> Write<Revision> {
+        self.write(Step::Cas, |store| store.cas(key, expected, value, lease)).await
+    }
+
+    async fn lease(&self, ttl: Millis) -> Write<LeaseId> {
+        let now = self.clock.now();
+        self.write(Step::Lease, |store| Ok(store.lease(ttl, now))).await
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Write<()> {
+        let now = self.clock.now();
+        let keep = |store: &mut Store| match store.keep_alive(lease, now) {
+            true => Ok(()),
+            false => Err(None),
+        };
+        self.write(Step::KeepAlive, keep).await
+    }
+
+    async fn watch(&self, prefix: &str, after: Revision, wait: Millis) -> Result<Vec<Entry>> {
+        self.enter(Step::Watch, false).await?;
+        let mut changed = self.changed.subscribe();
+        let end = time::Instant::now() + Duration::from_millis(wait.0);
+        loop {
+            let (changes, faults) = {
+                let inner = self.lock();
+                (inner.store.changes(prefix, after), inner.faults)
+            };
+            if faults.down {
+                return Err(fault(Step::Watch, "the service is down"));
+            }
+            if !changes.is_empty() && !faults.silent {
+                return Ok(changes);
+            }
+            let more = time::timeout_at(end, changed.changed()).await;
+            if more.is_err() {
+                return Ok(Vec::new());
+            }
+        }
+    }
+
+    async fn vms(&self) -> Result<Vec<VmRecord>> {
+        self.enter(Step::VmList, false).await?;
+        Ok(self.lock().store.vms.values().cloned().collect())
+    }
+}
--- /dev/null
+++ b/crates/th-testing/src/platform/mod.rs
@@ -0,0 +1,9 @@
+//! A fake of the platform's service.
+
+mod fake;
+mod server;
+mod store;
+
+pub use fake::{FakePlatform, Faults, Taken};
+pub use server::PlatformServer;
+pub use store::Store;
--- /dev/null
+++ b/crates/th-testing/src/platform/store.rs
@@ -0,0 +1,109 @@
+//! The state of the fake service: a map with revisions, leases and a list of VMs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use th_platform::{Entry, Key, LeaseId, MAX_VALUE_BYTES, VmRecord};
+use th_protocol::{Millis, Revision, Time, VmId};
+
+/// A lease that some values depend on.
+#[derive(Debug, Clone)]
+struct Lease {
+    ttl: Millis,
+    until: Time,
+    keys: BTreeSet<Key>,
+}
+
+/// Values, leases and VMs. Removed values stay as tombstones, so that watches see the removal.
+#[derive(Debug, Clone, Default)]
+pub struct Store {
+    revision: Revision,
+    values: BTreeMap<Key, Entry>,
+    leases: BTreeMap<LeaseId, Lease>,
+    last_lease: u64,
+    /// The list of VMs, as the platform shows it.
+    pub vms: BTreeMap<VmId, VmRecord>,
+}
+
+impl Store {
+    /// The value under `key`.
+    pub fn read(&self, key: &Key) -> Option<&Entry> {
+        self.values.get(key).filter(|it| it.value.is_some())
+    }
+
+    /// Writes if the value's revision is still `expected`; otherwise gives what stands there.
+    pub fn cas(
+        &mut self,
+        key: &Key,
+        expected: Option<Revision>,
+        value: Option<Vec<u8>>,
+        lease: Option<LeaseId>,
+    ) -> Result<Revision, Option<Entry>> {
+        let current = self.read(key).cloned();
+        let large = value.as_ref().is_some_and(|it| MAX_VALUE_BYTES < it.len());
+        let lapsed = lease.is_some_and(|it| !self.leases.contains_key(&it));
+        if current.as_ref().map(|it| it.revision) != expected || large || lapsed {
+            return Err(current);
+        }
+        for it in self.leases.values_mut() {
+            it.keys.remove(key);
+        }
+        if let Some(lease) = lease.and_then(|it| self.leases.get_mut(&it)) {
+            lease.keys.insert(key.clone());
+        }
+        Ok(self.put(key, value))
+    }
+
+    fn put(&mut self, key: &Key, value: Option<Vec<u8>>) -> Revision {
+        self.revision += Revision(1);
+        let entry = Entry { key: key.clone(), value, revision: self.revision };
+        self.values.insert(key.clone(), entry);
+        self.revision
+    }
+
+    /// Grants a lease.
+    pub fn lease(&mut self, ttl: Millis, now: Time) -> LeaseId {
+        self.last_lease += 1;
+        let id = LeaseId(self.last_lease);
+        self.leases.insert(id, Lease { ttl, until: now.after(ttl), keys: BTreeSet::new() });
+        id
+    }
+
+    /// Extends a lease; `false` where it has lapsed.
+    pub fn keep_alive(&mut self, id: LeaseId, now: Time) -> bool {
+        let Some(lease) = self.leases.get_mut(&id) else {
+            return false;
+        };
+        lease.until = now.after(lease.ttl);
+        true
+    }
+
+    /// Removes lapsed leases and the values that depend on them.
+    pub fn expire(&mut self, now: Time) {
+        let mut gone = Vec::new();
+        for (id, lease) in &self.leases {
+            if lease.until <= now {
+                gone.push(*id);
+            }
+        }
+        for id in gone {
+            let Some(lease) = self.leases.remove(&id) else {
+                continue;
+            };
+            for key in lease.keys {
+                self.put(&key, None);
+            }
+        }
+    }
+
+    /// Values under `prefix` with a revision over `after`, removed ones included.
+    pub fn changes(&self, prefix: &str, after: Revision) -> Vec<Entry> {
+        let mut changes = Vec::new();
+        for entry in self.values.values() {
+            if entry.key.as_str().starts_with(prefix) && after < entry.revision {
+                changes.push(entry.clone());
+            }
+        }
+        changes.sort_by_key(|it| it.revision);
+        changes
+    }
+}
--- /dev/null
+++ b/crates/th-testing/tests/platform.rs
@@ -0,0 +1,94 @@
+//! The fake service keeps the promises that the platform gives, in process and over HTTP.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use rstest::rstest;
+use th_platform::{HttpPlatform, Key, ManualClock, Platform, Write};
+use th_protocol::{Millis, Revision};
+use th_testing::{FakePlatform, Faults, PlatformServer};
+
+/// The fake itself and, where `http` is set, a client of its server.
+async fn service(http: bool) -> (FakePlatform, ManualClock, Arc<dyn Platform>) {
+    let clock = ManualClock::default();
+    let fake = FakePlatform::new(Arc::new(clock.clone()));
+    if !http {
+        return (fake.clone(), clock, Arc::new(fake));
+    }
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = PlatformServer::start(fake.clone(), address).await.unwrap();
+    let client = HttpPlatform::new(&server.url());
+    (fake, clock, Arc::new(client))
+}
+
+#[rstest]
+#[case::in_process(false)]
+#[case::http(true)]
+#[tokio::test]
+async fn of_two_writers_one_is_refused(#[case] http: bool) {
+    let (_, _, store) = service(http).await;
+    let key = Key::new("bundle/head");
+    let first = store.cas(&key, None, Some(b"one".to_vec()), None).await;
+    let Write::Applied(revision) = first else { panic!("{first:?}") };
+    let second = store.cas(&key, None, Some(b"two".to_vec()), None).await;
+    let Write::Refused(Some(entry)) = second else { panic!("{second:?}") };
+    assert_eq!(entry.value.as_deref(), Some(b"one".as_slice()));
+    assert_eq!(entry.revision, revision);
+    assert_eq!(store.read(&key).await.unwrap(), Some(entry));
+}
+
+#[rstest]
+#[case::in_process(false)]
+#[case::http(true)]
+#[tokio::test]
+async fn a_lapsed_lease_takes_its_values_along(#[case] http: bool) {
+    let (_, clock, store) = service(http).await;
+    let Write::Applied(lease) = store.lease(Millis(1_000)).await else { panic!() };
+    let key = Key::new("grant/north");
+    let write = store.cas(&key, None, Some(b"3".to_vec()), Some(lease)).await;
+    assert!(matches!(write, Write::Applied(_)));
+    clock.advance(Millis(900));
+    assert_eq!(store.keep_alive(lease).await, Write::Applied(()));
+    clock.advance(Millis(999));
+    assert!(store.read(&key).await.unwrap().is_some());
+    clock.advance(Millis(1));
+    assert_eq!(store.read(&key).await.unwrap(), None);
+    assert_eq!(store.keep_alive(lease).await, Write::Refused(None));
+    let changes = store.watch("grant/", Revision(1), Millis::ZERO).await.unwrap();
+    assert_eq!(changes.last().unwrap().value, None);
+}
+
+#[rstest]
+#[case::in_process(false)]
+#[case::http(true)]
+#[tokio::test]
+async fn a_lost_answer_is_unknown_though_it_took_effect(#[case] http: bool) {
+    let (fake, _, store) = service(http).await;
+    fake.set_faults(Faults { lost: 1, ..Faults::default() });
+    let key = Key::new("bundle/head");
+    let write = store.cas(&key, None, Some(b"one".to_vec()), None).await;
+    assert!(matches!(write, Write::Unknown(_)));
+    assert!(store.read(&key).await.unwrap().is_some());
+}
+
+#[tokio::test]
+async fn a_watch_wakes_on_a_change_and_not_while_silent() {
+    let (fake, _, store) = service(false).await;
+    let waiting = {
+        let store = Arc::clone(&store);
+        tokio::spawn(async move { store.watch("a/", Revision(0), Millis(60_000)).await })
+    };
+    store.cas(&Key::new("a/b"), None, Some(vec![1]), None).await;
+    assert_eq!(waiting.await.unwrap().unwrap().len(), 1);
+    fake.set_faults(Faults { silent: true, ..Faults::default() });
+    assert_eq!(store.watch("a/", Revision(0), Millis::ZERO).await.unwrap(), Vec::new());
+}
+
+#[tokio::test]
+async fn an_outage_is_an_error_for_reads_and_unknown_for_writes() {
+    let (fake, _, store) = service(true).await;
+    fake.set_faults(Faults { down: true, ..Faults::default() });
+    let key = Key::new("a");
+    assert!(store.read(&key).await.is_err());
+    assert!(matches!(store.cas(&key, None, None, None).await, Write::Unknown(_)));
+    assert!(store.vms().await.is_err());
+}
