Add tickets: sealed text, operation tokens and the owner's table

Cause: a non-idempotent operation must run at most once, without a disk and without a write per request. Before: nothing.

--- /dev/null
+++ b/crates/th-steer/src/ticket/ticket.rs
@@ -0,0 +1,125 @@
+//! The ticket: which incarnation of which entry VM may dispatch an operation, and until when.
+
+use std::str::FromStr;
+
+use rand::Rng;
+use th_protocol::{Incarnation, Millis, OperationId, Reason, ServiceId, Time, VmId};
+use thiserror::Error;
+
+/// The result of opening a ticket.
+pub(crate) type Result<T, E = TicketError> = std::result::Result<T, E>;
+
+/// Longest text that is read as a ticket, in bytes.
+pub const MAX_TICKET_BYTES: usize = 512;
+
+/// First field of the text form; a later format has another one.
+const FORMAT: &str = "1";
+/// Separates the fields: unreserved in URLs and not allowed in ids.
+pub(crate) const SEPARATOR: char = '~';
+
+/// Why a text is not a ticket of the system's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum TicketError {
+    /// The text is longer than [`MAX_TICKET_BYTES`].
+    #[error("a ticket has at most {MAX_TICKET_BYTES} bytes, this one has {0}")]
+    Long(usize),
+    /// No accepted key made the authentication code.
+    #[error("the ticket's authentication code does not match")]
+    Forged,
+    /// A field is missing, left over or unreadable.
+    #[error("the ticket's {0} cannot be read")]
+    Field(&'static str),
+}
+
+impl TicketError {
+    /// The code to tell the caller; the request was not run.
+    pub fn reason(self) -> Reason {
+        Reason::BadTicket
+    }
+}
+
+/// A random number that sets one ticket apart from all others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Nonce(pub u128);
+
+/// Permission to dispatch operations of one kind through one incarnation of an entry VM.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    /// The entry VM that may dispatch: the owner.
+    pub vm: VmId,
+    /// The owner's incarnation.
+    pub incarnation: Incarnation,
+    /// The service that the ticket is good for.
+    pub service: ServiceId,
+    /// The operation that the ticket is good for.
+    pub operation: OperationId,
+    /// First moment, on the owner's clock, at which the ticket is no longer good.
+    pub expiry: Time,
+    /// Sets the ticket apart from others with the same content.
+    pub nonce: Nonce,
+}
+
+impl Ticket {
+    /// Issues a ticket for `owner`'s incarnation.
+    ///
+    /// `heard` is the last reading of the owner's clock that the issuer knows. It is never later than the
+    /// owner's present time, so the ticket lives at most `lifetime`, and no two clocks are compared.
+    pub fn issue(
+        owner: (VmId, Incarnation),
+        target: (ServiceId, OperationId),
+        heard: Time,
+        lifetime: Millis,
+        rng: &mut impl Rng,
+    ) -> Ticket {
+        Ticket {
+            vm: owner.0,
+            incarnation: owner.1,
+            service: target.0,
+            operation: target.1,
+            expiry: heard.after(lifetime),
+            nonce: Nonce(rng.random()),
+        }
+    }
+
+    /// The text that the authentication code covers.
+    pub(crate) fn payload(&self) -> String {
+        let Ticket { vm, incarnation, service, operation, expiry, nonce } = self;
+        let (incarnation, expiry, nonce) = (incarnation.0, expiry.0, nonce.0);
+        format!("{FORMAT}~{vm}~{incarnation}~{service}~{operation}~{expiry}~{nonce:032x}")
+    }
+
+    /// Reads an authenticated payload.
+    pub(crate) fn parse(payload: &str) -> Result<Ticket> {
+        let mut fields = payload.split(SEPARATOR);
+        let format: String = field(&mut fields, "format")?;
+        if format != FORMAT {
+            return Err(TicketError::Field("format"));
+        }
+        let ticket = Ticket {
+            vm: field(&mut fields, "entry VM")?,
+            incarnation: Incarnation(field(&mut fields, "incarnation")?),
+            service: field(&mut fields, "service")?,
+            operation: field(&mut fields, "operation")?,
+            expiry: Time(field(&mut fields, "expiry")?),
+            nonce: nonce(&mut fields)?,
+        };
+        if fields.next().is_some() {
+            return Err(TicketError::Field("end"));
+        }
+        Ok(ticket)
+    }
+}
+
+fn field<'a, T: FromStr>(
+    fields: &mut impl Iterator<Item = &'a str>,
+    name: &'static str,
+) -> Result<T> {
+    let text = fields.next().ok_or(TicketError::Field(name))?;
+    text.parse().map_err(|_| TicketError::Field(name))
+}
+
+fn nonce<'a>(fields: &mut impl Iterator<Item = &'a str>) -> Result<Nonce> {
+    let text: String = field(fields, "nonce")?;
+    let raw = u128::from_str_radix(&text, 16).map_err(|_| TicketError::Field("nonce"))?;
+    Ok(Nonce(raw))
+}
--- /dev/null
+++ b/crates/th-steer/tests/ticket.rs
@@ -0,0 +1,225 @@
+//! Tickets, their keys and the owner's table.
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use th_protocol::{Bytes, Incarnation, Millis, Reason, Time};
+use th_steer::ticket::{
+    Begin, Checkpoint, Dispatched, Fingerprint, IdempotencyKey, Operation, Ticket, TicketError,
+    TicketKey, TicketKeys, TicketSettings, Tickets,
+};
+
+const INCARNATION: Incarnation = Incarnation(7);
+const NOW: Time = Time(1_000);
+
+fn ticket(seed: u64) -> Ticket {
+    let owner = ("e1".parse().unwrap(), INCARNATION);
+    let target = ("desk".parse().unwrap(), "book".parse().unwrap());
+    Ticket::issue(owner, target, NOW, Millis(60_000), &mut ChaCha8Rng::seed_from_u64(seed))
+}
+
+fn key(text: &str) -> IdempotencyKey {
+    text.parse().unwrap()
+}
+
+fn print(body: &str) -> Fingerprint {
+    Fingerprint::of(&[b"/book", body.as_bytes()])
+}
+
+fn table(settings: TicketSettings) -> Tickets<&'static str> {
+    Tickets::new("e1".parse().unwrap(), INCARNATION, settings)
+}
+
+fn checkpoint(now: Time) -> Checkpoint {
+    Checkpoint { now, incarnation: INCARNATION, deadline: Time(50_000) }
+}
+
+fn dispatched(table: &mut Tickets<&'static str>, name: &str) -> Operation<Dispatched> {
+    let Begin::Fresh(operation) = table.begin(&ticket(1), key(name), print(name), NOW) else {
+        panic!("{name} is not fresh");
+    };
+    table.dispatch(operation.admit(), checkpoint(NOW)).unwrap()
+}
+
+fn keys(first: u8, others: &[u8]) -> TicketKeys {
+    let others = others.iter().map(|byte| TicketKey([*byte; 32])).collect();
+    TicketKeys::new(TicketKey([first; 32]), others)
+}
+
+#[test]
+fn keys_change_without_a_refused_ticket() {
+    let text = keys(1, &[]).seal(&ticket(1));
+    assert!(text.bytes().all(|b| b.is_ascii_alphanumeric() || b"-._~".contains(&b)), "{text}");
+    assert_eq!(keys(1, &[2]).open(&text), Ok(ticket(1)));
+    assert_eq!(keys(2, &[1]).open(&text), Ok(ticket(1)));
+    assert_eq!(keys(2, &[]).open(&text), Err(TicketError::Forged));
+    assert_eq!(TicketError::Forged.reason(), Reason::BadTicket);
+}
+
+proptest! {
+    #[test]
+    fn any_changed_byte_is_refused(at in 0usize..1_000, byte in 0x20u8..0x7f) {
+        let mut text = keys(1, &[]).seal(&ticket(1)).into_bytes();
+        let at = at % text.len();
+        prop_assume!(!text[at].eq_ignore_ascii_case(&byte));
+        text[at] = byte;
+        let text = String::from_utf8(text).unwrap();
+        prop_assert!(keys(1, &[]).open(&text).is_err());
+    }
+
+    #[test]
+    fn any_text_is_read_without_panic(text in ".{0,600}") {
+        prop_assert!(keys(1, &[]).open(&text).is_err());
+        let _ = text.parse::<IdempotencyKey>();
+    }
+}
+
+#[rstest]
+#[case("", Reason::NoKey)]
+#[case("a b", Reason::BadRequest)]
+#[case("é", Reason::BadRequest)]
+#[case(&"k".repeat(129), Reason::BadRequest)]
+fn bad_keys_are_refused(#[case] text: &str, #[case] reason: Reason) {
+    assert_eq!(text.parse::<IdempotencyKey>().unwrap_err().reason(), reason);
+}
+
+#[test]
+fn a_repeat_waits_and_then_gets_the_kept_answer() {
+    let mut table = table(TicketSettings::default());
+    let first = dispatched(&mut table, "a");
+    assert_eq!(table.begin(&ticket(1), key("a"), print("a"), NOW), Begin::InFlight);
+    table.answer(first, "booked", Bytes(6));
+    assert_eq!(table.begin(&ticket(1), key("a"), print("a"), NOW), Begin::Kept("booked"));
+    let other = table.begin(&ticket(1), key("a"), print("b"), NOW);
+    assert_eq!(other, Begin::Refused(Reason::KeyReused));
+    assert!(matches!(table.begin(&ticket(2), key("a"), print("a"), NOW), Begin::Fresh(_)));
+}
+
+#[rstest]
+#[case::expired(Time(61_000), INCARNATION, Time(90_000), Reason::TicketExpired)]
+#[case::late(Time(50_000), INCARNATION, Time(50_000), Reason::Deadline)]
+#[case::replaced(NOW, Incarnation(8), Time(50_000), Reason::OwnerGone)]
+fn a_paused_process_dispatches_nothing(
+    #[case] now: Time,
+    #[case] incarnation: Incarnation,
+    #[case] deadline: Time,
+    #[case] reason: Reason,
+) {
+    let mut table = table(TicketSettings::default());
+    let Begin::Fresh(operation) = table.begin(&ticket(1), key("a"), print("a"), NOW) else {
+        panic!("not fresh");
+    };
+    let end = table.dispatch(operation.admit(), Checkpoint { now, incarnation, deadline });
+    assert_eq!(end, Err(reason));
+    assert_eq!((table.len(), table.in_flight()), (0, 0));
+}
+
+#[test]
+fn only_a_sure_refusal_leads_to_another_try() {
+    let mut table = table(TicketSettings::default());
+    let first = dispatched(&mut table, "a");
+    let again = table.refused(first);
+    let second = table.dispatch(again, checkpoint(NOW)).unwrap();
+    table.unknown(second, Reason::Cut);
+    let repeat = table.begin(&ticket(1), key("a"), print("a"), NOW);
+    assert_eq!(repeat, Begin::Unknown(Reason::Cut));
+}
+
+#[test]
+fn a_lost_token_is_unknown_and_never_runs_again() {
+    let mut table = table(TicketSettings::default());
+    let token = dispatched(&mut table, "a");
+    table.lost(&token.name().clone(), Reason::Cancelled);
+    assert_eq!(table.in_flight(), 0);
+    let revived = table.refused(token);
+    assert_eq!(table.dispatch(revived, checkpoint(NOW)), Err(Reason::Cancelled));
+    let repeat = table.begin(&ticket(1), key("a"), print("a"), NOW);
+    assert_eq!(repeat, Begin::Unknown(Reason::Cancelled));
+}
+
+#[test]
+fn tickets_of_others_are_not_run_here() {
+    let mut other = Tickets::<()>::new("e2".parse().unwrap(), INCARNATION, Default::default());
+    let forward = other.begin(&ticket(1), key("a"), print("a"), NOW);
+    assert_eq!(forward, Begin::Forward("e1".parse().unwrap()));
+    let mut later = Tickets::<()>::new("e1".parse().unwrap(), Incarnation(8), Default::default());
+    let gone = later.begin(&ticket(1), key("a"), print("a"), NOW);
+    assert_eq!(gone, Begin::Unknown(Reason::OwnerGone));
+    let mut early = table(TicketSettings { longest: Millis(59_999), ..Default::default() });
+    let far = early.begin(&ticket(1), key("a"), print("a"), NOW);
+    assert_eq!(far, Begin::Refused(Reason::BadTicket));
+}
+
+#[test]
+fn a_stop_receives_nothing_new_and_still_tells_what_is_known() {
+    let mut table = table(TicketSettings::default());
+    let first = dispatched(&mut table, "a");
+    table.close();
+    let fresh = table.begin(&ticket(1), key("b"), print("b"), NOW);
+    assert_eq!(fresh, Begin::Refused(Reason::Stopping));
+    assert_eq!(table.begin(&ticket(1), key("a"), print("a"), NOW), Begin::InFlight);
+    assert_eq!(table.in_flight(), 1);
+    table.answer(first, "booked", Bytes(6));
+    assert_eq!(table.begin(&ticket(1), key("a"), print("a"), NOW), Begin::Kept("booked"));
+    assert_eq!(table.in_flight(), 0);
+}
+
+#[test]
+fn a_full_table_refuses_and_forgets_nothing() {
+    let mut table = table(TicketSettings::default());
+    let ticket = ticket(1);
+    let mut count = 0;
+    loop {
+        let name = format!("{count:036}");
+        match table.begin(&ticket, key(&name), print("a"), NOW) {
+            Begin::Fresh(operation) => {
+                let token = table.dispatch(operation.admit(), checkpoint(NOW)).unwrap();
+                table.unknown(token, Reason::Timeout);
+            }
+            end => {
+                assert_eq!(end, Begin::Refused(Reason::TicketsFull));
+                break;
+            }
+        }
+        count += 1;
+    }
+    println!("{count} operations with keys of 36 bytes fit in {}", table.used());
+    assert!(table.used() <= TicketSettings::default().budget);
+    let first = table.begin(&ticket, key(&format!("{:036}", 0)), print("a"), NOW);
+    assert_eq!(first, Begin::Unknown(Reason::Timeout));
+}
+
+#[test]
+fn an_answer_too_large_to_keep_is_remembered_as_run() {
+    let mut table = table(TicketSettings { answers: Bytes(10), ..Default::default() });
+    let (a, b) = (dispatched(&mut table, "a"), dispatched(&mut table, "b"));
+    table.answer(a, "small", Bytes(8));
+    table.answer(b, "large", Bytes(8));
+    assert_eq!(table.begin(&ticket(1), key("a"), print("a"), NOW), Begin::Kept("small"));
+    let repeat = table.begin(&ticket(1), key("b"), print("b"), NOW);
+    assert_eq!(repeat, Begin::Unknown(Reason::TicketsFull));
+}
+
+#[test]
+fn a_sweep_is_bounded_and_keeps_what_is_in_flight() {
+    let mut table = table(TicketSettings { sweep: 2, ..Default::default() });
+    let slow = dispatched(&mut table, "a");
+    for name in ["b", "c", "d", "e"] {
+        let token = dispatched(&mut table, name);
+        table.answer(token, "booked", Bytes(6));
+    }
+    assert_eq!(table.sweep(Time(60_999)), 0);
+    let expired = Time(61_000);
+    for _ in 0..4 {
+        assert!(table.sweep(expired) <= 2);
+    }
+    assert_eq!((table.len(), table.in_flight()), (1, 1));
+    let stale = table.begin(&ticket(1), key("b"), print("b"), NOW);
+    assert_eq!(stale, Begin::Unknown(Reason::TicketExpired), "a stale clock reading");
+    table.answer(slow, "booked", Bytes(6));
+    assert_eq!(table.begin(&ticket(1), key("a"), print("a"), expired), Begin::Kept("booked"));
+    table.sweep(expired);
+    table.sweep(expired);
+    assert_eq!((table.len(), table.used()), (0, Bytes::ZERO));
+}
