Add the request queue, retry budgets, hedges and attempt ids

Cause: without them a burst makes every request late, and an outage multiplies its own load. Conclusion: oldest first, with the expected wait kept to half of the spare time.

--- /dev/null
+++ b/crates/th-steer/src/queue/lane.rs
@@ -0,0 +1,40 @@
+//! The requests of one customer.
+
+use std::collections::BTreeSet;
+
+use super::{request::QueueId, settings::QueueOrder};
+
+/// Virtual time that a request of one millisecond takes at weight one.
+const SCALE: u64 = 1 << 20;
+
+/// The waiting requests of one customer and its place in virtual time.
+#[derive(Debug, Clone)]
+pub(crate) struct Lane {
+    pub(crate) weight: u32,
+    /// Virtual start of its next request.
+    pub(crate) start: u64,
+    pub(crate) ids: BTreeSet<QueueId>,
+}
+
+impl Lane {
+    pub(crate) fn new(weight: u32) -> Lane {
+        Lane { weight: weight.max(1), start: 0, ids: BTreeSet::new() }
+    }
+
+    pub(crate) fn next(&self, order: QueueOrder) -> Option<QueueId> {
+        match order {
+            QueueOrder::Oldest => self.ids.first().copied(),
+            QueueOrder::Newest => self.ids.last().copied(),
+        }
+    }
+
+    /// Requests for each unit of weight, scaled.
+    pub(crate) fn load(&self) -> u64 {
+        self.ids.len() as u64 * SCALE / u64::from(self.weight)
+    }
+
+    /// Virtual time that a request of `millis` takes.
+    pub(crate) fn cost(&self, millis: u64) -> u64 {
+        millis.max(1).saturating_mul(SCALE) / u64::from(self.weight)
+    }
+}
--- a/crates/th-steer/src/queue/mod.rs
+++ b/crates/th-steer/src/queue/mod.rs
@@ -1,1 +1,11 @@
 //! Requests that wait for a slot, in fair order.
+
+mod lane;
+#[expect(clippy::module_inception, reason = "the file is named after its type")]
+mod queue;
+mod request;
+mod settings;
+
+pub use queue::Queue;
+pub use request::{Popped, Pushed, QueueId, QueueRefusal, QueuedRequest};
+pub use settings::{QueueOrder, QueueSettings};
--- /dev/null
+++ b/crates/th-steer/src/retry/latency.rs
@@ -0,0 +1,90 @@
+//! Quantiles of recent latencies in a fixed amount of memory.
+
+use th_protocol::{Millis, Permille};
+
+/// Buckets for each doubling of the latency; a bucket is at most an eighth of its lower end wide.
+const STEPS: u64 = 8;
+/// `STEPS` is two to this power.
+const STEP_BITS: u32 = 3;
+/// Covers latencies up to two minutes; longer ones count in the last bucket.
+const BUCKETS: usize = 120;
+/// Latencies in one half of the window.
+const HALF: u32 = 1_000;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Counts {
+    buckets: [u32; BUCKETS],
+    total: u32,
+}
+
+impl Counts {
+    const EMPTY: Counts = Counts { buckets: [0; BUCKETS], total: 0 };
+}
+
+/// The last one to two thousand latencies, in buckets that widen with the latency.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LatencyWindow {
+    current: Counts,
+    previous: Counts,
+}
+
+impl Default for LatencyWindow {
+    fn default() -> LatencyWindow {
+        LatencyWindow { current: Counts::EMPTY, previous: Counts::EMPTY }
+    }
+}
+
+impl LatencyWindow {
+    /// Adds a latency.
+    pub fn record(&mut self, latency: Millis) {
+        if HALF <= self.current.total {
+            self.previous = std::mem::replace(&mut self.current, Counts::EMPTY);
+        }
+        self.current.buckets[bucket(latency)] += 1;
+        self.current.total += 1;
+    }
+
+    /// Latencies in the window.
+    pub fn samples(&self) -> u32 {
+        self.current.total + self.previous.total
+    }
+
+    /// Upper end of the bucket that holds the quantile; none without latencies.
+    pub fn quantile(&self, share: Permille) -> Option<Millis> {
+        let samples = u64::from(self.samples());
+        if samples == 0 {
+            return None;
+        }
+        let rank = (samples * u64::from(share.0)).div_ceil(1_000);
+        let mut seen = 0;
+        for at in 0..BUCKETS {
+            seen += u64::from(self.current.buckets[at]) + u64::from(self.previous.buckets[at]);
+            if rank <= seen {
+                return Some(end(at));
+            }
+        }
+        Some(end(BUCKETS - 1))
+    }
+}
+
+fn bucket(latency: Millis) -> usize {
+    let raw = latency.0;
+    if raw < STEPS {
+        return raw as usize;
+    }
+    let octave = raw.ilog2() - STEP_BITS;
+    let step = (raw >> octave) - STEPS;
+    let at = (u64::from(octave) + 1) * STEPS + step;
+    (at as usize).min(BUCKETS - 1)
+}
+
+/// The largest latency of a bucket.
+fn end(at: usize) -> Millis {
+    let at = at as u64;
+    if at < STEPS {
+        return Millis(at);
+    }
+    let octave = at / STEPS - 1;
+    let step = at % STEPS;
+    Millis(((STEPS + step + 1) << octave) - 1)
+}
--- /dev/null
+++ b/crates/th-steer/src/retry/policy.rs
@@ -0,0 +1,107 @@
+//! Decides about retries and hedges of each service.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+use th_protocol::{Millis, ServiceId, Slots, Time};
+
+use super::{
+    backoff::backoff,
+    budget::RetryBudget,
+    decision::{Failure, RetryDecision, RetryStop, Slow},
+    latency::LatencyWindow,
+    settings::RetrySettings,
+};
+
+#[derive(Debug, Clone)]
+struct Row {
+    budget: RetryBudget,
+    latency: LatencyWindow,
+}
+
+/// Budget and recent latencies of each service at one entry VM.
+#[derive(Debug, Clone)]
+pub struct RetryPolicy {
+    settings: RetrySettings,
+    rows: BTreeMap<ServiceId, Row>,
+}
+
+impl RetryPolicy {
+    /// A policy that knows no traffic yet.
+    pub fn new(settings: RetrySettings) -> RetryPolicy {
+        RetryPolicy { settings, rows: BTreeMap::new() }
+    }
+
+    /// Counts a request's first try. Forwarded requests are counted where they first came in.
+    pub fn offered(&mut self, service: &ServiceId) {
+        self.row(service).budget.offered();
+    }
+
+    /// Counts the latency of an answered try.
+    pub fn answered(&mut self, service: &ServiceId, latency: Millis) {
+        self.row(service).latency.record(latency);
+    }
+
+    /// Drops what is known of services that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(&ServiceId) -> bool) {
+        self.rows.retain(|service, _| keep(service));
+    }
+
+    /// Decides whether a failed request is tried again, and takes the retry out of the budget.
+    pub fn retry(
+        &mut self,
+        service: &ServiceId,
+        failure: &Failure,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> RetryDecision {
+        if !failure.idempotent && !failure.sure {
+            return RetryDecision::Stop(RetryStop::MayHaveRun);
+        }
+        if failure.forwarded {
+            return RetryDecision::Stop(RetryStop::Forwarded);
+        }
+        if self.settings.tries <= failure.tries {
+            return RetryDecision::Stop(RetryStop::Tries);
+        }
+        let retry = failure.tries.saturating_sub(1);
+        let wait = backoff(retry, self.settings.base, self.settings.ceiling, rng);
+        if failure.deadline < now.after(wait).after(failure.expected) {
+            return RetryDecision::Stop(RetryStop::Deadline);
+        }
+        if !self.row(service).budget.take(now) {
+            return RetryDecision::Stop(RetryStop::Budget);
+        }
+        RetryDecision::After(wait)
+    }
+
+    /// Decides whether to send a second try of a slow read, and takes it out of the budget.
+    pub fn hedge(&mut self, service: &ServiceId, slow: &Slow, now: Time) -> bool {
+        let first = slow.idempotent && !slow.forwarded && slow.tries <= 1;
+        if !first || slow.free == Slots::ZERO {
+            return false;
+        }
+        match self.hedge_after(service) {
+            Some(wait) if wait < now.since(slow.sent) => self.row(service).budget.take(now),
+            _ => false,
+        }
+    }
+
+    /// How long a try may take before a hedge is considered; none while too few latencies are known.
+    pub fn hedge_after(&self, service: &ServiceId) -> Option<Millis> {
+        let row = self.rows.get(service)?;
+        if row.latency.samples() < self.settings.samples {
+            return None;
+        }
+        row.latency.quantile(self.settings.quantile)
+    }
+
+    fn row(&mut self, service: &ServiceId) -> &mut Row {
+        if !self.rows.contains_key(service) {
+            let RetrySettings { share, bank, interval, .. } = self.settings;
+            let budget = RetryBudget::new(share, bank, interval);
+            self.rows.insert(service.clone(), Row { budget, latency: LatencyWindow::default() });
+        }
+        self.rows.get_mut(service).expect("the row was just made")
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/retry/settings.rs
@@ -0,0 +1,39 @@
+//! Settings of retries and hedges.
+
+use th_protocol::{Millis, Permille};
+
+/// Settings of retries and hedges.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RetrySettings {
+    /// Retries and hedges together, as a share of the first tries.
+    pub share: Permille,
+    /// Unspent retries that are kept for later.
+    pub bank: u32,
+    /// One retry is allowed after this long without any, however little traffic there is.
+    pub interval: Millis,
+    /// Upper end of the first backoff.
+    pub base: Millis,
+    /// Upper end of every backoff.
+    pub ceiling: Millis,
+    /// Tries of one request, the first included.
+    pub tries: u32,
+    /// A hedge is sent when a request has taken longer than this share of those before it.
+    pub quantile: Permille,
+    /// Latencies that must be known before the first hedge.
+    pub samples: u32,
+}
+
+impl Default for RetrySettings {
+    fn default() -> RetrySettings {
+        RetrySettings {
+            share: Permille(90),
+            bank: 10,
+            interval: Millis(10_000),
+            base: Millis(25),
+            ceiling: Millis(1_000),
+            tries: 3,
+            quantile: Permille(950),
+            samples: 100,
+        }
+    }
+}
--- /dev/null
+++ b/crates/th-steer/tests/queue.rs
@@ -0,0 +1,289 @@
+//! Queues under overload: goodput, deadlines, fairness and bounds.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use th_protocol::{Bytes, Millis, Permille, Reason, Slots, Time};
+use th_steer::queue::{Popped, Queue, QueueOrder, QueueSettings, QueuedRequest};
+
+const SEED: u64 = 5;
+const SLOTS: Slots = Slots(8);
+const MEAN: Millis = Millis(40);
+const TAIL: Millis = Millis(115);
+const DEADLINE: Millis = Millis(500);
+const RUN: u64 = 60_000;
+
+fn request(customer: &str, deadline: Time, item: u64) -> QueuedRequest<u64> {
+    QueuedRequest {
+        customer: (!customer.is_empty()).then(|| customer.parse().unwrap()),
+        deadline,
+        service: MEAN,
+        tail: TAIL,
+        size: Bytes(100),
+        item,
+    }
+}
+
+/// A queue under test: this crate's, or a plain one that knows no deadlines.
+enum Line {
+    Plain(VecDeque<QueuedRequest<u64>>),
+    Fair(Queue<u64>),
+}
+
+impl Line {
+    /// The requests refused.
+    fn push(&mut self, request: QueuedRequest<u64>, now: Time) -> Vec<u64> {
+        match self {
+            Line::Plain(line) => {
+                let full = 1_024 <= line.len();
+                let refused = full.then_some(request.item);
+                if !full {
+                    line.push_back(request);
+                }
+                refused.into_iter().collect()
+            }
+            Line::Fair(queue) => {
+                let pushed = queue.push(request, SLOTS, now);
+                let mut refused: Vec<_> = pushed.displaced.into_iter().map(|it| it.item).collect();
+                refused.extend(pushed.outcome.err().map(|it| it.item));
+                refused
+            }
+        }
+    }
+
+    fn pop(&mut self, now: Time) -> (Option<QueuedRequest<u64>>, Vec<u64>) {
+        match self {
+            Line::Plain(line) => (line.pop_front(), Vec::new()),
+            Line::Fair(queue) => {
+                let Popped { next, refused } = queue.pop(now);
+                (next, refused.into_iter().map(|it| it.item).collect())
+            }
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Figures {
+    offered: u64,
+    good: u64,
+    missed: u64,
+    refused: u64,
+    /// Requests that were refused only after they had waited.
+    held: u64,
+    waits: Vec<u64>,
+}
+
+impl Figures {
+    fn wait(&mut self, share: usize) -> u64 {
+        self.waits.sort_unstable();
+        self.waits[(self.waits.len() - 1) * share / 1_000]
+    }
+}
+
+/// Offers `load` thousandths of the capacity for a minute of virtual time, in steps of 1 ms. An item is its arrival.
+fn run(mut line: Line, load: u64) -> Figures {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let chance = load as f64 / 1_000.0 * f64::from(SLOTS.0) / MEAN.0 as f64;
+    let mut figures = Figures::default();
+    let mut busy: Vec<u64> = Vec::new();
+    for now in 0..RUN {
+        busy.retain(|end| now < *end);
+        let mut refused = Vec::new();
+        if rng.random_bool(chance) {
+            figures.offered += 1;
+            refused.extend(line.push(request("", Time(now).after(DEADLINE), now), Time(now)));
+        }
+        while busy.len() < SLOTS.0 as usize {
+            let (next, late) = line.pop(Time(now));
+            refused.extend(late);
+            let Some(next) = next else { break };
+            let excess = -20.0 * (1.0 - rng.random::<f64>()).ln();
+            let end = now + 20 + excess as u64;
+            busy.push(end);
+            figures.waits.push(now - next.item);
+            let good = Time(end) <= next.deadline;
+            figures.good += u64::from(good);
+            figures.missed += u64::from(!good);
+        }
+        for arrival in refused {
+            figures.refused += 1;
+            figures.held += u64::from(arrival < now);
+        }
+    }
+    figures
+}
+
+fn plain() -> Line {
+    Line::Plain(VecDeque::new())
+}
+
+fn fair(order: QueueOrder, patience: u32) -> Line {
+    let patience = Permille(patience);
+    Line::Fair(Queue::new(QueueSettings { order, patience, ..Default::default() }))
+}
+
+#[rstest]
+#[case::plain("plain", plain, false, true)]
+#[case::patience_250("oldest, patience 250", || fair(QueueOrder::Oldest, 250), true, true)]
+#[case::default("oldest, patience 500", || fair(QueueOrder::Oldest, 500), true, true)]
+#[case::patience_1000("oldest, patience 1000", || fair(QueueOrder::Oldest, 1_000), true, false)]
+#[case::newest("newest", || fair(QueueOrder::Newest, 500), true, false)]
+fn goodput_holds_at_twice_the_capacity(
+    #[case] name: &str,
+    #[case] line: fn() -> Line,
+    #[case] holds: bool,
+    #[case] prompt: bool,
+) {
+    let full = run(line(), 1_000);
+    let mut twice = run(line(), 2_000);
+    let started = twice.good + twice.missed;
+    let (p50, p99) = (twice.wait(500), twice.wait(990));
+    println!(
+        "{name}: good {} at 1.0, {} at 2.0 of {}; missed {} of {started} started; \
+         refused {}, of them late {}; wait p50 {p50} ms, p99 {p99} ms",
+        full.good, twice.good, twice.offered, twice.missed, twice.refused, twice.held,
+    );
+    let goodput = full.good * 95 <= twice.good * 100;
+    let on_time = twice.missed * 100 < started;
+    assert_eq!(goodput && on_time, holds, "seed {SEED}");
+    assert_eq!(twice.held * 100 < twice.refused, prompt, "seed {SEED}");
+}
+
+/// Requests of each customer that leave a queue which both keep full.
+fn served(weights: &[(&str, u32)], pushes: &[&str], pops: usize) -> BTreeMap<String, u64> {
+    let settings = QueueSettings { length: 32, ..Default::default() };
+    let mut queue = Queue::new(settings);
+    let weights = weights.iter().map(|(id, weight)| (id.parse().unwrap(), *weight)).collect();
+    queue.set_weights(&weights);
+    let mut served = BTreeMap::new();
+    for _ in 0..pops {
+        for customer in pushes {
+            queue.push(request(customer, Time(60_000), 0), SLOTS, Time(0));
+        }
+        let next = queue.pop(Time(0)).next.unwrap();
+        *served.entry(next.customer.unwrap().to_string()).or_default() += 1;
+    }
+    served
+}
+
+#[rstest]
+#[case::burst(&[("a", 1), ("b", 1)], &["a", "a", "a", "a", "a", "b"], &[300, 300])]
+#[case::weights(&[("a", 1), ("b", 2)], &["a", "a", "b", "b"], &[200, 400])]
+fn slots_are_shared_by_weight(
+    #[case] weights: &[(&str, u32)],
+    #[case] pushes: &[&str],
+    #[case] shares: &[u64],
+) {
+    let served: Vec<u64> = served(weights, pushes, 600).into_values().collect();
+    for (got, share) in served.iter().zip(shares) {
+        assert!(got.abs_diff(*share) <= 2, "{served:?} for {shares:?}");
+    }
+}
+
+#[test]
+fn a_burst_leaves_room_for_other_customers() {
+    let settings = QueueSettings { length: 4, ..Default::default() };
+    let mut queue = Queue::new(settings);
+    queue.set_weights(&BTreeMap::from([("a".parse().unwrap(), 1), ("b".parse().unwrap(), 1)]));
+    for item in 0..4 {
+        let pushed = queue.push(request("a", Time(60_000), item), SLOTS, Time(0));
+        assert!(pushed.outcome.is_ok());
+    }
+    let pushed = queue.push(request("b", Time(60_000), 9), SLOTS, Time(0));
+    assert!(pushed.outcome.is_ok());
+    let displaced: Vec<_> = pushed.displaced.iter().map(|it| (it.item, it.reason)).collect();
+    assert_eq!(displaced, [(3, Reason::QueueFull)]);
+    let more = queue.push(request("a", Time(60_000), 5), SLOTS, Time(0));
+    assert_eq!(more.outcome.unwrap_err().reason, Reason::QueueFull);
+}
+
+#[test]
+fn what_cannot_finish_is_refused_at_once_with_a_hint() {
+    let mut queue = Queue::new(QueueSettings::default());
+    let late = queue.push(request("", Time(114), 0), SLOTS, Time(0)).outcome.unwrap_err();
+    assert_eq!((late.reason, late.retry), (Reason::Deadline, MEAN));
+    for item in 0..16 {
+        assert!(queue.push(request("", Time(60_000), item), SLOTS, Time(0)).outcome.is_ok());
+    }
+    let wait = queue.expected_wait(None, SLOTS);
+    assert_eq!(wait, Millis(80));
+    let tight = queue.push(request("", Time(215), 16), SLOTS, Time(0)).outcome.unwrap_err();
+    assert_eq!((tight.reason, tight.retry), (Reason::Deadline, Millis(30)));
+    assert!(queue.push(request("", Time(275), 17), SLOTS, Time(0)).outcome.is_ok());
+    let expired = queue.expire(Time(161));
+    assert_eq!(expired.iter().map(|it| it.item).collect::<Vec<_>>(), [17]);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Push(u8, u64, u64),
+    Pop(u64),
+    Cancel(usize),
+    Weights(u8, u32),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0_u8..4, 0_u64..600, 0_u64..400).prop_map(|(who, left, size)| Step::Push(who, left, size)),
+        (0_u64..50).prop_map(Step::Pop),
+        (0_usize..20).prop_map(Step::Cancel),
+        (0_u8..4, 0_u32..5).prop_map(|(who, weight)| Step::Weights(who, weight)),
+    ]
+}
+
+proptest! {
+    /// Each request leaves exactly once, within the bounds, and none starts too late to finish.
+    #[test]
+    fn no_request_is_lost_or_late(steps in prop::collection::vec(step(), 1..120)) {
+        let settings = QueueSettings { length: 8, bytes: Bytes(1_000), ..Default::default() };
+        let mut queue = Queue::new(settings.clone());
+        let (mut now, mut count) = (Time(0), 0_u64);
+        let mut ids = Vec::new();
+        let mut left = Vec::new();
+        let mut weights = BTreeMap::new();
+        for step in steps {
+            match step {
+                Step::Push(who, spare, size) => {
+                    let mut request = request(["", "a", "b", "c"][who as usize], now.after(Millis(spare)), count);
+                    request.size = Bytes(size);
+                    count += 1;
+                    let pushed = queue.push(request, SLOTS, now);
+                    left.extend(pushed.displaced.into_iter().map(|it| it.item));
+                    match pushed.outcome {
+                        Ok(id) => ids.push(id),
+                        Err(refusal) => left.push(refusal.item),
+                    }
+                }
+                Step::Pop(pause) => {
+                    now = now.after(Millis(pause));
+                    let popped = queue.pop(now);
+                    left.extend(popped.refused.into_iter().map(|it| it.item));
+                    if let Some(next) = popped.next {
+                        prop_assert!(now.after(next.tail) <= next.deadline);
+                        left.push(next.item);
+                    }
+                }
+                Step::Cancel(at) => {
+                    let gone = ids.get(at).and_then(|id| queue.cancel(*id));
+                    left.extend(gone.map(|it| it.item));
+                }
+                Step::Weights(who, weight) => {
+                    weights.insert(["d", "a", "b", "c"][who as usize].parse().unwrap(), weight);
+                    queue.set_weights(&weights);
+                }
+            }
+            prop_assert!(queue.len() <= settings.length && queue.bytes() <= settings.bytes);
+        }
+        while let Some(next) = queue.pop(now).next {
+            left.push(next.item);
+        }
+        let rest = queue.expire(Time(u64::MAX));
+        left.extend(rest.into_iter().map(|it| it.item));
+        left.sort_unstable();
+        prop_assert_eq!(left, (0..count).collect::<Vec<_>>());
+        prop_assert!(queue.is_empty() && queue.bytes() == Bytes::ZERO);
+    }
+}
--- /dev/null
+++ b/crates/th-steer/tests/retry.rs
@@ -0,0 +1,180 @@
+//! Retry budgets, backoff, hedges and attempt ids.
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use th_protocol::{AttemptId, Millis, Permille, ServiceId, Slots, Time};
+use th_steer::retry::{
+    Attempts, Failure, LatencyWindow, RetryDecision, RetryPolicy, RetrySettings, RetryStop, Slow,
+    StrayAnswer, backoff, next_hop,
+};
+
+/// Target: tries in a full outage, in thousandths of the requests offered.
+const MOST_LOAD: u64 = 1_100;
+const SEED: u64 = 11;
+const OFFERED: u64 = 6_000;
+
+fn service() -> ServiceId {
+    "desk".parse().unwrap()
+}
+
+fn failure(tries: u32) -> Failure {
+    Failure {
+        idempotent: true,
+        sure: false,
+        forwarded: false,
+        tries,
+        deadline: Time(u64::MAX),
+        expected: Millis(10),
+    }
+}
+
+/// One request through `hops`, each of which retries as its policy says; returns the tries that leave the last hop.
+fn send(
+    hops: &mut [RetryPolicy],
+    forwarded: bool,
+    marks: bool,
+    now: Time,
+    rng: &mut ChaCha8Rng,
+) -> u64 {
+    let Some((hop, rest)) = hops.split_first_mut() else {
+        return 1;
+    };
+    if !forwarded {
+        hop.offered(&service());
+    }
+    let mut load = 0;
+    for tries in 1.. {
+        load += send(rest, marks, marks, now, rng);
+        let failure = Failure { forwarded, ..failure(tries) };
+        if let RetryDecision::Stop(_) = hop.retry(&service(), &failure, now, rng) {
+            break;
+        }
+    }
+    load
+}
+
+/// Tries in thousandths of the requests offered, in a minute's outage at 100 requests a second after a healthy minute.
+fn outage_load(settings: &RetrySettings, hops: usize, marks: bool) -> u64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut hops = vec![RetryPolicy::new(settings.clone()); hops];
+    for hop in &mut hops {
+        for _ in 0..OFFERED {
+            hop.offered(&service());
+        }
+    }
+    let mut load = 0;
+    for request in 0..OFFERED {
+        load += send(&mut hops, false, marks, Time(60_000 + request * 10), &mut rng);
+    }
+    load * 1_000 / OFFERED
+}
+
+#[rstest]
+#[case::one_hop(RetrySettings::default(), 1, true, true)]
+#[case::two_hops(RetrySettings::default(), 2, true, true)]
+#[case::no_budget(RetrySettings { share: Permille(2_000), ..Default::default() }, 1, true, false)]
+#[case::each_hop_retries(RetrySettings::default(), 2, false, false)]
+fn retries_stay_within_a_tenth_in_an_outage(
+    #[case] settings: RetrySettings,
+    #[case] hops: usize,
+    #[case] marks: bool,
+    #[case] holds: bool,
+) {
+    let load = outage_load(&settings, hops, marks);
+    println!("{hops} hops, marks {marks}, share {}: load {load} of 1000", settings.share);
+    assert_eq!(load <= MOST_LOAD, holds, "load {load}, seed {SEED}");
+}
+
+#[rstest]
+#[case(Failure { idempotent: false, ..failure(1) }, RetryStop::MayHaveRun)]
+#[case(Failure { forwarded: true, ..failure(1) }, RetryStop::Forwarded)]
+#[case(failure(3), RetryStop::Tries)]
+#[case(Failure { deadline: Time(109), expected: Millis(110), ..failure(1) }, RetryStop::Deadline)]
+fn a_request_is_not_tried_again(#[case] failure: Failure, #[case] stop: RetryStop) {
+    let mut policy = RetryPolicy::new(RetrySettings::default());
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let decision = policy.retry(&service(), &failure, Time(0), &mut rng);
+    assert_eq!(decision, RetryDecision::Stop(stop));
+}
+
+#[test]
+fn a_sure_refusal_is_tried_again_within_the_budget() {
+    let mut policy = RetryPolicy::new(RetrySettings::default());
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let refused = Failure { idempotent: false, sure: true, ..failure(1) };
+    let mut decide = |now| policy.retry(&service(), &refused, Time(now), &mut rng);
+    assert!(matches!(decide(0), RetryDecision::After(_)));
+    assert_eq!(decide(9_999), RetryDecision::Stop(RetryStop::Budget));
+    assert!(matches!(decide(10_000), RetryDecision::After(_)));
+}
+
+#[test]
+fn a_hedge_needs_a_slow_read_a_free_slot_and_budget() {
+    let mut policy = RetryPolicy::new(RetrySettings::default());
+    let slow = Slow { idempotent: true, forwarded: false, tries: 1, sent: Time(0), free: Slots(1) };
+    assert!(!policy.hedge(&service(), &slow, Time(500)), "no latencies are known");
+    for latency in 1..=100 {
+        policy.answered(&service(), Millis(latency));
+    }
+    let after = policy.hedge_after(&service()).unwrap();
+    assert!(Millis(95) <= after && after < Millis(107), "{after}");
+    assert!(!policy.hedge(&service(), &slow, Time(after.0)));
+    let write = Slow { idempotent: false, ..slow };
+    assert!(!policy.hedge(&service(), &write, Time(500)));
+    let full = Slow { free: Slots(0), ..slow };
+    assert!(!policy.hedge(&service(), &full, Time(500)));
+    assert!(policy.hedge(&service(), &slow, Time(500)));
+    assert!(!policy.hedge(&service(), &slow, Time(501)), "the budget is spent");
+}
+
+#[test]
+fn stray_answers_are_dropped_by_id() {
+    let mut attempts = Attempts::new(AttemptId(u64::MAX));
+    let first = attempts.start("check");
+    let hedge = attempts.start("check");
+    let other = attempts.start("book");
+    let crossed = StrayAnswer::Crossed { sent: other, named: first };
+    assert_eq!(attempts.accept(other, Some(first)), Err(crossed));
+    assert_eq!(attempts.accept(other, None), Err(StrayAnswer::Unnamed { sent: other }));
+    let accepted = attempts.accept(hedge, Some(hedge)).unwrap();
+    assert_eq!((accepted.request, accepted.cancelled), ("check", vec![first]));
+    assert_eq!(attempts.accept(first, Some(first)), Err(StrayAnswer::Late { sent: first }));
+    assert!(attempts.fail(other) && !attempts.fail(other));
+    assert!(attempts.is_empty());
+}
+
+proptest! {
+    #[test]
+    fn backoff_is_bounded(retry in any::<u32>(), base in any::<u64>(), ceiling in any::<u64>()) {
+        let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+        let wait = backoff(retry, Millis(base), Millis(ceiling), &mut rng);
+        prop_assert!(wait <= Millis(ceiling));
+        prop_assert!(retry != 0 || wait <= Millis(base));
+    }
+
+    #[test]
+    fn a_deadline_shrinks(deadline in any::<u64>(), now in any::<u64>(), round in any::<u64>()) {
+        let left = next_hop(Time(deadline), Time(now), Millis(round));
+        let room = u128::from(now) + u128::from(round) < u128::from(deadline);
+        prop_assert_eq!(left.is_some(), room);
+        prop_assert!(left.is_none_or(|left| left <= Time(deadline).since(Time(now))));
+    }
+
+    #[test]
+    fn a_quantile_is_within_an_eighth(
+        mut latencies in prop::collection::vec(0_u64..100_000, 1..900),
+        share in 1_u32..=1_000,
+    ) {
+        let mut window = LatencyWindow::default();
+        for latency in &latencies {
+            window.record(Millis(*latency));
+        }
+        latencies.sort_unstable();
+        let rank = (latencies.len() * share as usize).div_ceil(1_000);
+        let exact = latencies[rank - 1];
+        let told = window.quantile(Permille(share)).unwrap().0;
+        prop_assert!(exact <= told && told <= exact + exact / 8, "{} for {}", told, exact);
+    }
+}
