--- /dev/null
+++ b/crates/th-steer/src/limit/slots.rs
@@ -0,0 +1,140 @@
+//! Slots and connections that one entry VM uses, counted against its shares.
+
+use std::collections::BTreeMap;
+
+use th_protocol::{
+    AttemptId, BackendId, Connections, Millis, Reason, RegionId, ServiceId, Slots as Count,
+};
+use thiserror::Error;
+
+use crate::limit::{CapId, Refusal};
+
+/// The result of giving something back.
+pub(crate) type Result<T, E = SlotError> = std::result::Result<T, E>;
+
+/// When a refused request may come back: a slot is freed by the end of another request.
+const SLOT_RETRY: Millis = Millis(100);
+
+/// Why something could not be given back.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum SlotError {
+    /// The attempt holds no slot: it never did, or has given it back.
+    #[error("attempt {0} holds no slot")]
+    NotHeld(AttemptId),
+    /// No connection to the backend server is counted.
+    #[error("no connection to {0} is open")]
+    NotOpen(BackendId),
+}
+
+/// What this VM may spend, as its shares say now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlotLimit {
+    /// Of the region's cap.
+    pub region: u64,
+    /// Of the service's cap in the region.
+    pub service: u64,
+    /// Of the backend server's slots.
+    pub backend: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Held {
+    region: RegionId,
+    service: ServiceId,
+    backend: BackendId,
+}
+
+/// Slots by attempt and connections by backend server.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Slots {
+    held: BTreeMap<AttemptId, Held>,
+    caps: BTreeMap<CapId, u64>,
+    backends: BTreeMap<BackendId, u64>,
+    open: BTreeMap<BackendId, u64>,
+}
+
+impl Slots {
+    /// Takes a slot for `attempt`. An attempt that holds one already is refused another.
+    pub fn acquire(
+        &mut self,
+        attempt: AttemptId,
+        service: &ServiceId,
+        region: &RegionId,
+        backend: &BackendId,
+        limit: SlotLimit,
+    ) -> Result<(), Refusal> {
+        let total = CapId::Region(region.clone());
+        let target = CapId::Service(service.clone(), region.clone());
+        let refuse = |reason| Err(Refusal { reason, retry: SLOT_RETRY });
+        if self.held.contains_key(&attempt) {
+            return refuse(Reason::NoSlot);
+        }
+        if limit.region <= self.used(&total) || limit.service <= self.used(&target) {
+            return refuse(Reason::RegionCap);
+        }
+        if limit.backend <= self.backend(backend) {
+            return refuse(Reason::NoSlot);
+        }
+        *self.caps.entry(total).or_default() += 1;
+        *self.caps.entry(target).or_default() += 1;
+        *self.backends.entry(backend.clone()).or_default() += 1;
+        let held =
+            Held { region: region.clone(), service: service.clone(), backend: backend.clone() };
+        self.held.insert(attempt, held);
+        Ok(())
+    }
+
+    /// Gives the slot of `attempt` back.
+    pub fn release(&mut self, attempt: AttemptId) -> Result<()> {
+        let Some(held) = self.held.remove(&attempt) else {
+            return Err(SlotError::NotHeld(attempt));
+        };
+        lower(&mut self.caps, &CapId::Region(held.region.clone()));
+        lower(&mut self.caps, &CapId::Service(held.service, held.region));
+        lower(&mut self.backends, &held.backend);
+        Ok(())
+    }
+
+    /// Slots in use under a cap.
+    pub fn used(&self, cap: &CapId) -> u64 {
+        self.caps.get(cap).copied().unwrap_or(0)
+    }
+
+    /// Slots in use at a backend server.
+    pub fn backend(&self, backend: &BackendId) -> u64 {
+        self.backends.get(backend).copied().unwrap_or(0)
+    }
+
+    /// Attempts that hold a slot.
+    pub fn held(&self) -> Count {
+        Count(u32::try_from(self.held.len()).unwrap_or(u32::MAX))
+    }
+
+    /// Counts a new connection to `backend`, of which this VM may open `share`.
+    pub fn connect(&mut self, backend: &BackendId, share: Connections) -> Result<(), Refusal> {
+        let open = self.open.get(backend).copied().unwrap_or(0);
+        if u64::from(share.0) <= open {
+            return Err(Refusal { reason: Reason::NoSlot, retry: SLOT_RETRY });
+        }
+        self.open.insert(backend.clone(), open + 1);
+        Ok(())
+    }
+
+    /// Counts a connection to `backend` as closed.
+    pub fn disconnect(&mut self, backend: &BackendId) -> Result<()> {
+        if !self.open.contains_key(backend) {
+            return Err(SlotError::NotOpen(backend.clone()));
+        }
+        lower(&mut self.open, backend);
+        Ok(())
+    }
+}
+
+/// Lowers a count by one and drops it at zero, so that the table stays small.
+fn lower<K: Ord>(counts: &mut BTreeMap<K, u64>, key: &K) {
+    let Some(count) = counts.get_mut(key) else { return };
+    *count -= 1;
+    if *count == 0 {
+        counts.remove(key);
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/limit/split.rs
@@ -0,0 +1,98 @@
+//! How the lease holder of a data centre splits a grant among the entry VMs there.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use th_protocol::{Millis, Time, VmId};
+
+use crate::limit::{CapId, Part};
+
+/// Asks the lease holder of the data centre for a part of a grant.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartAsk {
+    /// Who asks.
+    pub vm: VmId,
+    /// The cap.
+    pub cap: CapId,
+    /// What the VM would spend over its floor.
+    pub want: u64,
+}
+
+/// The lease holder's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartAnswer {
+    /// The cap.
+    pub cap: CapId,
+    /// What the VM may spend.
+    pub amount: u64,
+    /// For how long, counted from before the request was sent.
+    pub left: Millis,
+}
+
+impl PartAnswer {
+    /// The part, for a request that was sent at `asked` on the VM's own clock.
+    pub fn part(&self, asked: Time) -> Part {
+        Part { amount: self.amount, asked, expiry: asked.after(self.left) }
+    }
+}
+
+/// The parts of one grant that are out.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Splitter {
+    parts: BTreeMap<VmId, Vec<Part>>,
+}
+
+impl Splitter {
+    /// Answers `ask` out of a grant of `total` that is good until `expiry`.
+    ///
+    /// Parts that are out count in full until they expire, since an answer that replaces one may
+    /// be lost. `drift` is added to the lifetime of each, as another VM's clock measures it.
+    pub fn on_ask(
+        &mut self,
+        ask: &PartAsk,
+        total: u64,
+        expiry: Time,
+        now: Time,
+        drift: Millis,
+    ) -> PartAnswer {
+        self.expire(now);
+        let left = expiry.since(now).minus(drift);
+        let mut free = total;
+        for (vm, parts) in &self.parts {
+            if *vm != ask.vm {
+                free = free.saturating_sub(largest(parts));
+            }
+        }
+        let amount = if left == Millis::ZERO { 0 } else { ask.want.min(free) };
+        if 0 < amount {
+            let part = Part { amount, asked: now, expiry };
+            self.parts.entry(ask.vm.clone()).or_default().push(part);
+        }
+        PartAnswer { cap: ask.cap.clone(), amount, left }
+    }
+
+    /// What is out at most: a grant must not shrink below it.
+    pub fn out(&mut self, now: Time) -> u64 {
+        self.expire(now);
+        let mut sum = 0u64;
+        for parts in self.parts.values() {
+            sum = sum.saturating_add(largest(parts));
+        }
+        sum
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.parts.retain(|_, parts| {
+            parts.retain(|part| now < part.expiry);
+            !parts.is_empty()
+        });
+    }
+}
+
+fn largest(parts: &[Part]) -> u64 {
+    let mut largest = 0;
+    for part in parts {
+        largest = part.amount.max(largest);
+    }
+    largest
+}
