Add the table of backend servers and the peer messages

Callers of the decision crate need a stable interface to choose a backend server, to end an attempt and to feed evidence.

--- a/crates/th-protocol/src/lib.rs
+++ b/crates/th-protocol/src/lib.rs
@@ -6,6 +6,7 @@
 mod ids;
 mod load;
 mod lookup;
+mod peer;
 mod units;
 mod verdict;
 
@@ -19,6 +20,10 @@
 };
 pub use load::LoadReport;
 pub use lookup::{EntryAddress, LookupAnswer};
+pub use peer::{
+    BundleAnswer, BundleHead, BundleRequest, CheckAnswer, ContentHash, HeadroomDigest, Heartbeat,
+    IndirectCheck, LeavingNotice, LeavingSource, MemberState, PeerRecord,
+};
 pub use units::{
     AttemptId, Bytes, Connections, Incarnation, Mbit, Millis, Permille, Revision, Slots, Time,
     UnitError, Version,
--- /dev/null
+++ b/crates/th-steer/src/backend/candidate.rs
@@ -0,0 +1,61 @@
+//! One backend server as a candidate for a request.
+
+use rand::Rng;
+use th_protocol::{BackendId, Slots};
+
+/// A server that may take a request, and what it would cost there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Candidate {
+    pub(crate) id: BackendId,
+    pub(crate) free: Slots,
+    pub(crate) cost: u64,
+}
+
+/// Draws `samples` servers, each with a chance in proportion to its free slots, and gives the
+/// cheapest of them.
+pub(crate) fn pick(
+    candidates: &[Candidate],
+    samples: usize,
+    rng: &mut impl Rng,
+) -> Option<BackendId> {
+    if candidates.len() <= samples {
+        return cheapest(candidates.iter());
+    }
+    let mut drawn = Vec::with_capacity(samples);
+    for _ in 0..samples {
+        drawn.extend(draw(candidates, &drawn, rng));
+    }
+    cheapest(drawn.into_iter())
+}
+
+fn draw<'a>(
+    candidates: &'a [Candidate],
+    drawn: &[&Candidate],
+    rng: &mut impl Rng,
+) -> Option<&'a Candidate> {
+    let mut total = 0u64;
+    for candidate in candidates {
+        if !drawn.iter().any(|old| old.id == candidate.id) {
+            total += u64::from(candidate.free.0);
+        }
+    }
+    if total == 0 {
+        return None;
+    }
+    let mut left = rng.random_range(0..total);
+    for candidate in candidates {
+        if drawn.iter().any(|old| old.id == candidate.id) {
+            continue;
+        }
+        let free = u64::from(candidate.free.0);
+        if left < free {
+            return Some(candidate);
+        }
+        left -= free;
+    }
+    None
+}
+
+fn cheapest<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> Option<BackendId> {
+    candidates.min_by_key(|candidate| candidate.cost).map(|candidate| candidate.id.clone())
+}
--- a/crates/th-steer/src/backend/mod.rs
+++ b/crates/th-steer/src/backend/mod.rs
@@ -1,1 +1,16 @@
-//! Backend servers: slots, connections, health, choice and drain.
+//! Backend servers: which one takes a request, and what is known of each.
+
+mod candidate;
+mod connection;
+mod drain;
+mod health;
+mod outcome;
+mod settings;
+mod table;
+
+pub use connection::{Generation, Pool, PoolSettings, PoolState};
+pub use drain::{Drain, RETURN_DELAY, SPREAD_SPAN};
+pub use health::{Health, HealthSettings};
+pub use outcome::Outcome;
+pub use settings::BackendSettings;
+pub use table::{Backends, Choice, Refusal};
--- /dev/null
+++ b/crates/th-steer/src/backend/settings.rs
@@ -0,0 +1,35 @@
+//! Settings of the table of backend servers.
+
+use th_protocol::{Millis, Permille};
+
+use super::{HealthSettings, PoolSettings};
+
+/// Settings of the table of backend servers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendSettings {
+    /// Health of each server.
+    pub health: HealthSettings,
+    /// Connections to each server.
+    pub pool: PoolSettings,
+    /// Random candidates that are compared; at least the pool's size compares all.
+    pub samples: usize,
+    /// Where a smaller share of a service's servers is not ejected, ejections are ignored.
+    pub panic: Permille,
+    /// Shortest time between probes of one server, over all entry VMs together.
+    pub probe: Millis,
+    /// Entry VMs that share the servers, and so the probes.
+    pub sharers: u32,
+}
+
+impl Default for BackendSettings {
+    fn default() -> BackendSettings {
+        BackendSettings {
+            health: HealthSettings::default(),
+            pool: PoolSettings::default(),
+            samples: 2,
+            panic: Permille(500),
+            probe: Millis(1_000),
+            sharers: 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/backend/table.rs
@@ -0,0 +1,341 @@
+//! The table of backend servers of one data centre.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use rand::Rng;
+use th_protocol::{
+    AttemptId, BackendId, Bundle, Connections, LeavingNotice, LoadReport, Millis, Permille,
+    ServiceId, Slots, Time, ZoneId,
+};
+
+use super::{
+    BackendSettings, Drain, Generation, Health, Outcome, Pool,
+    candidate::{Candidate, pick},
+};
+
+/// The latency that a server without own outcomes is taken to have.
+const UNKNOWN_LATENCY: Millis = Millis(10);
+
+#[derive(Debug)]
+struct Row {
+    service: ServiceId,
+    address: SocketAddr,
+    slots: Slots,
+    connections: Connections,
+    busy: u32,
+    health: Health,
+    drain: Drain,
+    pool: Pool,
+    probed: Option<Time>,
+    listed: bool,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    backend: BackendId,
+    generation: Generation,
+}
+
+/// The backend server for a request, with one slot of it taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The attempt that holds the slot.
+    pub attempt: AttemptId,
+    /// The server.
+    pub backend: BackendId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The pool of connections to use.
+    pub generation: Generation,
+}
+
+/// Why no server takes a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The service has no server here that may take work.
+    NoBackend,
+    /// Servers could take work, but each slot or connection allowed here is in use.
+    NoSlot,
+}
+
+/// The backend servers of one data centre.
+#[derive(Debug)]
+pub struct Backends {
+    settings: BackendSettings,
+    zone: ZoneId,
+    rows: BTreeMap<BackendId, Row>,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    next: AttemptId,
+}
+
+impl Backends {
+    /// An empty table; ids of attempts start at `first`.
+    pub fn new(settings: BackendSettings, zone: ZoneId, first: AttemptId) -> Backends {
+        Backends { settings, zone, rows: BTreeMap::new(), attempts: BTreeMap::new(), next: first }
+    }
+
+    /// Takes a bundle: adds servers without allowance, updates the others. A server that the
+    /// bundle no longer has is leaving, and is removed once it is quiet.
+    pub fn on_bundle(&mut self, bundle: &Bundle, now: Time) {
+        let mut present = BTreeMap::new();
+        for (service, spec) in &bundle.services {
+            for (id, backend) in &spec.backends {
+                if backend.zone == self.zone {
+                    present.insert(id, (service, backend));
+                }
+            }
+        }
+        for (id, row) in &mut self.rows {
+            if !present.contains_key(id) {
+                row.drain.on_bundle(bundle.version, true, now);
+            }
+        }
+        for (id, (service, backend)) in present {
+            let row = self.rows.entry(id.clone()).or_insert_with(|| Row {
+                service: service.clone(),
+                address: backend.address,
+                slots: Slots::ZERO,
+                connections: Connections::ZERO,
+                busy: 0,
+                health: Health::new(self.settings.health.clone(), now),
+                drain: Drain::default(),
+                pool: Pool::new(self.settings.pool.clone()),
+                probed: None,
+                listed: false,
+            });
+            if row.address != backend.address {
+                row.address = backend.address;
+                row.pool.leave(row.pool.current());
+            }
+            row.service = service.clone();
+            row.drain.on_bundle(bundle.version, backend.leaving, now);
+        }
+        for row in self.rows.values_mut() {
+            note_idle(row, now);
+        }
+        self.rows.retain(|id, row| {
+            let present = bundle.services.values().any(|spec| spec.backends.contains_key(id));
+            present || row.busy != 0
+        });
+    }
+
+    /// Sets how many slots and connections of a server may be used from here.
+    pub fn set_allowance(&mut self, backend: &BackendId, slots: Slots, connections: Connections) {
+        let Some(row) = self.rows.get_mut(backend) else { return };
+        row.slots = slots;
+        row.connections = connections;
+    }
+
+    /// Chooses a server and takes a slot of it; `idempotent` decides which connections may be
+    /// used.
+    pub fn choose(
+        &mut self,
+        service: &ServiceId,
+        idempotent: bool,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Result<Choice, Refusal> {
+        let panic = self.panics(service);
+        let mut candidates = Vec::new();
+        let mut usable = false;
+        for (id, row) in &self.rows {
+            if row.service != *service || row.drain.leaving() {
+                continue;
+            }
+            if row.health.resting(now) || (row.health.ejected().is_some() && !panic) {
+                continue;
+            }
+            usable = true;
+            if let Some(candidate) = candidate(id, row, now) {
+                candidates.push(candidate);
+            }
+        }
+        while let Some(id) = pick(&candidates, self.settings.samples, rng) {
+            if let Some(choice) = self.take(&id, idempotent, now) {
+                return Ok(choice);
+            }
+            candidates.retain(|candidate| candidate.id != id);
+        }
+        Err(if usable { Refusal::NoSlot } else { Refusal::NoBackend })
+    }
+
+    /// Ends an attempt and frees its slot; false where the attempt is not known.
+    pub fn finish(
+        &mut self,
+        attempt: AttemptId,
+        outcome: Outcome,
+        latency: Millis,
+        now: Time,
+    ) -> bool {
+        let Some(Attempt { backend, generation }) = self.attempts.remove(&attempt) else {
+            return false;
+        };
+        let Some(row) = self.rows.get_mut(&backend) else { return false };
+        row.busy = row.busy.saturating_sub(1);
+        row.health.on_outcome(outcome, latency, now);
+        if outcome.is_progress() {
+            row.pool.on_progress(generation, now);
+        }
+        if matches!(outcome, Outcome::Timeout | Outcome::Cut | Outcome::ConnectFailed) {
+            row.pool.leave(generation);
+        }
+        row.pool.release(generation);
+        note_idle(row, now);
+        true
+    }
+
+    /// Notes that an attempt made no progress since `last`; true where the connections that it
+    /// shares are left.
+    pub fn on_silence(&mut self, attempt: AttemptId, last: Time, now: Time) -> bool {
+        let Some(attempt) = self.attempts.get(&attempt) else { return false };
+        let Some(row) = self.rows.get_mut(&attempt.backend) else { return false };
+        row.pool.on_silence(attempt.generation, last, now)
+    }
+
+    /// Takes a load report, in answer to a request that was sent at `asked`.
+    pub fn on_report(&mut self, backend: &BackendId, report: LoadReport, asked: Time, now: Time) {
+        let Some(row) = self.rows.get_mut(backend) else { return };
+        row.drain.on_own(report.leaving, asked, now);
+        row.health.on_report(report, now);
+        note_idle(row, now);
+    }
+
+    /// Takes the server's own word that it leaves, from the header of an answer.
+    pub fn on_leaving(&mut self, backend: &BackendId, now: Time) {
+        let Some(row) = self.rows.get_mut(backend) else { return };
+        row.drain.on_own(true, now, now);
+        note_idle(row, now);
+    }
+
+    /// Takes the platform's list of VMs, as pairs of server and whether it is live. A server that
+    /// was listed once and is no longer is leaving.
+    pub fn on_list(&mut self, list: &BTreeMap<BackendId, bool>, now: Time) {
+        for (id, row) in &mut self.rows {
+            let live = list.get(id).copied();
+            if live.is_none() && !row.listed {
+                continue;
+            }
+            row.listed = true;
+            row.drain.on_list(live.unwrap_or(false), now);
+            note_idle(row, now);
+        }
+    }
+
+    /// Takes evidence that a peer passed on.
+    pub fn on_notice(&mut self, notice: &LeavingNotice, now: Time) {
+        let Some(row) = self.rows.get_mut(&notice.backend) else { return };
+        row.drain.on_notice(notice.source, notice.age, now);
+        note_idle(row, now);
+    }
+
+    /// Evidence to put on heartbeats, at most `limit` of it, the youngest first.
+    pub fn notices(&self, limit: usize, now: Time) -> Vec<LeavingNotice> {
+        let mut notices = Vec::new();
+        for (id, row) in &self.rows {
+            for (source, first) in row.drain.notices(now) {
+                let age = now.since(first);
+                notices.push(LeavingNotice { backend: id.clone(), source, age });
+            }
+        }
+        notices.sort_by_key(|notice| notice.age);
+        notices.truncate(limit);
+        notices
+    }
+
+    /// Takes the result of a probe of a server's health endpoint.
+    pub fn on_probe(&mut self, backend: &BackendId, good: bool, now: Time) {
+        let Some(row) = self.rows.get_mut(backend) else { return };
+        row.health.on_probe(good, now);
+    }
+
+    /// Servers to probe now: those whose ejection is over and those without a recent outcome.
+    pub fn due_probes(&mut self, now: Time) -> Vec<(BackendId, SocketAddr)> {
+        let sharers = u64::from(self.settings.sharers.max(1));
+        let interval = Millis(self.settings.probe.0.saturating_mul(sharers));
+        let mut due = Vec::new();
+        for (id, row) in &mut self.rows {
+            if row.probed.is_some_and(|at| now.since(at) < interval) {
+                continue;
+            }
+            let wanted = match row.health.ejected() {
+                Some(until) => until <= now,
+                None => row.health.outcome_age(now).is_none_or(|age| interval <= age),
+            };
+            if !wanted {
+                continue;
+            }
+            row.probed = Some(now);
+            due.push((id.clone(), row.address));
+        }
+        due
+    }
+
+    /// The drain of a server.
+    pub fn drain(&self, backend: &BackendId) -> Option<&Drain> {
+        self.rows.get(backend).map(|row| &row.drain)
+    }
+
+    /// The health of a server.
+    pub fn health(&self, backend: &BackendId) -> Option<&Health> {
+        self.rows.get(backend).map(|row| &row.health)
+    }
+
+    /// The connections to a server.
+    pub fn pool(&self, backend: &BackendId) -> Option<&Pool> {
+        self.rows.get(backend).map(|row| &row.pool)
+    }
+
+    /// Slots of a server that are in use from here.
+    pub fn busy(&self, backend: &BackendId) -> Slots {
+        Slots(self.rows.get(backend).map_or(0, |row| row.busy))
+    }
+
+    /// Each server and the source of evidence that it leaves, if it does.
+    pub fn states(&self) -> impl Iterator<Item = (&BackendId, bool)> {
+        self.rows.iter().map(|(id, row)| (id, row.drain.leaving()))
+    }
+
+    fn take(&mut self, id: &BackendId, idempotent: bool, now: Time) -> Option<Choice> {
+        let row = self.rows.get_mut(id)?;
+        let generation = row.pool.take(idempotent, row.connections, now)?;
+        row.busy += 1;
+        let attempt = self.next;
+        self.next = attempt.plus(AttemptId(1));
+        self.attempts.insert(attempt, Attempt { backend: id.clone(), generation });
+        Some(Choice { attempt, backend: id.clone(), address: row.address, generation })
+    }
+
+    /// Whether so many servers of the service are ejected that ejections must be ignored.
+    fn panics(&self, service: &ServiceId) -> bool {
+        let (mut all, mut good) = (0u64, 0u64);
+        for row in self.rows.values() {
+            if row.service != *service || row.drain.leaving() {
+                continue;
+            }
+            all += 1;
+            good += u64::from(row.health.ejected().is_none());
+        }
+        good * 1000 < all * u64::from(self.settings.panic.0)
+    }
+}
+
+fn note_idle(row: &mut Row, now: Time) {
+    if row.busy == 0 {
+        row.drain.on_idle(now);
+    }
+}
+
+/// The server as a candidate, if one of its slots is free.
+fn candidate(id: &BackendId, row: &Row, now: Time) -> Option<Candidate> {
+    let share = row.health.warm_share(now);
+    let warm = share.of(u64::from(row.slots.0)).max(1).min(u64::from(row.slots.0));
+    let free = warm.saturating_sub(u64::from(row.busy));
+    if free == 0 {
+        return None;
+    }
+    let latency = row.health.latency().unwrap_or(UNKNOWN_LATENCY).0.max(1);
+    let load = row.health.reported_load(now).unwrap_or(Permille::ZERO);
+    let used = (u64::from(row.busy) + 1) * 1000 / warm;
+    let cost = latency.saturating_mul(used).saturating_mul(1000 + u64::from(load.0));
+    Some(Candidate { id: id.clone(), free: Slots(free as u32), cost })
+}
