Add membership and the spread of bundles

Members hold a record of each entry VM and bounded messages; the spread of bundles takes only higher versions, fetches parts by hash and reports conflicts.

--- /dev/null
+++ b/crates/th-steer/src/member/protocol.rs
@@ -0,0 +1,295 @@
+//! The membership protocol: heartbeats, indirect checks, suspicion, refutation and death.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+use th_protocol::{
+    CheckAnswer, Heartbeat, Incarnation, IndirectCheck, MemberState, Millis, PeerRecord, Time, VmId,
+};
+
+use super::{Content, MemberAction, MemberSettings, Seed, rumor::Rumors, table::Table};
+
+/// A heartbeat that was not answered yet.
+#[derive(Debug)]
+struct Pending {
+    sent: Time,
+    checked: bool,
+}
+
+/// The entry VMs that this one knows, itself included.
+///
+/// Each VM holds a record of every other one, but its traffic is bounded: each message carries a
+/// fixed number of records, those that changed lately first and others in turn.
+#[derive(Debug)]
+pub struct Members {
+    settings: MemberSettings,
+    me: PeerRecord,
+    content: Content,
+    table: Table,
+    rumors: Rumors,
+    pending: BTreeMap<VmId, Pending>,
+    round: Time,
+    revisited: Time,
+    ticked: Time,
+    replaced: Option<Incarnation>,
+}
+
+impl Members {
+    /// A member that knows only itself.
+    pub fn new(settings: MemberSettings, me: PeerRecord, now: Time) -> Members {
+        Members {
+            settings,
+            me,
+            content: Content::default(),
+            table: Table::default(),
+            rumors: Rumors::default(),
+            pending: BTreeMap::new(),
+            round: now,
+            revisited: now,
+            ticked: now,
+            replaced: None,
+        }
+    }
+
+    /// This VM's own record.
+    pub fn me(&self) -> &PeerRecord {
+        &self.me
+    }
+
+    /// The records of all other VMs that are known, the suspect and the dead included.
+    pub fn records(&self) -> impl Iterator<Item = &PeerRecord> {
+        self.table.rows().map(|row| &row.record)
+    }
+
+    /// The record of another VM.
+    pub fn record(&self, vm: &VmId) -> Option<&PeerRecord> {
+        self.table.get(vm).map(|row| &row.record)
+    }
+
+    /// A later incarnation that uses this VM's name: this process was replaced and must stop.
+    pub fn replaced(&self) -> Option<Incarnation> {
+        self.replaced
+    }
+
+    /// Takes the platform's list of VMs, which lags: it adds VMs that are not known and removes
+    /// dead ones that it no longer has, and changes nothing else.
+    pub fn on_list(&mut self, seeds: &[Seed], now: Time) {
+        self.table.seed(&self.me.vm, seeds, now);
+    }
+
+    /// Sets what heartbeats carry besides membership.
+    pub fn publish(&mut self, content: Content) {
+        self.content = content;
+    }
+
+    /// Announces that this VM leaves.
+    pub fn leave(&mut self) {
+        if self.me.state == MemberState::Leaving {
+            return;
+        }
+        self.me.state = MemberState::Leaving;
+        self.me.beat = self.me.beat.saturating_add(1);
+        self.spread(&self.me.vm.clone());
+    }
+
+    /// Heartbeats to random VMs at once, for news that should not wait for the next round.
+    pub fn announce(&mut self, count: usize, rng: &mut impl Rng) -> Vec<MemberAction> {
+        let mut actions = Vec::new();
+        for _ in 0..count {
+            let live = |record: &PeerRecord| record.state <= MemberState::Leaving;
+            let Some(target) = self.table.random(live, rng) else { break };
+            actions.push(self.heartbeat_to(&target));
+        }
+        actions
+    }
+
+    /// Runs what is due: rounds of heartbeats, checks of silent VMs, suspicions that end.
+    pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<MemberAction> {
+        if self.settings.pause <= now.since(self.ticked) {
+            self.pending.clear();
+            self.table.forgive(now);
+        }
+        self.ticked = now;
+        let mut actions = self.check_silent(now, rng);
+        if self.settings.period <= now.since(self.round) {
+            self.round = now;
+            self.bury(now);
+            self.send_round(now, rng, &mut actions);
+        }
+        if self.settings.revisit <= now.since(self.revisited) {
+            self.revisited = now;
+            let dead = |record: &PeerRecord| record.state == MemberState::Dead;
+            if let Some(target) = self.table.random(dead, rng) {
+                actions.push(self.heartbeat_to(&target));
+            }
+        }
+        actions
+    }
+
+    /// Takes a heartbeat and gives the answer to it.
+    pub fn on_heartbeat(&mut self, message: &Heartbeat, now: Time) -> Heartbeat {
+        self.merge_all(message, now);
+        self.compose(&message.from.vm)
+    }
+
+    /// Takes the answer to a heartbeat.
+    pub fn on_answer(&mut self, message: &Heartbeat, now: Time) {
+        self.merge_all(message, now);
+    }
+
+    /// The heartbeat to send on behalf of a peer's indirect check.
+    pub fn on_check(&mut self, message: &IndirectCheck) -> Heartbeat {
+        self.compose(&message.target.vm)
+    }
+
+    /// Takes the answer to an indirect check.
+    pub fn on_check_answer(&mut self, answer: &CheckAnswer, now: Time) {
+        let Some(record) = &answer.record else { return };
+        self.pending.remove(&record.vm);
+        self.merge(record, now);
+    }
+
+    fn send_round(&mut self, now: Time, rng: &mut impl Rng, actions: &mut Vec<MemberAction>) {
+        for _ in 0..self.settings.fanout {
+            let Some(target) = self.table.next_target(rng) else { return };
+            if self.pending.contains_key(&target.vm) {
+                continue;
+            }
+            self.pending.insert(target.vm.clone(), Pending { sent: now, checked: false });
+            actions.push(self.heartbeat_to(&target));
+        }
+    }
+
+    /// Asks peers to check the VMs that did not answer, and suspects those that nobody reached.
+    fn check_silent(&mut self, now: Time, rng: &mut impl Rng) -> Vec<MemberAction> {
+        let timeout = self.settings.timeout;
+        let (mut unchecked, mut silent) = (Vec::new(), Vec::new());
+        for (vm, pending) in &mut self.pending {
+            let age = now.since(pending.sent);
+            if timeout.plus(timeout).plus(timeout) <= age {
+                silent.push(vm.clone());
+            } else if timeout <= age && !pending.checked {
+                pending.checked = true;
+                unchecked.push(vm.clone());
+            }
+        }
+        for vm in silent {
+            self.pending.remove(&vm);
+            if self.table.set(&vm, MemberState::Suspect, now) {
+                self.spread(&vm);
+            }
+        }
+        let mut actions = Vec::new();
+        for vm in unchecked {
+            self.ask_peers(&vm, rng, &mut actions);
+        }
+        actions
+    }
+
+    fn ask_peers(&self, vm: &VmId, rng: &mut impl Rng, actions: &mut Vec<MemberAction>) {
+        let Some(row) = self.table.get(vm) else { return };
+        for _ in 0..self.settings.checks {
+            let fits =
+                |record: &PeerRecord| record.vm != *vm && record.state <= MemberState::Leaving;
+            let Some(peer) = self.table.random(fits, rng) else { return };
+            let message = IndirectCheck { target: row.record.clone() };
+            actions.push(MemberAction::Check { via: peer.vm, address: peer.address, message });
+        }
+    }
+
+    /// Takes for dead the VMs that did not refute a suspicion, and forgets the long dead.
+    fn bury(&mut self, now: Time) {
+        let mut dead = Vec::new();
+        for row in self.table.rows() {
+            let age = now.since(row.since);
+            if row.record.state == MemberState::Suspect && self.settings.suspicion <= age {
+                dead.push(row.record.vm.clone());
+            }
+        }
+        for vm in dead {
+            self.table.set(&vm, MemberState::Dead, now);
+            self.spread(&vm);
+        }
+        let tombstone = self.settings.tombstone;
+        self.table.prune(|row| {
+            row.record.state != MemberState::Dead || now.since(row.since) < tombstone || row.listed
+        });
+    }
+
+    fn heartbeat_to(&mut self, target: &PeerRecord) -> MemberAction {
+        let message = self.compose(&target.vm);
+        MemberAction::Heartbeat { to: target.vm.clone(), address: target.address, message }
+    }
+
+    /// The message for `to`. A receiver that is not taken for live here is told so first, so that
+    /// it can refute.
+    fn compose(&mut self, to: &VmId) -> Heartbeat {
+        let limit = self.settings.records;
+        let mut records: Vec<PeerRecord> = Vec::with_capacity(limit);
+        if let Some(row) = self.table.get(to)
+            && MemberState::Suspect <= row.record.state
+        {
+            records.push(row.record.clone());
+        }
+        for vm in self.rumors.take(limit - records.len().min(limit)) {
+            let record = match self.table.get(&vm) {
+                Some(row) => &row.record,
+                None if vm == self.me.vm => &self.me,
+                None => continue,
+            };
+            records.push(record.clone());
+        }
+        let fill = limit - records.len().min(limit);
+        records.extend(self.table.fill(fill));
+        Heartbeat {
+            from: self.me.clone(),
+            clock: self.ticked,
+            head: self.content.head,
+            headroom: self.content.headroom.clone(),
+            leaving: self.content.leaving.clone(),
+            records,
+        }
+    }
+
+    fn merge_all(&mut self, message: &Heartbeat, now: Time) {
+        self.pending.remove(&message.from.vm);
+        self.merge(&message.from, now);
+        for record in &message.records {
+            self.merge(record, now);
+        }
+    }
+
+    fn merge(&mut self, record: &PeerRecord, now: Time) {
+        if record.vm == self.me.vm {
+            self.refute(record);
+            return;
+        }
+        if self.table.merge(record, now) {
+            self.spread(&record.vm);
+        }
+    }
+
+    /// Answers a record of this VM that is not its own last word with a higher beat.
+    fn refute(&mut self, record: &PeerRecord) {
+        if self.me.incarnation < record.incarnation {
+            self.replaced = Some(record.incarnation);
+            return;
+        }
+        let stale = record.incarnation < self.me.incarnation;
+        if stale || record.rank() <= self.me.rank() {
+            return;
+        }
+        self.me.beat = record.beat.saturating_add(1);
+        self.spread(&record.vm);
+    }
+
+    fn spread(&mut self, vm: &VmId) {
+        let doublings = usize::BITS - self.table.len().leading_zeros();
+        self.rumors.add(vm, self.settings.repeats.saturating_mul(doublings.max(1)));
+    }
+
+    /// Time until a heartbeat counts as unanswered.
+    pub fn timeout(&self) -> Millis {
+        self.settings.timeout
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/member/spread/job.rs
@@ -0,0 +1,87 @@
+//! One bundle on its way to this VM.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use th_protocol::{BundleHead, ContentHash, Time, VmId};
+
+/// Where to fetch from.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Source {
+    /// The platform's service.
+    Store,
+    /// Another entry VM.
+    Peer(VmId),
+}
+
+/// A manifest whose hash and signature are good.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ManifestInfo {
+    /// Its version and its own hash.
+    pub head: BundleHead,
+    /// The hashes of its parts.
+    pub parts: Vec<ContentHash>,
+}
+
+/// How a fetch ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fetched<T> {
+    /// The content came, and its hash (and for a manifest its signature) is good.
+    Good(T),
+    /// Content came whose hash is another one.
+    Corrupt,
+    /// A manifest with that hash came, but its signature is not good.
+    Unsigned,
+    /// The source does not hold it, or could not be reached.
+    Missing,
+    /// The source has no budget left at present.
+    Busy,
+}
+
+/// A fetch that was not answered yet.
+#[derive(Debug, Clone)]
+pub(crate) struct Asked {
+    pub(crate) from: Source,
+    pub(crate) sent: Time,
+}
+
+/// The bundle that is being fetched.
+#[derive(Debug, Clone)]
+pub(crate) struct Job {
+    pub(crate) head: BundleHead,
+    pub(crate) manifest: Option<ManifestInfo>,
+    /// The fetch of the manifest.
+    pub(crate) asked: Option<Asked>,
+    /// The fetches of parts.
+    pub(crate) parts: BTreeMap<ContentHash, Asked>,
+    /// Counts fetches, to take sources in turn.
+    pub(crate) turn: usize,
+    /// No fetch before this time.
+    pub(crate) wait: Time,
+}
+
+impl Job {
+    pub(crate) fn new(head: BundleHead, now: Time) -> Job {
+        Job { head, manifest: None, asked: None, parts: BTreeMap::new(), turn: 0, wait: now }
+    }
+
+    /// The parts that are still missing, or `None` before the manifest came.
+    pub(crate) fn missing(&self, held: &BTreeSet<ContentHash>) -> Option<Vec<ContentHash>> {
+        let manifest = self.manifest.as_ref()?;
+        let mut missing = BTreeSet::new();
+        for hash in &manifest.parts {
+            if !held.contains(hash) {
+                missing.insert(*hash);
+            }
+        }
+        Some(missing.into_iter().collect())
+    }
+
+    /// The next source in turn.
+    pub(crate) fn source(&mut self, sources: &[Source]) -> Option<Source> {
+        if sources.is_empty() {
+            return None;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        Some(sources[self.turn % sources.len()].clone())
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/member/spread/state.rs
@@ -0,0 +1,319 @@
+//! The state of one VM in the spread of bundles.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::Rng;
+use th_protocol::{BundleHead, ContentHash, Millis, Time};
+use thiserror::Error;
+
+use super::{
+    Fetched, ManifestInfo, Meaning, Source, SpreadSettings,
+    job::{Asked, Job},
+    judge,
+};
+
+/// Versions that are remembered as on offer.
+const MAX_OFFERS: usize = 4;
+/// Sources that are remembered for each.
+const MAX_SOURCES: usize = 4;
+/// Refusals that are kept for reports.
+const MAX_REFUSED: usize = 16;
+
+/// What an adapter must do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SpreadAction {
+    /// Read the head in the store; the answer goes to `Spread::on_head`.
+    ReadHead,
+    /// Fetch a manifest, check it, and give it to `Spread::on_manifest`.
+    FetchManifest {
+        /// Which one.
+        head: BundleHead,
+        /// From where.
+        from: Source,
+    },
+    /// Fetch a part, check its hash, keep its bytes, and tell `Spread::on_part`.
+    FetchPart {
+        /// Which one.
+        hash: ContentHash,
+        /// From where.
+        from: Source,
+    },
+    /// Put the bundle in force: all its parts are here.
+    Apply(BundleHead),
+    /// Forget the bytes of a part that the bundle in force does not use.
+    Drop(ContentHash),
+}
+
+/// A head that was refused, and why.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Error)]
+pub enum RefusedHead {
+    /// Other content under the version in force.
+    #[error("version {} has other content elsewhere", .0.version)]
+    Conflict(BundleHead),
+    /// No good signature.
+    #[error("version {} has no good signature", .0.version)]
+    Unsigned(BundleHead),
+}
+
+/// Why a VM has no bundle in force yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum NotReady {
+    /// Neither the store nor a peer named a bundle.
+    #[error("neither the store nor a peer has named a bundle")]
+    NoHead,
+    /// A bundle is known, its manifest is not here.
+    #[error("waiting for the manifest of version {}", .0.version)]
+    NoManifest(BundleHead),
+    /// Parts are missing.
+    #[error("waiting for {missing} parts of version {}", .head.version)]
+    NoParts {
+        /// The bundle.
+        head: BundleHead,
+        /// How many parts.
+        missing: usize,
+    },
+    /// All that was named was refused.
+    #[error("the only bundles named were refused: {0}")]
+    Refused(RefusedHead),
+}
+
+/// The state of one VM in the spread of bundles. It holds hashes; the adapter holds the bytes.
+#[derive(Debug, Clone)]
+pub struct Spread {
+    settings: SpreadSettings,
+    held: Option<ManifestInfo>,
+    parts: BTreeSet<ContentHash>,
+    offers: BTreeMap<BundleHead, Vec<Source>>,
+    refused: Vec<RefusedHead>,
+    job: Option<Job>,
+    start: Time,
+    read: Time,
+}
+
+impl Spread {
+    /// A VM that holds nothing and asks after a random wait.
+    pub fn new(settings: SpreadSettings, now: Time, rng: &mut impl Rng) -> Spread {
+        let start = now.after(Millis(rng.random_range(0..=settings.jitter.0)));
+        let read = now.after(Millis(rng.random_range(0..=settings.jitter.0)));
+        Spread {
+            settings,
+            held: None,
+            parts: BTreeSet::new(),
+            offers: BTreeMap::new(),
+            refused: Vec::new(),
+            job: None,
+            start,
+            read,
+        }
+    }
+
+    /// The bundle in force, for heartbeats.
+    pub fn head(&self) -> Option<BundleHead> {
+        self.held.as_ref().map(|manifest| manifest.head)
+    }
+
+    /// The manifest in force, which peers may fetch.
+    pub fn manifest(&self) -> Option<&ManifestInfo> {
+        self.held.as_ref()
+    }
+
+    /// The heads that were refused, latest last.
+    pub fn refused(&self) -> &[RefusedHead] {
+        &self.refused
+    }
+
+    /// The bundle in force, or why there is none.
+    pub fn ready(&self) -> Result<BundleHead, NotReady> {
+        if let Some(head) = self.head() {
+            return Ok(head);
+        }
+        if let Some(job) = &self.job {
+            let Some(missing) = job.missing(&self.parts) else {
+                return Err(NotReady::NoManifest(job.head));
+            };
+            return Err(NotReady::NoParts { head: job.head, missing: missing.len() });
+        }
+        if let Some((head, _)) = self.offers.last_key_value() {
+            return Err(NotReady::NoManifest(*head));
+        }
+        match self.refused.last() {
+            Some(refused) => Err(NotReady::Refused(*refused)),
+            None => Err(NotReady::NoHead),
+        }
+    }
+
+    /// Takes a head from a heartbeat or from the store.
+    pub fn on_head(&mut self, from: Source, head: BundleHead) {
+        match judge(self.head(), head) {
+            Meaning::Same | Meaning::Older => return,
+            Meaning::Conflict => return self.refuse(RefusedHead::Conflict(head)),
+            Meaning::Newer => {}
+        }
+        if self.refused.contains(&RefusedHead::Unsigned(head)) {
+            return;
+        }
+        let sources = self.offers.entry(head).or_default();
+        if !sources.contains(&from) && sources.len() < MAX_SOURCES {
+            sources.push(from);
+        }
+        if MAX_OFFERS < self.offers.len() {
+            self.offers.pop_first();
+        }
+    }
+
+    /// Takes the end of a manifest's fetch.
+    pub fn on_manifest(
+        &mut self,
+        head: BundleHead,
+        from: &Source,
+        fetched: Fetched<ManifestInfo>,
+        now: Time,
+        rng: &mut impl Rng,
+    ) {
+        match fetched {
+            Fetched::Good(manifest) if manifest.head == head => {
+                let Some(job) = &mut self.job else { return };
+                if job.head == head {
+                    job.manifest = Some(manifest);
+                    job.asked = None;
+                }
+            }
+            Fetched::Unsigned => {
+                self.refuse(RefusedHead::Unsigned(head));
+                self.offers.remove(&head);
+                self.job.take_if(|job| job.head == head);
+            }
+            Fetched::Busy => self.hold_off(now, rng),
+            Fetched::Good(_) | Fetched::Corrupt | Fetched::Missing => self.drop_source(head, from),
+        }
+    }
+
+    /// Takes the end of a part's fetch.
+    pub fn on_part(
+        &mut self,
+        hash: ContentHash,
+        from: &Source,
+        fetched: Fetched<()>,
+        now: Time,
+        rng: &mut impl Rng,
+    ) {
+        let Some(job) = &mut self.job else { return };
+        job.parts.remove(&hash);
+        let head = job.head;
+        match fetched {
+            Fetched::Good(()) => {
+                self.parts.insert(hash);
+            }
+            Fetched::Busy => self.hold_off(now, rng),
+            Fetched::Corrupt | Fetched::Unsigned | Fetched::Missing => self.drop_source(head, from),
+        }
+    }
+
+    /// Gives what is due. `watcher` says whether this VM watches the store.
+    pub fn tick(&mut self, watcher: bool, now: Time, rng: &mut impl Rng) -> Vec<SpreadAction> {
+        let mut actions = Vec::new();
+        if (watcher || self.held.is_none()) && self.read <= now {
+            let half = self.settings.poll.0 / 2;
+            self.read = now.after(Millis(half + rng.random_range(0..=half)));
+            actions.push(SpreadAction::ReadHead);
+        }
+        if self.held.is_none() && now < self.start {
+            return actions;
+        }
+        self.choose_job(now);
+        self.fetch(now, &mut actions);
+        self.apply(&mut actions);
+        actions
+    }
+
+    /// Works on the highest version on offer.
+    fn choose_job(&mut self, now: Time) {
+        let Some((highest, _)) = self.offers.last_key_value() else {
+            self.job = None;
+            return;
+        };
+        if self.job.as_ref().is_some_and(|job| job.head == *highest) {
+            return;
+        }
+        self.job = Some(Job::new(*highest, now));
+    }
+
+    fn fetch(&mut self, now: Time, actions: &mut Vec<SpreadAction>) {
+        let timeout = self.settings.timeout;
+        let Some(job) = &mut self.job else { return };
+        if now < job.wait {
+            return;
+        }
+        let Some(sources) = self.offers.get(&job.head) else { return };
+        let late = |asked: &Asked| timeout <= now.since(asked.sent);
+        let Some(missing) = job.missing(&self.parts) else {
+            if job.asked.as_ref().is_some_and(|asked| !late(asked)) {
+                return;
+            }
+            let Some(from) = job.source(sources) else { return };
+            job.asked = Some(Asked { from: from.clone(), sent: now });
+            actions.push(SpreadAction::FetchManifest { head: job.head, from });
+            return;
+        };
+        for hash in missing.into_iter().take(self.settings.parallel) {
+            if job.parts.get(&hash).is_some_and(|asked| !late(asked)) {
+                continue;
+            }
+            let Some(from) = job.source(sources) else { return };
+            job.parts.insert(hash, Asked { from: from.clone(), sent: now });
+            actions.push(SpreadAction::FetchPart { hash, from });
+        }
+    }
+
+    fn apply(&mut self, actions: &mut Vec<SpreadAction>) {
+        let Some(job) = &self.job else { return };
+        if job.missing(&self.parts).is_none_or(|missing| !missing.is_empty()) {
+            return;
+        }
+        let Some(manifest) = job.manifest.clone() else { return };
+        if judge(self.head(), manifest.head) != Meaning::Newer {
+            return;
+        }
+        let head = manifest.head;
+        let used: BTreeSet<ContentHash> = manifest.parts.iter().copied().collect();
+        self.held = Some(manifest);
+        self.job = None;
+        self.offers.retain(|offer, _| judge(Some(head), *offer) == Meaning::Newer);
+        actions.push(SpreadAction::Apply(head));
+        for hash in self.parts.difference(&used) {
+            actions.push(SpreadAction::Drop(*hash));
+        }
+        self.parts = used;
+    }
+
+    fn hold_off(&mut self, now: Time, rng: &mut impl Rng) {
+        let span = Millis(rng.random_range(0..=self.settings.backoff.0));
+        let Some(job) = &mut self.job else { return };
+        job.asked = None;
+        job.wait = now.after(span);
+    }
+
+    /// Forgets that a source offers a bundle; it may offer it again.
+    fn drop_source(&mut self, head: BundleHead, from: &Source) {
+        if let Some(job) = &mut self.job
+            && job.asked.as_ref().is_some_and(|asked| asked.from == *from)
+        {
+            job.asked = None;
+        }
+        let Some(sources) = self.offers.get_mut(&head) else { return };
+        sources.retain(|source| source != from);
+        if sources.is_empty() {
+            self.offers.remove(&head);
+        }
+    }
+
+    fn refuse(&mut self, refused: RefusedHead) {
+        if self.refused.contains(&refused) {
+            return;
+        }
+        if MAX_REFUSED <= self.refused.len() {
+            self.refused.remove(0);
+        }
+        self.refused.push(refused);
+    }
+}
