Check bundles and split them into signed, content-addressed parts

Cause: a bundle was only a shape; nothing refused a false one. Now check() lists every fault with its field path, split() and assemble() turn a bundle into a manifest and parts, and manifests carry an signature.

--- /dev/null
+++ b/crates/th-protocol/src/bundle/check.rs
@@ -0,0 +1,145 @@
+//! Reads a bundle's text and lists everything that is wrong with it.
+
+use std::collections::BTreeMap;
+
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::bundle::{fault::Fault, part::split, rules, spec::Bundle, unique::Unique};
+
+/// The result of checking a bundle.
+pub(crate) type Result<T, E = Vec<Fault>> = std::result::Result<T, E>;
+
+const FIELDS_HELP: &str = "see docs/BUNDLE.md for the fields of a bundle and their values";
+
+/// The bundle that `text` states, or every fault that could be found in it.
+///
+/// Faults of form are listed one for each entry of a map (one service, one region, and so on);
+/// faults of sense are listed once the form is right.
+pub fn check(text: &str) -> Result<Bundle> {
+    let tree = read_tree(text)?;
+    let bundle = read_bundle(&tree)?;
+    let mut faults = rules::find_faults(&bundle);
+    faults.extend(large_parts(&bundle));
+    if faults.is_empty() {
+        return Ok(bundle);
+    }
+    faults.sort();
+    Err(faults)
+}
+
+fn read_tree(text: &str) -> Result<Map<String, Value>> {
+    let mut source = serde_json::Deserializer::from_str(text);
+    if let Err(e) = serde_path_to_error::deserialize::<_, Unique>(&mut source) {
+        let path = clean(&e.path().to_string());
+        let help = "mend the JSON at that line and column; each name may be given once";
+        return Err(vec![Fault::new(path, e.inner().to_string(), help)]);
+    }
+    serde_json::from_str(text)
+        .map_err(|e| vec![Fault::new("", e.to_string(), "a bundle is one JSON object")])
+}
+
+fn read_bundle(tree: &Map<String, Value>) -> Result<Bundle> {
+    let mut reader = Reader { tree, faults: Vec::new() };
+    let bundle = Bundle {
+        version: reader.field("version").unwrap_or_default(),
+        regions: reader.entries("regions", true),
+        zones: reader.entries("zones", true),
+        links: reader.entries("links", false),
+        services: reader.entries("services", true),
+        classes: reader.entries("classes", false),
+        blocks: reader.entries("blocks", false),
+        operators: reader.entries("operators", true),
+    };
+    reader.unknown_fields();
+    if reader.faults.is_empty() {
+        return Ok(bundle);
+    }
+    Err(reader.faults)
+}
+
+const KNOWN_FIELDS: [&str; 8] =
+    ["version", "regions", "zones", "links", "services", "classes", "blocks", "operators"];
+
+struct Reader<'a> {
+    tree: &'a Map<String, Value>,
+    faults: Vec<Fault>,
+}
+
+impl Reader<'_> {
+    fn fault(&mut self, path: impl Into<String>, cause: impl Into<String>) {
+        self.faults.push(Fault::new(path, cause, FIELDS_HELP));
+    }
+
+    fn unknown_fields(&mut self) {
+        for name in self.tree.keys() {
+            if KNOWN_FIELDS.contains(&name.as_str()) {
+                continue;
+            }
+            self.fault(name, format!("unknown field, expected one of {}", KNOWN_FIELDS.join(", ")));
+        }
+    }
+
+    fn field<T: DeserializeOwned>(&mut self, name: &str) -> Option<T> {
+        let Some(value) = self.tree.get(name) else {
+            self.fault(name, "missing field");
+            return None;
+        };
+        self.value(name, value)
+    }
+
+    fn value<T: DeserializeOwned>(&mut self, path: &str, value: &Value) -> Option<T> {
+        match serde_path_to_error::deserialize(value) {
+            Ok(it) => Some(it),
+            Err(e) => {
+                let inner = clean(&e.path().to_string());
+                let path = if inner.is_empty() { path.into() } else { format!("{path}.{inner}") };
+                self.fault(path, e.inner().to_string());
+                None
+            }
+        }
+    }
+
+    fn entries<K, V>(&mut self, name: &str, required: bool) -> BTreeMap<K, V>
+    where
+        K: DeserializeOwned + Ord,
+        V: DeserializeOwned,
+    {
+        let mut entries = BTreeMap::new();
+        let Some(section) = self.tree.get(name) else {
+            if required {
+                self.fault(name, "missing field");
+            }
+            return entries;
+        };
+        let Value::Object(section) = section else {
+            self.fault(name, "expected an object of named entries");
+            return entries;
+        };
+        for (text, value) in section {
+            let path = format!("{name}.{text}");
+            let key = self.value(&path, &Value::String(text.clone()));
+            let value = self.value(&path, value);
+            let (Some(key), Some(value)) = (key, value) else { continue };
+            if entries.insert(key, value).is_some() {
+                self.fault(path, "means the same as another entry");
+            }
+        }
+        entries
+    }
+}
+
+/// The path as people write it: `.` stands for the whole text, `?` for a field that was cut.
+fn clean(path: &str) -> String {
+    let path = path.trim_end_matches('?').trim_end_matches('.');
+    path.to_owned()
+}
+
+fn large_parts(bundle: &Bundle) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for (name, size) in split(bundle, None).oversized() {
+        let cause = format!("its part of the bundle has {size} bytes; the limit is 1 MB");
+        faults.push(Fault::new(name.path(), cause, "split it into smaller entries"));
+    }
+    faults
+}
--- /dev/null
+++ b/crates/th-protocol/src/bundle/digest.rs
@@ -0,0 +1,62 @@
+//! Digests of a bundle's parts.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use thiserror::Error;
+
+/// The result of reading a digest.
+pub(crate) type Result<T, E = DigestError> = std::result::Result<T, E>;
+
+/// The text is not a SHA-256 digest in hex.
+#[derive(Debug, Clone, PartialEq, Error)]
+#[error("a digest is 64 hex digits: {0}")]
+pub struct DigestError(#[from] hex::FromHexError);
+
+/// A SHA-256 digest, shown in hex.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// The digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Digest {
+        Digest(Sha256::digest(bytes).into())
+    }
+
+    /// The raw bytes.
+    pub fn bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&hex::encode(self.0))
+    }
+}
+
+impl FromStr for Digest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Digest> {
+        let mut raw = [0; 32];
+        hex::decode_to_slice(text, &mut raw)?;
+        Ok(Digest(raw))
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = DigestError;
+
+    fn try_from(text: String) -> Result<Digest> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> String {
+        digest.to_string()
+    }
+}
--- a/crates/th-protocol/src/bundle/mod.rs
+++ b/crates/th-protocol/src/bundle/mod.rs
@@ -1,7 +1,22 @@
 //! The bundle: what operators sign off and roll.
 
+mod check;
+mod digest;
+mod fault;
+pub mod layout;
+mod manifest;
+mod part;
+mod rules;
+mod sign;
 mod spec;
+mod unique;
 
+pub use check::check;
+pub use digest::{Digest, DigestError};
+pub use fault::Fault;
+pub use manifest::{Manifest, ManifestError, PartName, assemble};
+pub use part::{CLASS_PARTS, MAX_PART_BLOCKS, Split, split};
+pub use sign::{SignError, SignedBundle, SignedManifest, Signer, public_key};
 pub use spec::{
     Backend, Bundle, Class, Link, Operation, Region, Service, Shift, Slo, Target, Zone,
 };
--- /dev/null
+++ b/crates/th-protocol/src/bundle/part.rs
@@ -0,0 +1,109 @@
+//! Splits a bundle into parts, so that a small change travels as a small part.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Block, ClassId, LinkId, OperatorId, RegionId, ZoneId,
+    bundle::{
+        digest::Digest,
+        layout::MAX_PART_BYTES,
+        manifest::{Manifest, PartName},
+        spec::{Bundle, Class, Link, Region, Zone},
+    },
+};
+
+/// Parts that the classes are spread over.
+pub const CLASS_PARTS: u8 = 16;
+/// Most blocks in one part; a part with more is split by the next bit of their addresses.
+pub const MAX_PART_BLOCKS: usize = 1024;
+
+/// The part that holds regions, zones, links and operators.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Topology {
+    pub(crate) regions: BTreeMap<RegionId, Region>,
+    pub(crate) zones: BTreeMap<ZoneId, Zone>,
+    pub(crate) links: BTreeMap<LinkId, Link>,
+    pub(crate) operators: BTreeMap<OperatorId, String>,
+}
+
+/// A bundle split into parts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Split {
+    /// Names the parts.
+    pub manifest: Manifest,
+    /// The text of each part.
+    pub parts: BTreeMap<Digest, String>,
+}
+
+impl Split {
+    /// Parts over [`MAX_PART_BYTES`], with their sizes in bytes.
+    pub fn oversized(&self) -> Vec<(PartName, usize)> {
+        let mut found = Vec::new();
+        for (name, digest) in &self.manifest.parts {
+            let size = self.parts.get(digest).map_or(0, String::len);
+            if MAX_PART_BYTES < size {
+                found.push((name.clone(), size));
+            }
+        }
+        found
+    }
+
+    fn add(&mut self, name: PartName, part: &impl Serialize) {
+        // Maps with text keys and plain fields: there is nothing that JSON could not hold.
+        let text = serde_json::to_string(part).expect("a part is plain data");
+        let digest = Digest::of(text.as_bytes());
+        self.manifest.parts.insert(name, digest);
+        self.parts.insert(digest, text);
+    }
+}
+
+/// Splits `bundle`: the same bundle always gives the same parts. `base` is the digest of the
+/// manifest that it is meant to replace, where known.
+pub fn split(bundle: &Bundle, base: Option<Digest>) -> Split {
+    let manifest = Manifest { version: bundle.version, base, parts: BTreeMap::new() };
+    let mut it = Split { manifest, parts: BTreeMap::new() };
+    let topology = Topology {
+        regions: bundle.regions.clone(),
+        zones: bundle.zones.clone(),
+        links: bundle.links.clone(),
+        operators: bundle.operators.clone(),
+    };
+    it.add(PartName::Topology, &topology);
+    for (id, service) in &bundle.services {
+        it.add(PartName::Service(id.clone()), service);
+    }
+    for (shard, classes) in shard_classes(&bundle.classes) {
+        it.add(PartName::Classes(shard), &classes);
+    }
+    let blocks: Vec<_> = bundle.blocks.iter().collect();
+    split_blocks(&mut it, String::new(), &blocks);
+    it
+}
+
+fn shard_classes(classes: &BTreeMap<ClassId, Class>) -> BTreeMap<u8, BTreeMap<&ClassId, &Class>> {
+    let mut shards = BTreeMap::<u8, BTreeMap<_, _>>::new();
+    for (id, class) in classes {
+        let shard = Digest::of(id.as_str().as_bytes()).bytes()[0] % CLASS_PARTS;
+        shards.entry(shard).or_default().insert(id, class);
+    }
+    shards
+}
+
+/// `blocks` are sorted by address, and share the leading `bits`.
+fn split_blocks(it: &mut Split, bits: String, blocks: &[(&Block, &ClassId)]) {
+    if blocks.is_empty() {
+        return;
+    }
+    if blocks.len() <= MAX_PART_BLOCKS || bits.len() == 32 {
+        let part: BTreeMap<_, _> = blocks.iter().copied().collect();
+        it.add(PartName::Blocks(bits), &part);
+        return;
+    }
+    let mask = 1 << (31 - bits.len());
+    let middle = blocks.partition_point(|(block, _)| block.base() & mask == 0);
+    split_blocks(it, format!("{bits}0"), &blocks[..middle]);
+    split_blocks(it, format!("{bits}1"), &blocks[middle..]);
+}
--- a/crates/th-protocol/src/lib.rs
+++ b/crates/th-protocol/src/lib.rs
@@ -6,12 +6,15 @@
 mod ids;
 mod load;
 mod lookup;
+mod status;
 mod units;
 mod verdict;
 
 pub use block::{Block, BlockError};
 pub use bundle::{
-    Backend, Bundle, Class, Link, Operation, Region, Service, Shift, Slo, Target, Zone,
+    Backend, Bundle, CLASS_PARTS, Class, Digest, DigestError, Fault, Link, MAX_PART_BLOCKS,
+    Manifest, ManifestError, Operation, PartName, Region, Service, Shift, SignError, SignedBundle,
+    SignedManifest, Signer, Slo, Split, Target, Zone, assemble, check, layout, public_key, split,
 };
 pub use ids::{
     BackendId, ClassId, CustomerId, IdError, LinkId, MAX_ID_BYTES, OperationId, OperatorId,
@@ -19,6 +22,7 @@
 };
 pub use load::LoadReport;
 pub use lookup::{EntryAddress, LookupAnswer};
+pub use status::Status;
 pub use units::{
     AttemptId, Bytes, Connections, Incarnation, Mbit, Millis, Permille, Revision, Slots, Time,
     UnitError, Version,
