Report burn, headroom and drains from a bounded ring

Cause: operators need a report on service-level burn, and entry VMs have no disk to keep its counts on.

--- /dev/null
+++ b/crates/th-report/src/ring.rs
@@ -0,0 +1,143 @@
+//! The bounded memory in which an entry VM keeps its counts.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    mem::size_of,
+};
+
+use th_protocol::{BackendId, Bytes, Millis, Permille, ServiceId, Time, VmId};
+
+use crate::{
+    answer::{BurnAnswer, Drain, Scope, Series},
+    headroom::Lows,
+    sample::{Measure, Sample},
+    tier::Track,
+    window::Window,
+};
+
+/// Most pairs of a service and a measure.
+pub const MAX_SERIES: usize = 1536;
+/// Most regions and links.
+pub const MAX_SCOPES: usize = 512;
+/// Drains that are remembered.
+pub const MAX_DRAINS: usize = 256;
+
+#[derive(Debug, Clone)]
+struct Drained {
+    service: ServiceId,
+    backend: BackendId,
+    took: Millis,
+    at: Time,
+}
+
+/// An entry VM's counts of the last three days, as far as it has run.
+#[derive(Debug, Clone)]
+pub struct BurnRing {
+    start: Time,
+    tracks: BTreeMap<(ServiceId, Measure), Track>,
+    lows: BTreeMap<Scope, Lows>,
+    drains: VecDeque<Drained>,
+    dropped: u64,
+}
+
+impl BurnRing {
+    /// Most memory that the counts take: full tracks of [`MAX_SERIES`] series.
+    pub const MAX_MEMORY: Bytes =
+        Bytes((MAX_SERIES * (Track::MAX_MEMORY + size_of::<Track>())) as u64);
+
+    /// An empty ring that counts from `start` on.
+    pub fn new(start: Time) -> BurnRing {
+        BurnRing {
+            start,
+            tracks: BTreeMap::new(),
+            lows: BTreeMap::new(),
+            drains: VecDeque::new(),
+            dropped: 0,
+        }
+    }
+
+    /// Takes how a counter stands. Call it at least once a minute for each counter; what was
+    /// added since the last call is credited to the minute of `sample.at`.
+    pub fn record(&mut self, sample: &Sample) {
+        let key = (sample.service.clone(), sample.measure);
+        if self.tracks.len() == MAX_SERIES && !self.tracks.contains_key(&key) {
+            self.dropped += 1;
+            return;
+        }
+        let track = self.tracks.entry(key).or_insert_with(Track::new);
+        track.record(sample.at, sample.count());
+    }
+
+    /// Takes the share of a cap that is free.
+    pub fn note_headroom(&mut self, scope: &Scope, free: Permille, at: Time) {
+        if self.lows.len() == MAX_SCOPES && !self.lows.contains_key(scope) {
+            self.dropped += 1;
+            return;
+        }
+        self.lows.entry(scope.clone()).or_default().note(free, at);
+    }
+
+    /// Takes a drain that ended at `at`.
+    pub fn note_drain(&mut self, service: ServiceId, backend: BackendId, took: Millis, at: Time) {
+        if self.drains.len() == MAX_DRAINS {
+            self.drains.pop_front();
+        }
+        self.drains.push_back(Drained { service, backend, took, at });
+    }
+
+    /// Forgets services that `keep` does not want, as when a bundle no longer has them.
+    pub fn retain_services(&mut self, keep: impl Fn(&ServiceId) -> bool) {
+        self.tracks.retain(|(service, _), _| keep(service));
+    }
+
+    /// Forgets regions and links that `keep` does not want.
+    pub fn retain_scopes(&mut self, keep: impl Fn(&Scope) -> bool) {
+        self.lows.retain(|scope, _| keep(scope));
+    }
+
+    /// What to serve. `objectives` are those of the bundle in force; a service without one is
+    /// left out.
+    pub fn answer(
+        &self,
+        vm: &VmId,
+        now: Time,
+        objectives: &BTreeMap<ServiceId, Permille>,
+    ) -> BurnAnswer {
+        let mut series = Vec::new();
+        for ((service, measure), track) in &self.tracks {
+            let Some(objective) = objectives.get(service) else { continue };
+            let windows = Window::ALL.map(|it| (it, track.sum(now, it)));
+            series.push(Series {
+                service: service.clone(),
+                measure: *measure,
+                objective: *objective,
+                windows: windows.into(),
+                history: track.points(now),
+            });
+        }
+        let headroom = self.lows.iter().map(|(scope, it)| it.answer(scope, now)).collect();
+        let drains = self.drains.iter().map(|it| it.answer(now)).collect();
+        let age = now.since(self.start);
+        BurnAnswer { vm: vm.clone(), age, dropped: self.dropped, series, headroom, drains }
+    }
+
+    /// Memory that the counts take now.
+    pub fn memory(&self) -> Bytes {
+        let mut sum = Bytes::ZERO;
+        for track in self.tracks.values() {
+            sum += track.memory() + Bytes(size_of::<Track>() as u64);
+        }
+        sum
+    }
+}
+
+impl Drained {
+    fn answer(&self, now: Time) -> Drain {
+        Drain {
+            service: self.service.clone(),
+            backend: self.backend.clone(),
+            took: self.took,
+            age: now.since(self.at),
+        }
+    }
+}
