--- /dev/null
+++ b/crates/th-operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! What operators do: rolling a bundle and asking entry VMs.
