--- /dev/null
+++ b/crates/th-steer/src/explain/ring.rs
@@ -0,0 +1,39 @@
+//! The last records of one kind.
+
+use super::Record;
+
+/// A ring of records that keeps the newest; its memory is claimed when it is made.
+#[derive(Debug)]
+pub(crate) struct Ring {
+    records: Vec<Record>,
+    size: usize,
+    next: usize,
+}
+
+impl Ring {
+    pub(crate) fn new(size: usize) -> Ring {
+        Ring { records: Vec::with_capacity(size), size, next: 0 }
+    }
+
+    pub(crate) fn push(&mut self, record: Record) {
+        if self.size == 0 {
+            return;
+        }
+        if self.records.len() < self.size {
+            self.records.push(record);
+            return;
+        }
+        self.records[self.next] = record;
+        self.next = (self.next + 1) % self.size;
+    }
+
+    /// Records from the newest to the oldest.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Record> {
+        let (newer, older) = self.records.split_at(self.next);
+        newer.iter().rev().chain(older.iter().rev())
+    }
+
+    pub(crate) fn bytes(&self) -> usize {
+        self.records.capacity() * size_of::<Record>()
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/route/baseline.rs
@@ -0,0 +1,82 @@
+//! Two simple policies to compare with, and the product's own, behind one enum.
+
+use super::{Fleet, Map, RegionIx, ServiceIx, Tables, VmIx, lookup};
+use std::net::Ipv4Addr;
+use th_protocol::Time;
+
+/// A policy that sends one request to an entry VM.
+#[derive(Debug, Clone)]
+pub enum Policy {
+    /// The nearest region of the bundle's plan; its entry VMs in turn. Knows no caps.
+    Nearest {
+        /// Requests sent so far.
+        turn: u64,
+    },
+    /// The region with the lowest last measured load per slot; its entry VMs in turn. Knows
+    /// neither caps on shifts nor effects that are under way.
+    LeastLoaded {
+        /// Requests sent so far.
+        turn: u64,
+        /// Last measured busy slots, per service and region.
+        busy: Vec<f32>,
+    },
+    /// The product's look-up.
+    Planned,
+}
+
+impl Policy {
+    /// The region and the entry VM for a request; none where no entry VM is usable.
+    pub fn pick(
+        &mut self,
+        tables: &Tables,
+        service: ServiceIx,
+        address: Ipv4Addr,
+        now: Time,
+    ) -> Option<(RegionIx, VmIx)> {
+        let Tables { map, fleet, .. } = *tables;
+        match self {
+            Policy::Nearest { turn } => {
+                let order = map.order(map.place(address).class);
+                let regions = order.iter().map(|&it| RegionIx(it.into()));
+                let region = { regions }.find(|&it| usable(map, fleet, service, it))?;
+                *turn += 1;
+                in_turn(map, fleet, region, *turn)
+            }
+            Policy::LeastLoaded { turn, busy } => {
+                let regions = map.regions().len();
+                let busy = &busy[service.row() * regions..][..regions];
+                let mut best = None;
+                let mut least = f32::INFINITY;
+                for (row, &busy) in busy.iter().enumerate() {
+                    let region = RegionIx(row as u16);
+                    let load = busy / map.limit(service, region).max(f32::MIN_POSITIVE);
+                    if load < least && usable(map, fleet, service, region) {
+                        least = load;
+                        best = Some(region);
+                    }
+                }
+                *turn += 1;
+                in_turn(map, fleet, best?, *turn)
+            }
+            Policy::Planned => {
+                let answer = lookup(tables, service, address, now);
+                let vm = *answer.picks.as_slice().first()?;
+                Some((map.region_of(fleet.zone(vm)), vm))
+            }
+        }
+    }
+}
+
+fn usable(map: &Map, fleet: &Fleet, service: ServiceIx, region: RegionIx) -> bool {
+    0.0 < map.planned(service, region) && fleet.serves(region)
+}
+
+fn in_turn(map: &Map, fleet: &Fleet, region: RegionIx, turn: u64) -> Option<(RegionIx, VmIx)> {
+    let vms = fleet.in_region(map, region);
+    let count = vms.clone().count() as u64;
+    if count == 0 {
+        return None;
+    }
+    let vm = { vms }.nth((turn % count) as usize)?;
+    Some((region, vm))
+}
--- /dev/null
+++ b/crates/th-steer/src/route/demand.rs
@@ -0,0 +1,90 @@
+//! Demand per service and class, estimated from requests seen.
+
+use th_protocol::{Millis, Time};
+
+use super::{ClassIx, ServiceIx};
+
+/// Weight of the newest window in the moving average.
+const GAIN: f32 = 0.3;
+/// How long a request holds a slot where nothing was measured.
+const DEFAULT_HOLD: Millis = Millis(50);
+
+/// Requests seen per service and class, as a moving average, with the time of the last window.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    classes: usize,
+    counts: Vec<u32>,
+    /// Requests a second.
+    rates: Vec<f32>,
+    /// Milliseconds of a slot per request, by service.
+    holds: Vec<f32>,
+    /// End of the last window in which a service was asked for.
+    seen: Vec<Option<Time>>,
+    closed: Time,
+}
+
+impl Demand {
+    /// A table without requests; `now` opens the first window.
+    pub fn new(services: usize, classes: usize, now: Time) -> Demand {
+        Demand {
+            classes,
+            counts: vec![0; services * classes],
+            rates: vec![0.0; services * classes],
+            holds: vec![DEFAULT_HOLD.0 as f32; services],
+            seen: vec![None; services],
+            closed: now,
+        }
+    }
+
+    /// Counts requests, or look-ups that stand for them.
+    pub fn count(&mut self, service: ServiceIx, class: ClassIx, requests: u32) {
+        let cell = &mut self.counts[service.row() * self.classes + class.row()];
+        *cell = cell.saturating_add(requests);
+    }
+
+    /// Sets how long a request of the service holds a slot on average.
+    pub fn set_hold(&mut self, service: ServiceIx, hold: Millis) {
+        self.holds[service.row()] = hold.0 as f32;
+    }
+
+    /// Closes the window and opens the next.
+    pub fn close(&mut self, now: Time) {
+        let span = now.since(self.closed).0 as f32 / 1000.0;
+        if span <= 0.0 {
+            return;
+        }
+        for service in 0..self.seen.len() {
+            self.close_service(service, span, now);
+        }
+        self.closed = now;
+    }
+
+    fn close_service(&mut self, service: usize, span: f32, now: Time) {
+        let cells = service * self.classes..(service + 1) * self.classes;
+        if self.counts[cells.clone()].iter().all(|&it| it == 0) {
+            return; // no requests: the old numbers stay and age
+        }
+        let gain = if self.seen[service].is_none() { 1.0 } else { GAIN };
+        for (rate, count) in self.rates[cells.clone()].iter_mut().zip(&mut self.counts[cells]) {
+            *rate += gain * (*count as f32 / span - *rate);
+            *count = 0;
+        }
+        self.seen[service] = Some(now);
+    }
+
+    /// Slots that the class keeps busy.
+    pub fn slots(&self, service: ServiceIx, class: ClassIx) -> f32 {
+        let rate = self.rates[service.row() * self.classes + class.row()];
+        rate * self.holds[service.row()] / 1000.0
+    }
+
+    /// The age of the service's estimate.
+    pub fn age(&self, service: ServiceIx, now: Time) -> Option<Millis> {
+        self.seen[service.row()].map(|it| now.since(it))
+    }
+
+    /// Bytes of memory held.
+    pub fn bytes(&self) -> usize {
+        self.counts.capacity() * 4 + self.rates.capacity() * 4 + self.seen.capacity() * 24
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/route/effects.rs
@@ -0,0 +1,78 @@
+//! Effects of decisions that no measurement shows yet.
+
+use th_protocol::{Millis, Time};
+
+use super::{RegionIx, ServiceIx};
+
+/// Most effects kept for one service and region; the oldest are merged beyond it.
+const MAX_EFFECTS: usize = 16;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Effect {
+    decided: Time,
+    slots: f32,
+}
+
+/// Changes of load that were decided and that no measurement shows yet.
+///
+/// An effect is counted until a measurement taken at or after its decision plus the TTL arrives.
+#[derive(Debug, Clone)]
+pub struct Effects {
+    regions: usize,
+    ttl: Millis,
+    cells: Vec<Vec<Effect>>,
+}
+
+impl Effects {
+    /// An empty table; `ttl` is the longest time that callers keep an answer.
+    pub fn new(services: usize, regions: usize, ttl: Millis) -> Effects {
+        Effects { regions, ttl, cells: vec![Vec::new(); services * regions] }
+    }
+
+    fn cell(&self, service: ServiceIx, region: RegionIx) -> usize {
+        service.row() * self.regions + region.row()
+    }
+
+    /// Records that `slots` of load move to the region, or away where negative.
+    pub fn record(&mut self, service: ServiceIx, region: RegionIx, slots: f32, decided: Time) {
+        let cell = self.cell(service, region);
+        let effects = &mut self.cells[cell];
+        if effects.len() == MAX_EFFECTS {
+            let oldest = effects.remove(0);
+            effects[0].slots += oldest.slots;
+        }
+        effects.push(Effect { decided, slots });
+    }
+
+    /// Whether a measurement taken at `at` is clear of each effect: taken before its decision or
+    /// after its TTL. One taken in between shows an unknown part and can't be used.
+    pub fn is_clear(&self, service: ServiceIx, region: RegionIx, at: Time) -> bool {
+        for effect in &self.cells[self.cell(service, region)] {
+            if effect.decided <= at && at < effect.decided.after(self.ttl) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Drops the effects that a measurement taken at `at` shows.
+    pub(crate) fn settle(&mut self, service: ServiceIx, region: RegionIx, at: Time) {
+        let cell = self.cell(service, region);
+        let ttl = self.ttl;
+        self.cells[cell].retain(|it| at < it.decided.after(ttl));
+    }
+
+    /// The slots that are decided and not yet seen.
+    pub fn pending(&self, service: ServiceIx, region: RegionIx) -> f32 {
+        self.cells[self.cell(service, region)].iter().map(|it| it.slots).sum()
+    }
+
+    /// Bytes of memory held.
+    pub fn bytes(&self) -> usize {
+        let mut total = self.cells.capacity() * size_of::<Vec<Effect>>();
+        for cell in &self.cells {
+            total += cell.capacity() * size_of::<Effect>();
+        }
+        total
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/route/loads.rs
@@ -0,0 +1,90 @@
+//! Measured loads of regions, with their ages.
+
+use th_protocol::{Millis, Time};
+
+use super::{Effects, RegionIx, ServiceIx, Settings, trust};
+
+/// A measurement of the slots that run a service's requests in a region.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Sample {
+    /// Slots in use.
+    pub busy: f32,
+    /// When it was taken, on the reader's clock.
+    pub at: Time,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Cell {
+    sample: Option<Sample>,
+    background: f32,
+}
+
+/// The last usable measurement per service and region.
+#[derive(Debug, Clone)]
+pub struct Loads {
+    regions: usize,
+    cells: Vec<Cell>,
+}
+
+impl Loads {
+    /// A table without measurements.
+    pub fn new(services: usize, regions: usize) -> Loads {
+        let cell = Cell { sample: None, background: 0.0 };
+        Loads { regions, cells: vec![cell; services * regions] }
+    }
+
+    fn cell(&self, service: ServiceIx, region: RegionIx) -> usize {
+        service.row() * self.regions + region.row()
+    }
+
+    /// Takes in a measurement; false where it is older than the last or may show an effect in part.
+    ///
+    /// `expected` is the load that the weights in force cause there, in slots. What the measurement
+    /// shows beyond it, once effects that it can't show yet are added, is background load.
+    pub fn observe(
+        &mut self,
+        service: ServiceIx,
+        region: RegionIx,
+        sample: Sample,
+        expected: f32,
+        effects: &mut Effects,
+    ) -> bool {
+        let cell = self.cell(service, region);
+        if self.cells[cell].sample.is_some_and(|it| sample.at <= it.at) {
+            return false;
+        }
+        if !effects.is_clear(service, region, sample.at) {
+            return false;
+        }
+        effects.settle(service, region, sample.at);
+        let predicted = sample.busy + effects.pending(service, region);
+        self.cells[cell] = Cell { sample: Some(sample), background: predicted - expected };
+        true
+    }
+
+    /// Load that the weights in force don't explain, in slots.
+    pub fn background(&self, service: ServiceIx, region: RegionIx) -> f32 {
+        self.cells[self.cell(service, region)].background.max(0.0)
+    }
+
+    /// The age of the last usable measurement.
+    pub fn age(&self, service: ServiceIx, region: RegionIx, now: Time) -> Option<Millis> {
+        self.cells[self.cell(service, region)].sample.map(|it| now.since(it.at))
+    }
+
+    /// Trust in the last usable measurement; 0 where there is none.
+    pub(crate) fn trust(
+        &self,
+        service: ServiceIx,
+        region: RegionIx,
+        now: Time,
+        settings: &Settings,
+    ) -> f32 {
+        self.age(service, region, now).map_or(0.0, |it| trust(it, settings))
+    }
+
+    /// Bytes of memory held.
+    pub fn bytes(&self) -> usize {
+        self.cells.capacity() * size_of::<Cell>()
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/route/planner.rs
@@ -0,0 +1,232 @@
+//! From observations to the weights that the system would like to have.
+
+use th_protocol::{Permille, Time};
+
+use super::{
+    ClassIx, Demand, Effects, Fleet, Loads, Map, RegionIx, ServiceIx, Settings, Weights,
+    fill::{Fill, Scratch},
+    trust,
+};
+
+/// The tables that a tick reads.
+#[derive(Debug, Clone, Copy)]
+pub struct Inputs<'a> {
+    /// The bundle's map.
+    pub map: &'a Map,
+    /// Entry VMs; a region without a usable one gets no weight.
+    pub fleet: &'a Fleet,
+    /// Demand seen.
+    pub demand: &'a Demand,
+    /// Loads measured.
+    pub loads: &'a Loads,
+}
+
+/// The weights desired and the weights in force.
+///
+/// A tick sets the desired weights. The caller brings the weights in force towards them as far as
+/// the cap on shifts lets it, by [`Planner::step`] or [`Planner::set_in_force`], and then calls
+/// [`Planner::commit`], all before the demand's next window closes.
+#[derive(Debug)]
+pub struct Planner {
+    settings: Settings,
+    regions: usize,
+    classes: usize,
+    desired: Weights,
+    in_force: Weights,
+    /// Load that the weights in force cause, per service and region, in slots.
+    expected: Vec<f32>,
+    /// Changes of load that are too small to be recorded yet.
+    residue: Vec<f32>,
+    slots: Vec<f32>,
+    planned: Vec<f32>,
+    scratch: Scratch,
+}
+
+impl Planner {
+    /// Starts with the static plan, desired and in force.
+    pub fn new(inputs: &Inputs, settings: Settings, now: Time) -> Planner {
+        let services = inputs.map.services().len();
+        let regions = inputs.map.regions().len();
+        let classes = inputs.map.class_count();
+        let weights = Weights::new(services, classes, regions);
+        let mut planner = Planner {
+            settings,
+            regions,
+            classes,
+            desired: weights.clone(),
+            in_force: weights,
+            expected: vec![0.0; services * regions],
+            residue: vec![0.0; services * regions],
+            slots: Vec::new(),
+            planned: Vec::new(),
+            scratch: Scratch::default(),
+        };
+        planner.tick(now, inputs);
+        planner.in_force = planner.desired.clone();
+        planner.tick(now, inputs);
+        planner
+    }
+
+    /// Sets the desired weights of all services.
+    pub fn tick(&mut self, now: Time, inputs: &Inputs) {
+        for service in 0..inputs.map.services().len() {
+            let service = ServiceIx(service as u16);
+            self.plan(service, now, inputs);
+            self.expect(service, inputs.demand);
+        }
+    }
+
+    fn plan(&mut self, service: ServiceIx, now: Time, inputs: &Inputs) {
+        let map = inputs.map;
+        let known = self.read_demand(service, inputs);
+        let total: f32 = self.slots.iter().sum();
+        let (mut caps, mut room, mut plan) = (Vec::new(), Vec::new(), Vec::new());
+        let mut believed = 0.0;
+        for region in 0..self.regions {
+            let region = RegionIx(region as u16);
+            let serves = inputs.fleet.serves(region);
+            let cap = if serves { map.limit(service, region) } else { 0.0 };
+            let trust = inputs.loads.trust(service, region, now, &self.settings);
+            believed += trust / self.regions as f32;
+            let share = map.planned(service, region) * total;
+            caps.push(cap);
+            room.push((cap - trust * inputs.loads.background(service, region)).max(0.0));
+            plan.push(if known {
+                share.min(cap)
+            } else if 0.0 < cap {
+                share
+            } else {
+                0.0
+            });
+        }
+        let seen = inputs.demand.age(service, now).map_or(0.0, |it| trust(it, &self.settings));
+        let believed = if known { seen.min(believed) } else { 0.0 };
+        let rows = self.desired.rows_mut(service);
+        let demand = &self.slots;
+        let live = Fill { map, demand, limits: &room, spread: &room };
+        live.run(rows, &mut self.scratch);
+        if 1.0 <= believed && 0.0 < room.iter().sum::<f32>() {
+            return;
+        }
+        self.planned.resize(rows.len(), 0.0);
+        let fixed = Fill { map, demand, limits: &plan, spread: &caps };
+        fixed.run(&mut self.planned, &mut self.scratch);
+        let believed = if 0.0 < room.iter().sum::<f32>() { believed } else { 0.0 };
+        for (weight, planned) in rows.iter_mut().zip(&self.planned) {
+            *weight = believed * *weight + (1.0 - believed) * planned;
+        }
+    }
+
+    /// Reads the demand by class; where none is known, each block is taken to ask the same.
+    fn read_demand(&mut self, service: ServiceIx, inputs: &Inputs) -> bool {
+        self.slots.clear();
+        for class in 0..self.classes {
+            self.slots.push(inputs.demand.slots(service, ClassIx(class as u16)));
+        }
+        if 0.0 < self.slots.iter().sum::<f32>() {
+            return true;
+        }
+        for (class, slots) in self.slots.iter_mut().enumerate() {
+            *slots = inputs.map.population(ClassIx(class as u16)).max(1) as f32;
+        }
+        false
+    }
+
+    /// Computes the load that the weights in force cause.
+    fn expect(&mut self, service: ServiceIx, demand: &Demand) {
+        let cells = service.row() * self.regions..(service.row() + 1) * self.regions;
+        let expected = &mut self.expected[cells];
+        expected.fill(0.0);
+        let rows = self.in_force.rows(service).chunks(self.regions);
+        for (class, row) in rows.enumerate() {
+            let slots = demand.slots(service, ClassIx(class as u16));
+            for (total, weight) in expected.iter_mut().zip(row) {
+                *total += slots * weight;
+            }
+        }
+    }
+
+    /// The load that the weights in force cause in a region, in slots.
+    pub fn expected(&self, service: ServiceIx, region: RegionIx) -> f32 {
+        self.expected[service.row() * self.regions + region.row()]
+    }
+
+    /// The weights that the last tick would like to have.
+    pub fn desired(&self) -> &Weights {
+        &self.desired
+    }
+
+    /// The weights that look-ups follow.
+    pub fn in_force(&self) -> &Weights {
+        &self.in_force
+    }
+
+    /// The largest share of the service's blocks, weighted by demand, that going to the desired
+    /// weights at once would move, from 0 to 1.
+    ///
+    /// Rendezvous hashing moves at most `2d / (1 + d)` of the blocks for a distance `d` between
+    /// the weights, and no choice that keeps no memory moves less in the worst case.
+    pub fn distance(&self, service: ServiceIx, demand: &Demand) -> f32 {
+        let desired = self.desired.rows(service).chunks(self.regions);
+        let in_force = self.in_force.rows(service).chunks(self.regions);
+        let (mut moved, mut total, mut plain) = (0.0, 0.0, 0.0);
+        for (class, (to, from)) in desired.zip(in_force).enumerate() {
+            let gap: f32 = to.iter().zip(from).map(|(a, b)| (a - b).abs()).sum::<f32>() / 2.0;
+            let share = 2.0 * gap / (1.0 + gap);
+            let slots = demand.slots(service, ClassIx(class as u16));
+            moved += slots * share;
+            total += slots;
+            plain += share / self.classes as f32;
+        }
+        if total <= 0.0 { plain } else { moved / total }
+    }
+
+    /// Moves the weights in force by this share of the way to the desired ones.
+    pub fn step(&mut self, service: ServiceIx, share: Permille) {
+        let share = share.0.min(1000) as f32 / 1000.0;
+        let desired = self.desired.rows(service);
+        for (weight, to) in self.in_force.rows_mut(service).iter_mut().zip(desired) {
+            *weight += share * (to - *weight);
+        }
+    }
+
+    /// Sets the weights in force of one class, by region.
+    pub fn set_in_force(&mut self, service: ServiceIx, class: ClassIx, row: &[f32]) {
+        let start = class.row() * self.regions;
+        self.in_force.rows_mut(service)[start..start + self.regions].copy_from_slice(row);
+    }
+
+    /// Records the effect of the changes since the last tick, to be counted until measured.
+    pub fn commit(
+        &mut self,
+        service: ServiceIx,
+        now: Time,
+        inputs: &Inputs,
+        effects: &mut Effects,
+    ) {
+        let cells = service.row() * self.regions..(service.row() + 1) * self.regions;
+        let before = self.expected[cells].to_vec();
+        self.expect(service, inputs.demand);
+        let mut moving = false;
+        for (region, before) in before.into_iter().enumerate() {
+            let cell = service.row() * self.regions + region;
+            let region = RegionIx(region as u16);
+            self.residue[cell] += self.expected[cell] - before;
+            let limit = inputs.map.limit(service, region);
+            let least = limit * self.settings.deadband.0 as f32 / 1000.0;
+            if self.residue[cell].abs() <= least {
+                continue;
+            }
+            effects.record(service, region, self.residue[cell], now);
+            self.residue[cell] = 0.0;
+            moving = true;
+        }
+        self.in_force.set_moving(service, moving);
+    }
+
+    /// Bytes of memory held.
+    pub fn bytes(&self) -> usize {
+        let floats = self.expected.len() + self.residue.len() + self.slots.len();
+        self.desired.bytes() + self.in_force.bytes() + (floats + self.planned.len()) * 4
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/route/weights.rs
@@ -0,0 +1,51 @@
+//! Weights per service, class and region.
+
+use super::{ClassIx, ServiceIx};
+
+/// A weight from 0 to 1 for each service, class and region. The weights of one row sum to 1.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Weights {
+    classes: usize,
+    regions: usize,
+    cells: Vec<f32>,
+    /// Whether a service's weights changed at the last commit.
+    moving: Vec<bool>,
+}
+
+impl Weights {
+    pub(crate) fn new(services: usize, classes: usize, regions: usize) -> Weights {
+        let cells = vec![0.0; services * classes * regions];
+        Weights { classes, regions, cells, moving: vec![false; services] }
+    }
+
+    /// The weights of one class, by region.
+    pub fn row(&self, service: ServiceIx, class: ClassIx) -> &[f32] {
+        let start = (service.row() * self.classes + class.row()) * self.regions;
+        &self.cells[start..start + self.regions]
+    }
+
+    /// The rows of a service, class by class, each with one weight per region.
+    pub fn rows(&self, service: ServiceIx) -> &[f32] {
+        let size = self.classes * self.regions;
+        &self.cells[service.row() * size..][..size]
+    }
+
+    pub(crate) fn rows_mut(&mut self, service: ServiceIx) -> &mut [f32] {
+        let size = self.classes * self.regions;
+        &mut self.cells[service.row() * size..][..size]
+    }
+
+    /// Whether the service's traffic is moving between regions.
+    pub fn is_moving(&self, service: ServiceIx) -> bool {
+        self.moving[service.row()]
+    }
+
+    pub(crate) fn set_moving(&mut self, service: ServiceIx, moving: bool) {
+        self.moving[service.row()] = moving;
+    }
+
+    /// Bytes of memory held.
+    pub fn bytes(&self) -> usize {
+        self.cells.capacity() * size_of::<f32>()
+    }
+}
