Choose entry VMs by a slot table per data centre

Cause: rendezvous hashing over all 96 entry VMs of three data centres took most of a look-up. The table is rebuilt only where the usable VMs of a data centre change.

--- a/crates/th-steer/src/route/fleet.rs
+++ b/crates/th-steer/src/route/fleet.rs
@@ -4,11 +4,7 @@
 
 use th_protocol::{Time, VmId};
 
-use super::{
-    Map, RegionIx, Settings, VmIx, ZoneIx,
-    hash::{mix, name},
-    trust,
-};
+use super::{Map, RegionIx, Settings, VmIx, ZoneIx, hash::name, slots::SlotTable, trust};
 
 /// What was last heard of an entry VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,14 +29,18 @@
     at: Time,
 }
 
+/// The usable VMs of a data centre.
+#[derive(Debug, Default)]
+struct Group {
+    members: Vec<VmIx>,
+    slots: SlotTable,
+}
+
 /// Entry VMs and, per data centre, those that answers may name.
 #[derive(Debug, Default)]
 pub struct Fleet {
     vms: Vec<Vm>,
-    /// Usable VMs, grouped by data centre: group `z` is `starts[z]..starts[z + 1]`.
-    starts: Vec<u32>,
-    usable: Vec<VmIx>,
-    salts: Vec<u64>,
+    groups: Vec<Group>,
     /// Named only where no VM is usable.
     reserve: Vec<VmIx>,
     /// Whether a region has a usable VM.
@@ -68,46 +68,44 @@
 
     /// Rebuilds the lists that look-ups read; once a tick, or at once after bad news.
     ///
-    /// A suspicion that is too old to be trusted is dropped.
+    /// A suspicion that is too old to be trusted is dropped. Only data centres whose usable VMs
+    /// changed get a new table.
     pub fn refresh(&mut self, map: &Map, settings: &Settings, now: Time) {
-        let mut rows: Vec<VmIx> = Vec::with_capacity(self.vms.len());
+        self.groups.resize_with(map.zones().len(), Group::default);
+        let mut members = vec![Vec::new(); self.groups.len()];
+        let mut known = vec![0; self.groups.len()];
         self.reserve.clear();
         for (i, vm) in self.vms.iter().enumerate() {
+            let row = VmIx(i as u32);
+            known[vm.zone.row()] += 1;
             let believed = 0.0 < trust(now.since(vm.at), settings);
             match vm.state {
-                VmState::Live => rows.push(VmIx(i as u32)),
-                VmState::Suspected if !believed => rows.push(VmIx(i as u32)),
-                VmState::Suspected | VmState::Leaving => self.reserve.push(VmIx(i as u32)),
+                VmState::Live => members[vm.zone.row()].push(row),
+                VmState::Suspected if !believed => members[vm.zone.row()].push(row),
+                VmState::Suspected | VmState::Leaving => self.reserve.push(row),
                 VmState::Dead => {}
             }
         }
         let vms = &self.vms;
-        rows.sort_by_key(|it| vms[it.row()].zone);
         self.reserve.sort_by_key(|it| vms[it.row()].state);
-        self.salts = rows.iter().map(|it| vms[it.row()].salt).collect();
-        self.starts.clear();
         self.serves = vec![false; map.regions().len()];
-        for zone in 0..=map.zones().len() {
-            let start = rows.partition_point(|it| vms[it.row()].zone.row() < zone);
-            self.starts.push(start as u32);
-        }
-        for row in &rows {
-            let region = map.region_of(vms[row.row()].zone);
+        for (zone, members) in members.into_iter().enumerate() {
+            let region = map.region_of(ZoneIx(zone as u16));
             if let Some(serves) = self.serves.get_mut(region.row()) {
-                *serves = true;
+                *serves |= !members.is_empty();
+            }
+            let group = &mut self.groups[zone];
+            if group.members == members {
+                continue;
             }
+            let salts: Vec<u64> = members.iter().map(|it| vms[it.row()].salt).collect();
+            *group = Group { slots: SlotTable::new(&salts, known[zone]), members };
         }
-        self.usable = rows;
-    }
-
-    fn group(&self, zone: usize) -> std::ops::Range<usize> {
-        let Some(&end) = self.starts.get(zone + 1) else { return 0..0 };
-        self.starts[zone] as usize..end as usize
     }
 
     /// Whether the data centre has a usable VM.
     pub(crate) fn has(&self, zone: usize) -> bool {
-        !self.group(zone).is_empty()
+        self.groups.get(zone).is_some_and(|it| !it.members.is_empty())
     }
 
     /// Whether the region has a usable VM.
@@ -121,24 +119,15 @@
         map: &'a Map,
         region: RegionIx,
     ) -> impl Iterator<Item = VmIx> + Clone + 'a {
-        let usable = self.usable.iter().copied();
-        usable.filter(move |&it| map.region_of(self.zone(it)) == region)
+        let groups = self.groups.iter().enumerate();
+        let groups = groups.filter(move |&(i, _)| map.region_of(ZoneIx(i as u16)) == region);
+        groups.flat_map(|(_, it)| it.members.iter().copied())
     }
 
-    /// The best two VMs of a data centre for a key, by rendezvous hash.
+    /// A VM of a data centre for a key, and a second one.
     pub(crate) fn best_two(&self, zone: usize, key: u64) -> [Option<VmIx>; 2] {
-        let group = self.group(zone);
-        let (mut first, mut second) = ((0, None), (0, None));
-        for (&salt, &vm) in self.salts[group.clone()].iter().zip(&self.usable[group]) {
-            let score = mix(key ^ salt) | 1;
-            if first.0 < score {
-                second = first;
-                first = (score, Some(vm));
-            } else if second.0 < score {
-                second = (score, Some(vm));
-            }
-        }
-        [first.1, second.1]
+        let Some(group) = self.groups.get(zone) else { return [None; 2] };
+        group.slots.choose(key).map(|it| it.map(|member| group.members[member]))
     }
 
     /// VMs that leave or are suspected, suspected ones first.
@@ -174,7 +163,10 @@
     /// Bytes of memory held, names included.
     pub fn bytes(&self) -> usize {
         let names: usize = self.vms.iter().map(|it| it.id.as_str().len() + 16).sum();
-        let lists = (self.usable.capacity() + self.reserve.capacity() + self.starts.capacity()) * 4;
-        names + lists + self.vms.capacity() * size_of::<Vm>() + self.salts.capacity() * 8
+        let mut lists = self.reserve.capacity() * size_of::<VmIx>();
+        for group in &self.groups {
+            lists += group.members.capacity() * size_of::<VmIx>() + group.slots.bytes();
+        }
+        names + lists + self.vms.capacity() * size_of::<Vm>()
     }
 }
--- a/crates/th-steer/src/route/mod.rs
+++ b/crates/th-steer/src/route/mod.rs
@@ -20,6 +20,7 @@
 mod planner;
 mod ranges;
 mod settings;
+mod slots;
 mod trust;
 mod weights;
 
