--- /dev/null
+++ b/crates/th-steer/src/route/fleet.rs
@@ -0,0 +1,172 @@
+//! Entry VMs, as far as look-ups need them.
+
+use std::net::SocketAddr;
+
+use th_protocol::{Time, VmId};
+
+use super::{Map, RegionIx, Settings, VmIx, ZoneIx, hash::name, slots::SlotTable, trust};
+
+/// What was last heard of an entry VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum VmState {
+    /// It answers.
+    Live,
+    /// It may have died.
+    Suspected,
+    /// It stops gracefully.
+    Leaving,
+    /// It is gone.
+    Dead,
+}
+
+#[derive(Debug)]
+struct Vm {
+    id: VmId,
+    zone: ZoneIx,
+    address: SocketAddr,
+    salt: u64,
+    state: VmState,
+    at: Time,
+}
+
+/// The usable VMs of a data centre.
+#[derive(Debug, Default)]
+struct Group {
+    members: Vec<VmIx>,
+    slots: SlotTable,
+}
+
+/// Entry VMs and, per data centre, those that answers may name.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    vms: Vec<Vm>,
+    groups: Vec<Group>,
+    /// Named only where no VM is usable.
+    reserve: Vec<VmIx>,
+    /// Whether a region has a usable VM.
+    serves: Vec<bool>,
+}
+
+impl Fleet {
+    /// Adds an entry VM that is taken to be live; call [`Fleet::refresh`] after the last one.
+    pub fn insert(&mut self, id: VmId, zone: ZoneIx, address: SocketAddr, now: Time) -> VmIx {
+        let salt = name(id.as_str());
+        self.vms.push(Vm { id, zone, address, salt, state: VmState::Live, at: now });
+        VmIx(self.vms.len() as u32 - 1)
+    }
+
+    /// Takes in news of a VM; false where it is older than what is known.
+    pub fn observe(&mut self, vm: VmIx, state: VmState, at: Time) -> bool {
+        let vm = &mut self.vms[vm.row()];
+        if at < vm.at {
+            return false;
+        }
+        vm.state = state;
+        vm.at = at;
+        true
+    }
+
+    /// Rebuilds the lists that look-ups read; once a tick, or at once after bad news.
+    ///
+    /// A suspicion that is too old to be trusted is dropped. Only data centres whose usable VMs
+    /// changed get a new table.
+    pub fn refresh(&mut self, map: &Map, settings: &Settings, now: Time) {
+        self.groups.resize_with(map.zones().len(), Group::default);
+        let mut members = vec![Vec::new(); self.groups.len()];
+        let mut known = vec![0; self.groups.len()];
+        self.reserve.clear();
+        for (i, vm) in self.vms.iter().enumerate() {
+            let row = VmIx(i as u32);
+            known[vm.zone.row()] += 1;
+            let believed = 0.0 < trust(now.since(vm.at), settings);
+            match vm.state {
+                VmState::Live => members[vm.zone.row()].push(row),
+                VmState::Suspected if !believed => members[vm.zone.row()].push(row),
+                VmState::Suspected | VmState::Leaving => self.reserve.push(row),
+                VmState::Dead => {}
+            }
+        }
+        let vms = &self.vms;
+        self.reserve.sort_by_key(|it| vms[it.row()].state);
+        self.serves = vec![false; map.regions().len()];
+        for (zone, members) in members.into_iter().enumerate() {
+            let region = map.region_of(ZoneIx(zone as u16));
+            if let Some(serves) = self.serves.get_mut(region.row()) {
+                *serves |= !members.is_empty();
+            }
+            let group = &mut self.groups[zone];
+            if group.members == members {
+                continue;
+            }
+            let salts: Vec<u64> = members.iter().map(|it| vms[it.row()].salt).collect();
+            *group = Group { slots: SlotTable::new(&salts, known[zone]), members };
+        }
+    }
+
+    /// Whether the data centre has a usable VM.
+    pub(crate) fn has(&self, zone: usize) -> bool {
+        self.groups.get(zone).is_some_and(|it| !it.members.is_empty())
+    }
+
+    /// Whether the region has a usable VM.
+    pub fn serves(&self, region: RegionIx) -> bool {
+        self.serves.get(region.row()).copied().unwrap_or(false)
+    }
+
+    /// The usable VMs of a region.
+    pub(crate) fn in_region<'a>(
+        &'a self,
+        map: &'a Map,
+        region: RegionIx,
+    ) -> impl Iterator<Item = VmIx> + Clone + 'a {
+        let groups = self.groups.iter().enumerate();
+        let groups = groups.filter(move |&(i, _)| map.region_of(ZoneIx(i as u16)) == region);
+        groups.flat_map(|(_, it)| it.members.iter().copied())
+    }
+
+    /// A VM of a data centre for a key, and a second one.
+    pub(crate) fn best_two(&self, zone: usize, key: u64) -> [Option<VmIx>; 2] {
+        let Some(group) = self.groups.get(zone) else { return [None; 2] };
+        group.slots.choose(key).map(|it| it.map(|member| group.members[member]))
+    }
+
+    /// VMs that leave or are suspected, suspected ones first.
+    pub(crate) fn reserve(&self) -> &[VmIx] {
+        &self.reserve
+    }
+
+    /// The id of a VM.
+    pub fn id(&self, vm: VmIx) -> &VmId {
+        &self.vms[vm.row()].id
+    }
+
+    /// The data centre of a VM.
+    pub fn zone(&self, vm: VmIx) -> ZoneIx {
+        self.vms[vm.row()].zone
+    }
+
+    /// Where a VM listens for callers.
+    pub fn address(&self, vm: VmIx) -> SocketAddr {
+        self.vms[vm.row()].address
+    }
+
+    /// The number of VMs.
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.vms.is_empty()
+    }
+
+    /// Bytes of memory held, names included.
+    pub fn bytes(&self) -> usize {
+        let names: usize = self.vms.iter().map(|it| it.id.as_str().len() + 16).sum();
+        let mut lists = self.reserve.capacity() * size_of::<VmIx>();
+        for group in &self.groups {
+            lists += group.members.capacity() * size_of::<VmIx>() + group.slots.bytes();
+        }
+        names + lists + self.vms.capacity() * size_of::<Vm>()
+    }
+}
