Close idle connections when a server's allowance is lowered

Cause: a property test lowered the connections allowance while idle connections were open; the next request reused one of them, with more open than allowed. Before: 3 connections open under an allowance of 1.

--- a/crates/th-steer/src/backend/connection.rs
+++ b/crates/th-steer/src/backend/connection.rs
@@ -142,6 +142,13 @@
         Some(self.current)
     }
 
+    /// Closes idle connections where more than `allowance` may be open.
+    pub fn shrink(&mut self, allowance: Connections) {
+        if allowance < self.open() {
+            self.replace();
+        }
+    }
+
     /// Notes that a connection of that generation brought an answer.
     pub fn on_progress(&mut self, generation: Generation, now: Time) {
         let Some(member) = self.members.get_mut(&generation) else { return };
--- a/crates/th-steer/src/backend/table.rs
+++ b/crates/th-steer/src/backend/table.rs
@@ -124,6 +124,7 @@
         let Some(row) = self.rows.get_mut(backend) else { return };
         row.slots = slots;
         row.connections = connections;
+        row.pool.shrink(connections);
     }
 
     /// Chooses a server and takes a slot of it; `idempotent` decides which connections may be
--- /dev/null
+++ b/crates/th-steer/tests/drain.rs
@@ -0,0 +1,135 @@
+//! Evidence that a backend server leaves, in any order, and stale news that says it is live.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use th_protocol::{LeavingSource, Millis, Time, Version};
+use th_steer::backend::{Drain, RETURN_DELAY, SPREAD_SPAN};
+
+const NOW: Time = Time(1_000_000);
+
+fn later(span: Millis) -> Time {
+    NOW.after(span)
+}
+
+#[derive(Debug, Clone, Copy)]
+enum First {
+    Bundle,
+    List,
+    Own,
+    Peer,
+}
+
+#[rstest]
+#[case(First::Bundle)]
+#[case(First::List)]
+#[case(First::Own)]
+#[case(First::Peer)]
+fn one_kind_of_evidence_is_enough(#[case] first: First) {
+    let mut drain = Drain::default();
+    drain.on_bundle(Version(1), false, NOW);
+    drain.on_list(true, NOW);
+    assert!(!drain.leaving());
+    match first {
+        First::Bundle => drain.on_bundle(Version(2), true, NOW),
+        First::List => drain.on_list(false, NOW),
+        First::Own => drain.on_own(true, NOW, NOW),
+        First::Peer => drain.on_notice(LeavingSource::Own, Millis(0), NOW),
+    }
+    assert!(drain.leaving());
+    drain.on_idle(later(Millis(700)));
+    drain.on_idle(later(Millis(900)));
+    assert_eq!(drain.time_to_quiet(), Some(Millis(700)));
+}
+
+#[test]
+fn only_a_higher_version_takes_back_the_mark_of_a_bundle() {
+    let mut drain = Drain::default();
+    drain.on_bundle(Version(5), true, NOW);
+    drain.on_bundle(Version(4), false, NOW);
+    drain.on_bundle(Version(5), false, NOW);
+    drain.on_list(true, NOW);
+    drain.on_own(false, later(RETURN_DELAY), later(RETURN_DELAY));
+    assert!(drain.leaving());
+    drain.on_bundle(Version(6), false, NOW);
+    assert!(!drain.leaving());
+}
+
+#[test]
+fn a_higher_version_does_not_take_back_other_evidence() {
+    let mut drain = Drain::default();
+    drain.on_own(true, NOW, NOW);
+    drain.on_list(false, NOW);
+    drain.on_bundle(Version(9), false, later(RETURN_DELAY));
+    assert!(drain.leaving());
+}
+
+#[test]
+fn the_list_alone_never_revives() {
+    let mut drain = Drain::default();
+    drain.on_list(false, NOW);
+    drain.on_list(true, later(Millis(3_600_000)));
+    assert!(drain.leaving());
+    let asked = later(Millis(3_600_000));
+    drain.on_own(false, asked, asked);
+    assert!(!drain.leaving());
+}
+
+#[rstest]
+#[case::too_soon(RETURN_DELAY.0 - 1, true)]
+#[case::later(RETURN_DELAY.0, false)]
+fn the_servers_own_word_is_taken_back_by_a_later_one(#[case] asked: u64, #[case] leaving: bool) {
+    let mut drain = Drain::default();
+    drain.on_own(true, NOW, NOW);
+    drain.on_own(false, later(Millis(asked)), later(Millis(asked + 10_000)));
+    assert_eq!(drain.leaving(), leaving);
+}
+
+#[test]
+fn old_evidence_of_peers_does_not_come_back() {
+    let mut drain = Drain::default();
+    drain.on_notice(LeavingSource::Own, SPREAD_SPAN.plus(Millis(1)), NOW);
+    assert!(!drain.leaving());
+    drain.on_notice(LeavingSource::Own, Millis(0), NOW);
+    assert_eq!(drain.notices(NOW).len(), 1);
+    assert!(drain.notices(later(SPREAD_SPAN.plus(Millis(1)))).is_empty());
+}
+
+proptest! {
+    /// Whatever is said, a server with a mark of the bundle leaves until a higher version says
+    /// otherwise, and one with own evidence leaves for at least the return delay.
+    #[test]
+    fn stale_news_never_revives(steps in prop::collection::vec((0u8..6, 0u64..8, 0u64..9_000), 1..60)) {
+        let mut drain = Drain::default();
+        let (mut now, mut word, mut highest, mut marked) = (NOW, None, 0, false);
+        for (step, value, span) in steps {
+            now = now.after(Millis(span));
+            match step {
+                0 => {
+                    drain.on_bundle(Version(value), false, now);
+                    if highest < value {
+                        (highest, marked) = (value, false);
+                    }
+                }
+                1 => {
+                    drain.on_bundle(Version(value), true, now);
+                    if highest <= value {
+                        (highest, marked) = (value, true);
+                    }
+                }
+                2 => drain.on_list(true, now),
+                3 => {
+                    drain.on_list(false, now);
+                    word = Some(now);
+                }
+                4 => {
+                    drain.on_own(true, now, now);
+                    word = Some(now);
+                }
+                _ => drain.on_own(false, now.before(Millis(value * 1_000)), now),
+            }
+            if marked || word.is_some_and(|at| now.since(at) < RETURN_DELAY) {
+                prop_assert!(drain.leaving());
+            }
+        }
+    }
+}
