Model the life of operations under a ticket

Cause: at most once and "not run" have to hold through crashes, pauses, repeats, forwards, late and crossed answers and stops, which single tests cannot cover. Before: unit tests of the table alone.

--- /dev/null
+++ b/crates/th-model/tests/ticket.rs
@@ -0,0 +1,70 @@
+//! The ticket model: every state of small configurations, random walks of larger ones, and broken variants.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use th_model::{Model, Outcome, TicketFault, TicketModel, explore};
+
+/// States that one search may take.
+const MOST_STATES: usize = 1_000_000;
+const NOT_RUN: &str = "not run is told only of an operation that did not run";
+
+fn model(requests: &[(u8, bool)], processes: usize, fault: TicketFault) -> TicketModel {
+    TicketModel { requests: requests.to_vec(), processes, fault }
+}
+
+#[rstest]
+#[case::one_request(&[(1, false)], 2)]
+#[case::repeat_through_another_vm(&[(1, false), (1, true)], 1)]
+#[case::repeat_at_another_process(&[(1, false), (1, true)], 2)]
+#[case::two_operations(&[(1, false), (2, false)], 1)]
+fn every_state_holds(#[case] requests: &[(u8, bool)], #[case] processes: usize) {
+    let outcome = explore(&model(requests, processes, TicketFault::None));
+    println!("{requests:?}, {processes} processes: {outcome:?}");
+    match outcome {
+        Outcome::Holds { states } => assert!(states < MOST_STATES, "{states} states"),
+        broken => panic!("{broken:?}"),
+    }
+}
+
+#[rstest]
+#[case(TicketFault::NotRunAfterDispatch, &[(1, false)], 1, "a request that was told not run does not run")]
+#[case(TicketFault::RetryAfterTimeout, &[(1, false)], 1, NOT_RUN)]
+#[case(TicketFault::SameIncarnation, &[(1, false), (1, true)], 2, NOT_RUN)]
+#[case(TicketFault::ExpiryFromUse, &[(1, false), (1, true)], 1, NOT_RUN)]
+#[case(TicketFault::AnyAnswer, &[(1, false), (2, false)], 1, "an answer belongs to its request")]
+#[case(TicketFault::EarlyExit, &[(1, false)], 1, "a graceful stop cuts no request in flight")]
+fn a_mistake_is_found(
+    #[case] fault: TicketFault,
+    #[case] requests: &[(u8, bool)],
+    #[case] processes: usize,
+    #[case] broken: &str,
+) {
+    match explore(&model(requests, processes, fault)) {
+        Outcome::Broken { invariant, trace } => {
+            println!("{fault:?}: {invariant}: {trace:?}");
+            assert_eq!(invariant, broken);
+        }
+        holds => panic!("{fault:?} is not found: {holds:?}"),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(200) })]
+
+    /// Walks at random through a configuration that is too large to search.
+    #[test]
+    fn random_walks_hold(choices in prop::collection::vec(any::<prop::sample::Index>(), 60)) {
+        let requests = [(1, false), (1, true), (1, false), (2, true)];
+        let model = model(&requests, 3, TicketFault::None);
+        let mut state = model.start();
+        for choice in choices {
+            let steps = model.steps(&state);
+            if steps.is_empty() {
+                break;
+            }
+            let (action, next) = choice.get(&steps).clone();
+            state = next;
+            prop_assert_eq!(model.broken(&state), None, "after {:?}", action);
+        }
+    }
+}
--- a/crates/th-steer/src/retry/attempt.rs
+++ b/crates/th-steer/src/retry/attempt.rs
@@ -43,7 +43,7 @@
 }
 
 /// The attempts that are under way at an entry VM.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Attempts<R> {
     next: AttemptId,
     open: BTreeMap<AttemptId, R>,
