Put the decisions of an entry VM together in one engine

Cause: routing, limits, queues, tickets, membership and bundle spread stand beside each other; a process needs one place that runs them in order and turns them into actions. Change: th-steer's engine (receive, place, finish, tick, store answers); shards of a data centre's capacity claimed through the store; the VM list's records move to th-protocol with the role of each VM; a record of an entry VM names its caller address and its clock's origin, from which tickets are given an expiry on the owner's clock. Also: settings, logs and attempts of the entry process. Conclusion: the process can be built around it.

--- /dev/null
+++ b/crates/th-entry/src/io/clients.rs
@@ -0,0 +1,69 @@
+//! HTTP clients: one pool of connections for each generation of each backend server.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use reqwest::Client;
+use th_protocol::{BackendId, Millis};
+use th_steer::backend::Generation;
+
+/// Bounds for connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ClientSettings {
+    /// Bound on a connection attempt.
+    pub(crate) connect: Millis,
+    /// An idle connection is closed after this time.
+    pub(crate) idle: Millis,
+}
+
+impl Default for ClientSettings {
+    fn default() -> ClientSettings {
+        ClientSettings { connect: Millis(500), idle: Millis(2_000) }
+    }
+}
+
+/// A client with a pool of its own.
+pub(crate) fn client(settings: ClientSettings) -> Client {
+    Client::builder()
+        .http1_only()
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .connect_timeout(Duration::from_millis(settings.connect.0))
+        .pool_idle_timeout(Duration::from_millis(settings.idle.0))
+        .tcp_nodelay(true)
+        .build()
+        .expect("a client without TLS needs nothing that could be missing")
+}
+
+/// The clients in use.
+#[derive(Default)]
+pub(crate) struct Clients {
+    settings: ClientSettings,
+    pools: Mutex<BTreeMap<BackendId, (Generation, Client)>>,
+}
+
+impl Clients {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<BackendId, (Generation, Client)>> {
+        self.pools.lock().expect("no holder of this lock panics")
+    }
+
+    /// The client of that generation. Asking for a later one leaves the earlier pool: requests on it go on, its idle
+    /// connections are closed.
+    pub(crate) fn get(&self, backend: &BackendId, generation: Generation) -> Client {
+        let mut pools = self.lock();
+        if let Some((held, client)) = pools.get(backend)
+            && *held == generation
+        {
+            return client.clone();
+        }
+        let fresh = client(self.settings);
+        let newer = pools.get(backend).is_none_or(|(held, _)| *held < generation);
+        if newer {
+            pools.insert(backend.clone(), (generation, fresh.clone()));
+        }
+        fresh
+    }
+}
--- /dev/null
+++ b/crates/th-entry/src/io/mod.rs
@@ -0,0 +1,9 @@
+//! What goes over connections: answers, attempts and clients.
+
+mod clients;
+mod reply;
+mod send;
+
+pub(crate) use clients::{ClientSettings, Clients, client};
+pub(crate) use reply::{Body, Kept, Reply, drop_hop_headers};
+pub(crate) use send::{Course, Outgoing, Sent, Signs, is_fault, send};
--- /dev/null
+++ b/crates/th-entry/src/io/reply.rs
@@ -0,0 +1,124 @@
+//! An answer on its way to a caller.
+
+use std::io;
+
+use bytes::Bytes;
+use futures_util::stream::BoxStream;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use th_protocol::{Notice, Verdict, header as names};
+
+/// Milliseconds in a second, for headers that count in seconds.
+const SECOND_MS: u64 = 1_000;
+
+/// The body of an answer.
+pub(crate) enum Body {
+    /// All of it.
+    Whole(Bytes),
+    /// It arrives bit by bit; an error breaks the caller's connection, so that a cut answer does not look whole.
+    Stream(BoxStream<'static, io::Result<Bytes>>),
+}
+
+/// An answer: a backend server's, or one of the system's own.
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Body,
+}
+
+/// A whole answer that is kept for repeats of its operation.
+#[derive(Debug, Clone)]
+pub(crate) struct Kept {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Kept {
+    /// Memory that it takes, in bytes.
+    pub(crate) fn size(&self) -> u64 {
+        let mut size = self.body.len();
+        for (name, value) in &self.headers {
+            size += name.as_str().len() + value.len();
+        }
+        size as u64
+    }
+
+    pub(crate) fn reply(&self) -> Reply {
+        let body = Body::Whole(self.body.clone());
+        Reply { status: self.status, headers: self.headers.clone(), body }
+    }
+}
+
+impl Reply {
+    /// The answer that carries a notice of the system's own.
+    pub(crate) fn notice(notice: &Notice) -> Reply {
+        let mut headers = HeaderMap::new();
+        let mut put = |name: &'static str, value: &str| {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(HeaderName::from_static(name), value);
+            }
+        };
+        put("content-type", "application/json");
+        put(names::VERDICT, notice.verdict.code());
+        put(names::REASON, notice.reason.code());
+        if let Some(retry) = notice.retry {
+            put("retry-after", &retry.0.div_ceil(SECOND_MS).to_string());
+        }
+        if let Some(ticket) = &notice.ticket {
+            put(names::TICKET, ticket);
+        }
+        let body = serde_json::to_vec(notice).expect("a notice is plain data");
+        Reply { status: status(notice), headers, body: Body::Whole(body.into()) }
+    }
+
+    /// Whether the answer is a notice that states this verdict.
+    pub(crate) fn verdict(&self) -> Option<Verdict> {
+        self.headers.get(names::VERDICT)?.to_str().ok()?.parse().ok()
+    }
+}
+
+/// The status that fits a notice best.
+fn status(notice: &Notice) -> StatusCode {
+    use th_protocol::Reason as R;
+    match (notice.verdict, notice.reason) {
+        (Verdict::Unknown, R::Timeout | R::Deadline) => StatusCode::GATEWAY_TIMEOUT,
+        (Verdict::Unknown, _) => StatusCode::BAD_GATEWAY,
+        (_, R::NoService | R::NoOperation) => StatusCode::NOT_FOUND,
+        (_, R::BadRequest | R::BadTicket | R::NoKey) => StatusCode::BAD_REQUEST,
+        (_, R::NoTicket) => StatusCode::PRECONDITION_REQUIRED,
+        (_, R::KeyReused) => StatusCode::UNPROCESSABLE_ENTITY,
+        (_, R::SlowCaller) => StatusCode::REQUEST_TIMEOUT,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Headers that concern one connection only and are not passed on.
+const HOP_BY_HOP: &[HeaderName] = &[
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Removes headers that concern one connection only, those that `Connection` names included.
+pub(crate) fn drop_hop_headers(headers: &mut HeaderMap) {
+    let mut named = Vec::new();
+    for value in headers.get_all(header::CONNECTION) {
+        let Ok(text) = value.to_str() else {
+            continue;
+        };
+        for name in text.split(',') {
+            if let Ok(name) = name.trim().parse::<HeaderName>() {
+                named.push(name);
+            }
+        }
+    }
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/th-entry/src/io/send.rs
@@ -0,0 +1,138 @@
+//! Sends one attempt to a backend server and reads its answer.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{StreamExt, stream::BoxStream};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use reqwest::{Client, Response};
+use th_protocol::{AttemptId, Millis, header as names};
+use th_steer::backend::Outcome;
+use tokio::time::timeout;
+
+use super::{Body, Reply, drop_hop_headers};
+
+/// A request as it goes to a backend server.
+#[derive(Debug, Clone)]
+pub(crate) struct Outgoing {
+    pub(crate) method: Method,
+    /// Path and query, with the leading slash.
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// How an attempt ended, as far as its head and the first part of its body tell.
+pub(crate) enum Sent {
+    /// The answer is whole, or goes on as a stream.
+    Answer(Reply, Signs),
+    /// There is no answer to pass on.
+    Failed(Outcome, Signs),
+}
+
+/// What a backend server said of itself along with an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Signs {
+    pub(crate) leaving: bool,
+}
+
+/// Where and for how long.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Course {
+    pub(crate) address: SocketAddr,
+    pub(crate) attempt: AttemptId,
+    /// Time that is left until the deadline.
+    pub(crate) left: Millis,
+    /// Largest answer that is held whole.
+    pub(crate) whole: usize,
+}
+
+/// Sends the request and waits for the answer's head and, up to a bound, its body.
+pub(crate) async fn send(client: &Client, request: &Outgoing, course: Course) -> Sent {
+    let left = Duration::from_millis(course.left.0);
+    match timeout(left, exchange(client, request, course)).await {
+        Ok(sent) => sent,
+        Err(_) => Sent::Failed(Outcome::Timeout, Signs::default()),
+    }
+}
+
+async fn exchange(client: &Client, request: &Outgoing, course: Course) -> Sent {
+    let url = format!("http://{}{}", course.address, request.path);
+    let mut headers = request.headers.clone();
+    headers.insert(names::ATTEMPT, HeaderValue::from(course.attempt.0));
+    headers.insert(names::DEADLINE, HeaderValue::from(course.left.0));
+    let built = client.request(request.method.clone(), url).headers(headers);
+    let response = match built.body(request.body.clone()).send().await {
+        Ok(response) => response,
+        Err(error) => return Sent::Failed(failure(&error), Signs::default()),
+    };
+    let signs = Signs { leaving: response.headers().contains_key(names::LEAVING) };
+    if response.headers().contains_key(names::SHED) {
+        let hint = retry_after(response.headers());
+        return Sent::Failed(Outcome::Shed(hint), signs);
+    }
+    if !belongs(response.headers(), course.attempt) {
+        // An answer to another request must not reach this caller.
+        return Sent::Failed(Outcome::Cut, signs);
+    }
+    receive(response, signs, course.whole).await
+}
+
+/// What an error of the client means for the attempt.
+fn failure(error: &reqwest::Error) -> Outcome {
+    if error.is_connect() {
+        Outcome::ConnectFailed
+    } else if error.is_timeout() {
+        Outcome::Timeout
+    } else {
+        Outcome::Cut
+    }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Millis> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: u64 = text.parse().ok()?;
+    Some(Millis(seconds.saturating_mul(1_000)))
+}
+
+/// Whether the answer is the one to this attempt. A backend server that echoes no id is taken at its connection's word.
+fn belongs(headers: &HeaderMap, attempt: AttemptId) -> bool {
+    let Some(echo) = headers.get(names::ATTEMPT) else {
+        return true;
+    };
+    echo.to_str().ok().and_then(|it| it.parse().ok()) == Some(attempt.0)
+}
+
+async fn receive(mut response: Response, signs: Signs, whole: usize) -> Sent {
+    let status = response.status();
+    let mut headers = response.headers().clone();
+    drop_hop_headers(&mut headers);
+    headers.remove(names::ATTEMPT);
+    headers.remove(names::LEAVING);
+    let mut first = BytesMut::new();
+    while first.len() <= whole {
+        match response.chunk().await {
+            Ok(Some(chunk)) => first.extend_from_slice(&chunk),
+            Ok(None) => {
+                headers.remove(header::CONTENT_LENGTH);
+                let body = Body::Whole(first.freeze());
+                return Sent::Answer(Reply { status, headers, body }, signs);
+            }
+            Err(error) if error.is_timeout() => return Sent::Failed(Outcome::Timeout, signs),
+            Err(_) => return Sent::Failed(Outcome::Cut, signs),
+        }
+    }
+    let body = Body::Stream(rest(first.freeze(), response));
+    Sent::Answer(Reply { status, headers, body }, signs)
+}
+
+/// The first part of a large body and then what follows.
+fn rest(first: Bytes, response: Response) -> BoxStream<'static, std::io::Result<Bytes>> {
+    let more = response.bytes_stream().map(|it| it.map_err(std::io::Error::other));
+    futures_util::stream::once(async move { Ok(first) }).chain(more).boxed()
+}
+
+/// Whether the status reports a fault of the backend server.
+pub(crate) fn is_fault(status: StatusCode) -> bool {
+    status.is_server_error()
+}
--- /dev/null
+++ b/crates/th-entry/src/settings/fields.rs
@@ -0,0 +1,82 @@
+//! Reads the fields of a JSON object one by one, so that every fault is found and not just the first.
+
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+use thiserror::Error;
+
+/// One thing that is wrong with the settings.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{path}: {cause}")]
+pub struct SettingsFault {
+    /// The field, from the top: `listen.callers`.
+    pub path: String,
+    /// What is wrong with it.
+    pub cause: String,
+}
+
+/// The fields of one object that have not been read yet.
+pub(crate) struct Fields<'a> {
+    path: String,
+    rest: Map<String, Value>,
+    faults: &'a mut Vec<SettingsFault>,
+}
+
+impl<'a> Fields<'a> {
+    /// The fields of `value`, which should be an object.
+    pub(crate) fn new(path: &str, value: Value, faults: &'a mut Vec<SettingsFault>) -> Fields<'a> {
+        let rest = match value {
+            Value::Object(rest) => rest,
+            other => {
+                let cause = format!("expected an object, found {other}");
+                faults.push(SettingsFault { path: path.to_owned(), cause });
+                Map::new()
+            }
+        };
+        Fields { path: path.to_owned(), rest, faults }
+    }
+
+    fn path_of(&self, name: &str) -> String {
+        if self.path.is_empty() { name.to_owned() } else { format!("{}.{name}", self.path) }
+    }
+
+    /// Notes a fault of the field `name`.
+    pub(crate) fn fault(&mut self, name: &str, cause: impl Into<String>) {
+        let path = self.path_of(name);
+        self.faults.push(SettingsFault { path, cause: cause.into() });
+    }
+
+    /// The field `name`, or `default` where it is absent or faulty.
+    pub(crate) fn read<T: DeserializeOwned>(&mut self, name: &str, default: T) -> T {
+        let Some(value) = self.rest.remove(name) else {
+            return default;
+        };
+        match serde_json::from_value(value) {
+            Ok(it) => it,
+            Err(error) => {
+                self.fault(name, error.to_string());
+                default
+            }
+        }
+    }
+
+    /// The field `name`; its absence is a fault.
+    pub(crate) fn require<T: DeserializeOwned>(&mut self, name: &str, stand_in: T) -> T {
+        if !self.rest.contains_key(name) {
+            self.fault(name, "this field is required");
+        }
+        self.read(name, stand_in)
+    }
+
+    /// The fields of the object `name`; none where it is absent.
+    pub(crate) fn inner(&mut self, name: &str) -> Fields<'_> {
+        let value = self.rest.remove(name).unwrap_or_else(|| Value::Object(Map::new()));
+        Fields::new(&self.path_of(name), value, self.faults)
+    }
+
+    /// Notes every field that nobody asked for.
+    pub(crate) fn finish(mut self) {
+        for name in std::mem::take(&mut self.rest).keys() {
+            self.fault(name, "there is no such field");
+        }
+    }
+}
--- a/crates/th-operator/tests/roll.rs
+++ b/crates/th-operator/tests/roll.rs
@@ -8,9 +8,10 @@
 use async_trait::async_trait;
 use rstest::rstest;
 use th_operator::{Outcome, RollSettings, read_bundle, roll};
-use th_platform::{Entry, Key, LeaseId, Platform, PlatformError, Result, Step, VmRecord, Write};
+use th_platform::{Entry, Key, LeaseId, Platform, PlatformError, Result, Step, Write};
 use th_protocol::{
-    Bundle, Digest, Millis, Revision, SignedBundle, SignedManifest, Signer, Version, check, layout,
+    Bundle, Digest, Millis, Revision, SignedBundle, SignedManifest, Signer, Version, VmRecord,
+    check, layout,
 };
 
 const SETTINGS: RollSettings = RollSettings { attempts: 3, pause: Millis(0) };
--- a/crates/th-platform/src/counted.rs
+++ b/crates/th-platform/src/counted.rs
@@ -9,10 +9,10 @@
 };
 
 use async_trait::async_trait;
-use th_protocol::{Millis, Revision};
+use th_protocol::{Millis, Revision, VmRecord};
 use tokio::time::timeout;
 
-use crate::{Entry, Key, LeaseId, Platform, PlatformError, Result, Step, VmRecord, Write};
+use crate::{Entry, Key, LeaseId, Platform, PlatformError, Result, Step, Write};
 
 /// Calls so far of each kind, and how many of them failed or ended unknown.
 #[derive(Debug, Default)]
--- a/crates/th-platform/src/http.rs
+++ b/crates/th-platform/src/http.rs
@@ -5,11 +5,11 @@
 use async_trait::async_trait;
 use reqwest::{Client, RequestBuilder};
 use serde::de::DeserializeOwned;
-use th_protocol::{Millis, Revision};
+use th_protocol::{Millis, Revision, VmRecord};
 
 use crate::{
     CasAnswer, CasRequest, Entry, KeepAnswer, Key, LeaseId, LeaseRequest, Platform, PlatformError,
-    Result, Step, VmRecord, Write,
+    Result, Step, Write,
 };
 
 /// How long calls may take.
--- a/crates/th-platform/src/platform.rs
+++ b/crates/th-platform/src/platform.rs
@@ -1,10 +1,10 @@
 //! The calls that the platform's service takes.
 
-use std::{fmt, net::SocketAddr, str::FromStr};
+use std::{fmt, str::FromStr};
 
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
-use th_protocol::{Millis, Revision, VmId, ZoneId};
+use th_protocol::{Millis, Revision, VmRecord};
 
 use crate::{PlatformError, Result, wire::base64_bytes};
 
@@ -76,29 +76,6 @@
     Unknown(PlatformError),
 }
 
-/// How a VM stands in the platform's list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum VmState {
-    /// In use.
-    Live,
-    /// About to be stopped.
-    Leaving,
-}
-
-/// One VM of the platform's list, which lags.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VmRecord {
-    /// The VM's name: an entry VM's or a backend server's.
-    pub vm: VmId,
-    /// Its data centre.
-    pub zone: ZoneId,
-    /// Where it listens: for an entry VM its peer listener.
-    pub address: SocketAddr,
-    /// How it stands.
-    pub state: VmState,
-}
-
 /// The platform's service. Each call has a timeout and counts, a waiting watch as one.
 #[async_trait]
 pub trait Platform: Send + Sync {
--- a/crates/th-protocol/src/lib.rs
+++ b/crates/th-protocol/src/lib.rs
@@ -10,6 +10,7 @@
 mod status;
 mod units;
 mod verdict;
+mod vm;
 
 pub use block::{Block, BlockError};
 pub use bundle::{
@@ -34,3 +35,4 @@
     UnitError, Version,
 };
 pub use verdict::{Notice, Reason, Verdict, VerdictError};
+pub use vm::{VmRecord, VmRole, VmState};
--- a/crates/th-protocol/src/peer.rs
+++ b/crates/th-protocol/src/peer.rs
@@ -89,6 +89,10 @@
     pub zone: ZoneId,
     /// Its peer listener.
     pub address: SocketAddr,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// The wall-clock time, in milliseconds since 1970, at which its boot clock read zero.
+    pub origin: Time,
     /// Which start of its process this is.
     pub incarnation: Incarnation,
     /// Raised by the VM itself when it refutes a suspicion or changes its state.
--- a/crates/th-steer/src/backend/table.rs
+++ b/crates/th-steer/src/backend/table.rs
@@ -160,6 +160,23 @@
         Err(if usable { Refusal::NoSlot } else { Refusal::NoBackend })
     }
 
+    /// Whether some server would take one more request of the service now.
+    pub fn has_slot(&self, service: &ServiceId, now: Time) -> bool {
+        let panic = self.panics(service);
+        for (id, row) in &self.rows {
+            if row.service != *service || row.drain.leaving() || row.health.resting(now) {
+                continue;
+            }
+            if row.health.ejected().is_some() && !panic {
+                continue;
+            }
+            if candidate(id, row, now).is_some() {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Ends an attempt and frees its slot; false where the attempt is not known.
     pub fn finish(
         &mut self,
--- /dev/null
+++ b/crates/th-steer/src/engine/engine.rs
@@ -0,0 +1,201 @@
+//! The state of one entry VM.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use th_protocol::{
+    AttemptId, Bundle, MemberState, PeerRecord, ServiceId, Time, VmId, VmRecord, VmRole, VmState,
+    ZoneId,
+};
+
+use super::{EngineSettings, Identity, Wake, capacity::Capacity, routing::Routing};
+use crate::{
+    backend::Backends,
+    explain::Journal,
+    limit::ShardClaim,
+    member::{Headroom, Members, Spread},
+    queue::Queue,
+    retry::RetryPolicy,
+    ticket::{TicketKeys, Tickets},
+};
+
+/// All decisions of one entry VM. `A` is a whole answer that is kept for repeats.
+pub struct Engine<A> {
+    pub(crate) settings: EngineSettings,
+    pub(crate) me: Identity,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) bundle: Option<Arc<Bundle>>,
+    /// When the bundle came into force here.
+    pub(crate) since: Time,
+    pub(crate) routing: Option<Routing>,
+    pub(crate) capacity: Capacity,
+    pub(crate) backends: Backends,
+    pub(crate) members: Members,
+    pub(crate) headroom: Headroom,
+    pub(crate) spread: Spread,
+    pub(crate) tickets: Tickets<A>,
+    pub(crate) keys: TicketKeys,
+    pub(crate) queues: BTreeMap<ServiceId, Queue<super::place::Waiter>>,
+    pub(crate) retry: RetryPolicy,
+    pub(crate) journal: Journal,
+    pub(crate) wakes: Vec<Wake>,
+    pub(crate) waiters: u64,
+    pub(crate) stopping: bool,
+    /// Entry VMs that the platform lists in this data centre.
+    pub(crate) neighbours: BTreeSet<VmId>,
+}
+
+impl<A: Clone> Engine<A> {
+    /// A VM that holds no bundle and knows no other VM.
+    pub fn new(
+        settings: EngineSettings,
+        me: Identity,
+        keys: TicketKeys,
+        seed: u64,
+        now: Time,
+    ) -> Engine<A> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let record = PeerRecord {
+            vm: me.vm.clone(),
+            zone: me.zone.clone(),
+            address: me.peers,
+            callers: me.callers,
+            origin: me.origin,
+            incarnation: me.incarnation,
+            beat: 0,
+            state: MemberState::Live,
+        };
+        let claim = ShardClaim { vm: me.vm.clone(), incarnation: me.incarnation };
+        // Ids of attempts differ between VMs, and between starts of one.
+        let first = AttemptId(rand::Rng::random::<u64>(&mut rng) >> 16);
+        Engine {
+            capacity: Capacity::new(claim, me.zone.clone(), &settings),
+            backends: Backends::new(settings.backend.clone(), me.zone.clone(), first),
+            members: Members::new(settings.member.clone(), record, now),
+            headroom: Headroom::default(),
+            spread: Spread::new(settings.spread.clone(), now, &mut rng),
+            tickets: Tickets::new(me.vm.clone(), me.incarnation, settings.tickets.clone()),
+            keys,
+            queues: BTreeMap::new(),
+            retry: RetryPolicy::new(settings.retry.clone()),
+            journal: Journal::new(&settings.explain),
+            routing: None,
+            bundle: None,
+            since: now,
+            wakes: Vec::new(),
+            waiters: 0,
+            stopping: false,
+            neighbours: BTreeSet::new(),
+            settings,
+            me,
+            rng,
+        }
+    }
+
+    /// Who this VM is.
+    pub fn me(&self) -> &Identity {
+        &self.me
+    }
+
+    /// The bundle in force.
+    pub fn bundle(&self) -> Option<&Arc<Bundle>> {
+        self.bundle.as_ref()
+    }
+
+    /// Puts a bundle in force. One that is not newer than the present one is ignored; false then.
+    pub fn apply(&mut self, bundle: Arc<Bundle>, now: Time) -> bool {
+        let newer = self.bundle.as_ref().is_none_or(|it| it.version < bundle.version);
+        if !newer {
+            return false;
+        }
+        let records = self.records();
+        let route = self.settings.route.clone();
+        self.routing = Some(match self.routing.take() {
+            None => Routing::new(&bundle, &self.me.zone, route, &records, now),
+            Some(it) => it.on_bundle(&bundle, &self.me.zone, &records, now),
+        });
+        self.capacity.on_bundle(&bundle, now);
+        self.backends.on_bundle(&bundle, now);
+        self.retry.retain(|service| bundle.services.contains_key(service));
+        self.set_queues(&bundle);
+        self.since = now;
+        self.bundle = Some(bundle);
+        self.set_allowances(now);
+        true
+    }
+
+    fn set_queues(&mut self, bundle: &Bundle) {
+        for (id, service) in &bundle.services {
+            let queue = self.queues.entry(id.clone());
+            let queue = queue.or_insert_with(|| Queue::new(self.settings.queue.clone()));
+            queue.set_weights(&service.customers);
+        }
+        // Requests that wait for a service that is gone are refused when they wake.
+        self.queues.retain(|id, queue| bundle.services.contains_key(id) || !queue.is_empty());
+    }
+
+    pub(crate) fn set_allowances(&mut self, now: Time) {
+        for (backend, slots, connections) in self.capacity.allowances(now) {
+            self.backends.set_allowance(&backend, slots, connections);
+        }
+    }
+
+    /// The records of all entry VMs that are known, this one included.
+    pub(crate) fn records(&self) -> Vec<PeerRecord> {
+        let mut records: Vec<PeerRecord> = self.members.records().cloned().collect();
+        records.push(self.members.me().clone());
+        records
+    }
+
+    /// The live entry VMs of this data centre, this one included.
+    pub(crate) fn live_neighbours(&self) -> BTreeSet<VmId> {
+        let mut live = BTreeSet::from([self.me.vm.clone()]);
+        for record in self.members.records() {
+            if record.zone == self.me.zone && record.state == MemberState::Live {
+                live.insert(record.vm.clone());
+            }
+        }
+        live
+    }
+
+    /// Takes the platform's list of VMs: entry VMs and backend servers, which lags.
+    pub fn on_vms(&mut self, list: &[VmRecord], now: Time) {
+        let listed = list.iter().map(|it| it.vm.clone()).collect();
+        self.capacity.on_list(listed);
+        self.neighbours = neighbours(list, &self.me.zone);
+        self.members.on_list(&super::tick::seeds(list), now);
+        if let Some(bundle) = self.bundle.clone() {
+            self.backends.on_list(&super::tick::backend_states(&bundle, list), now);
+        }
+    }
+
+    /// Leaves look-up answers; requests are still taken.
+    pub fn leave(&mut self) {
+        self.members.leave();
+    }
+
+    /// Takes no new requests from here on.
+    pub fn close(&mut self) {
+        self.stopping = true;
+        self.tickets.close();
+    }
+
+    /// The ends of waits since the last call.
+    pub fn take_wakes(&mut self) -> Vec<Wake> {
+        std::mem::take(&mut self.wakes)
+    }
+}
+
+fn neighbours(list: &[VmRecord], zone: &ZoneId) -> BTreeSet<VmId> {
+    let mut found = BTreeSet::new();
+    for it in list {
+        if it.zone == *zone && it.role == VmRole::Entry && it.state == VmState::Live {
+            found.insert(it.vm.clone());
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/th-steer/src/engine/lookup.rs
@@ -0,0 +1,107 @@
+//! Answers to look-ups.
+
+use std::net::Ipv4Addr;
+
+use th_protocol::{
+    EntryAddress, Incarnation, LookupAnswer, Notice, OperationId, Reason, ServiceId, Time, VmId,
+};
+
+use super::{Engine, notices};
+use crate::{
+    explain::{Inputs, Limit, Outcome, Quantity, Rule},
+    route::VmIx,
+    ticket::Ticket,
+};
+
+impl<A: Clone> Engine<A> {
+    /// Which entry VMs a caller at `source` should use.
+    pub fn lookup(
+        &mut self,
+        service: &ServiceId,
+        operation: &OperationId,
+        source: Ipv4Addr,
+        now: Time,
+    ) -> Result<LookupAnswer, Notice> {
+        let Some(bundle) = self.bundle.clone() else {
+            return Err(notices::refused(Reason::NoBundle, self.settings.spread.poll));
+        };
+        let spec = bundle.services.get(service).ok_or(notices::not_run(Reason::NoService))?;
+        let operation_spec = spec.operations.get(operation);
+        let operation_spec = operation_spec.ok_or(notices::not_run(Reason::NoOperation))?;
+        let routing = self.routing.as_ref().expect("there is one with each bundle");
+        let row = routing.map().service_ix(service).ok_or(notices::not_run(Reason::NoService))?;
+        let answer = routing.lookup(row, source, now);
+        let mut entries = Vec::new();
+        for vm in answer.picks.as_slice() {
+            entries.push(self.entry_address(*vm));
+        }
+        if entries.is_empty() && !self.stopping {
+            // Whoever asked has reached this VM, and it can forward.
+            entries.push(EntryAddress {
+                vm: self.me.vm.clone(),
+                zone: self.me.zone.clone(),
+                address: self.me.callers,
+            });
+        }
+        let Some(first) = entries.first() else {
+            return Err(notices::refused(Reason::NoBackend, self.settings.member.period));
+        };
+        let ticket = match operation_spec.idempotent {
+            true => None,
+            false => Some(self.ticket_for(&first.vm.clone(), service, operation, now)),
+        };
+        let rule = if answer.diverted { Rule::Divert } else { Rule::Nearest };
+        self.explain_lookup(service, rule, entries.len(), now);
+        Ok(LookupAnswer {
+            service: service.clone(),
+            operation: operation.clone(),
+            entries,
+            ttl: answer.ttl,
+            ticket,
+            version: bundle.version,
+        })
+    }
+
+    fn entry_address(&self, vm: VmIx) -> EntryAddress {
+        let routing = self.routing.as_ref().expect("the row comes from it");
+        let (fleet, map) = (routing.fleet(), routing.map());
+        EntryAddress {
+            vm: fleet.id(vm).clone(),
+            zone: map.zones()[fleet.zone(vm).row()].clone(),
+            address: fleet.address(vm),
+        }
+    }
+
+    /// A sealed ticket that `vm` may dispatch under.
+    pub(crate) fn ticket_for(
+        &mut self,
+        vm: &VmId,
+        service: &ServiceId,
+        operation: &OperationId,
+        now: Time,
+    ) -> String {
+        let (incarnation, clock) = self.clock_of(vm, now);
+        let owner = (vm.clone(), incarnation);
+        let target = (service.clone(), operation.clone());
+        let lifetime = self.settings.tickets.lifetime;
+        self.keys.seal(&Ticket::issue(owner, target, clock, lifetime, &mut self.rng))
+    }
+
+    /// The incarnation of a VM and a guess of what its clock shows.
+    fn clock_of(&self, vm: &VmId, now: Time) -> (Incarnation, Time) {
+        let Some(record) = self.members.record(vm) else {
+            return (self.me.incarnation, now);
+        };
+        let wall = self.me.origin.0.saturating_add(now.0);
+        (record.incarnation, Time(wall.saturating_sub(record.origin.0)))
+    }
+
+    fn explain_lookup(&mut self, service: &ServiceId, rule: Rule, usable: usize, now: Time) {
+        if !self.journal.wants(Outcome::Accepted) {
+            return;
+        }
+        let mut inputs = Inputs::default();
+        inputs.push(Quantity::Usable, usable as f64, self.settings.refresh);
+        self.record(service, None, inputs, (Limit::None, rule, Outcome::Accepted), now);
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/engine/receive.rs
@@ -0,0 +1,154 @@
+//! What becomes of a request that arrived.
+
+use std::collections::BTreeSet;
+
+use th_protocol::{MemberState, Notice, Operation as Spec, Reason, Time, Verdict, VmId};
+
+use super::{Call, Engine, Receive, Run, notices};
+use crate::{
+    explain::{Inputs, Limit, Outcome, Quantity, Rule},
+    ticket::{Begin, IdempotencyKey, Operation, Received},
+};
+
+/// What the table of operations says, or nothing for an idempotent request.
+enum Checked<A> {
+    Go(Option<Operation<Received>>),
+    End(Receive<A>),
+}
+
+impl<A: Clone> Engine<A> {
+    /// Checks a request, and begins it where it is to be carried out here.
+    pub fn receive(&mut self, call: Call, now: Time) -> Receive<A> {
+        let spec = match self.spec(&call) {
+            Ok(spec) => spec,
+            Err(notice) => return self.refuse(&call, notice, now),
+        };
+        let longest = now.after(spec.deadline);
+        let call = Call { deadline: call.deadline.min(longest), ..call };
+        let checked = self.check(&call, &spec, now);
+        let token = match checked {
+            Checked::Go(token) => token,
+            Checked::End(Receive::Notice(notice)) => return self.refuse(&call, notice, now),
+            Checked::End(end) => return end,
+        };
+        if !call.forwarded {
+            self.retry.offered(&call.service);
+        }
+        if let Some(routing) = &mut self.routing {
+            routing.count(&call.service, call.source);
+        }
+        Receive::Run(Run { call, spec, token, tries: 0, refused: BTreeSet::new() })
+    }
+
+    fn spec(&self, call: &Call) -> Result<Spec, Notice> {
+        let Some(bundle) = &self.bundle else {
+            return Err(notices::refused(Reason::NoBundle, self.settings.spread.poll));
+        };
+        let service = bundle.services.get(&call.service);
+        let service = service.ok_or(notices::not_run(Reason::NoService))?;
+        let spec = service.operations.get(&call.operation);
+        spec.cloned().ok_or(notices::not_run(Reason::NoOperation))
+    }
+
+    fn check(&mut self, call: &Call, spec: &Spec, now: Time) -> Checked<A> {
+        // An entry VM that forwards a non-idempotent request is the owner of its ticket.
+        if spec.idempotent || call.forwarded {
+            return match self.stopping {
+                true => Checked::End(Receive::Notice(notices::not_run(Reason::Stopping))),
+                false => Checked::Go(None),
+            };
+        }
+        let Some(sealed) = &call.ticket else {
+            return Checked::End(Receive::Notice(self.with_ticket(call, Reason::NoTicket, now)));
+        };
+        let Some(key) = &call.key else {
+            return Checked::End(Receive::Notice(notices::not_run(Reason::NoKey)));
+        };
+        let key: IdempotencyKey = match key.parse() {
+            Ok(key) => key,
+            Err(_) => return Checked::End(Receive::Notice(notices::not_run(Reason::NoKey))),
+        };
+        let ticket = match self.keys.open(sealed) {
+            Ok(ticket) => ticket,
+            Err(error) => {
+                let notice = self.with_ticket(call, error.reason(), now);
+                return Checked::End(Receive::Notice(notice));
+            }
+        };
+        if ticket.service != call.service || ticket.operation != call.operation {
+            return Checked::End(Receive::Notice(notices::not_run(Reason::BadTicket)));
+        }
+        match self.tickets.begin(&ticket, key, call.print, now) {
+            Begin::Fresh(token) => Checked::Go(Some(token)),
+            Begin::InFlight => Checked::End(Receive::Wait),
+            Begin::Kept(answer) => Checked::End(Receive::Kept(answer)),
+            Begin::Unknown(reason) => Checked::End(Receive::Notice(notices::unknown(reason))),
+            Begin::Refused(reason) => Checked::End(Receive::Notice(notices::not_run(reason))),
+            Begin::Forward(owner) => Checked::End(self.to_owner(&owner, ticket.incarnation)),
+        }
+    }
+
+    /// Not run for want of a usable ticket; the answer brings one.
+    fn with_ticket(&mut self, call: &Call, reason: Reason, now: Time) -> Notice {
+        if self.stopping {
+            return notices::not_run(reason);
+        }
+        let me = self.me.vm.clone();
+        let ticket = self.ticket_for(&me, &call.service, &call.operation, now);
+        Notice { ticket: Some(ticket), ..notices::not_run(reason) }
+    }
+
+    /// The way to the owner of a ticket. One that is gone may have run the operation before.
+    fn to_owner(&self, owner: &VmId, incarnation: th_protocol::Incarnation) -> Receive<A> {
+        let Some(record) = self.members.record(owner) else {
+            return Receive::Notice(notices::unknown(Reason::OwnerGone));
+        };
+        if record.state == MemberState::Dead || incarnation < record.incarnation {
+            return Receive::Notice(notices::unknown(Reason::OwnerGone));
+        }
+        Receive::Forward { vm: owner.clone(), address: record.address }
+    }
+
+    /// The final answer to a request, with its reason in the journal.
+    pub(crate) fn refuse(&mut self, call: &Call, notice: Notice, now: Time) -> Receive<A> {
+        self.explain_refusal(call, &notice, now);
+        Receive::Notice(notice)
+    }
+
+    pub(crate) fn explain_refusal(&mut self, call: &Call, notice: &Notice, now: Time) {
+        if notice.verdict == Verdict::Unknown {
+            return;
+        }
+        let mut inputs = Inputs::default();
+        inputs.push(Quantity::TimeLeft, call.deadline.since(now).0 as f64, Default::default());
+        if let Some(queue) = self.queues.get(&call.service) {
+            inputs.push(Quantity::Waiting, queue.len() as f64, Default::default());
+        }
+        let free = f64::from(self.capacity.free(now).0) / 1_000.0;
+        inputs.push(Quantity::Headroom, free, Default::default());
+        let (limit, rule) = binding(notice.reason);
+        let decision = (limit, rule, Outcome::Refused);
+        self.record(&call.service.clone(), Some(call.number), inputs, decision, now);
+    }
+}
+
+/// The limit and the rule that a reason stands for.
+fn binding(reason: Reason) -> (Limit, Rule) {
+    match reason {
+        Reason::RegionCap => (Limit::RegionCap, Rule::Admission),
+        Reason::LinkCap => (Limit::LinkCap, Rule::Admission),
+        Reason::ShiftCap => (Limit::ShiftCap, Rule::Shift),
+        Reason::NoSlot => (Limit::BackendSlots, Rule::BackendChoice),
+        Reason::NoBackend => (Limit::Usable, Rule::BackendChoice),
+        Reason::QueueFull => (Limit::Queue, Rule::QueueOrder),
+        Reason::Deadline => (Limit::Deadline, Rule::QueueOrder),
+        Reason::Stopping => (Limit::None, Rule::Drain),
+        Reason::NoTicket | Reason::BadTicket | Reason::TicketExpired | Reason::NoKey => {
+            (Limit::None, Rule::AtMostOnce)
+        }
+        Reason::TicketsFull => (Limit::Tickets, Rule::AtMostOnce),
+        Reason::KeyReused | Reason::OwnerGone => (Limit::None, Rule::AtMostOnce),
+        Reason::NoBundle | Reason::NoService | Reason::NoOperation => (Limit::None, Rule::Bundle),
+        _ => (Limit::None, Rule::Admission),
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/engine/settings.rs
@@ -0,0 +1,69 @@
+//! Settings of all decisions of an entry VM.
+
+use th_protocol::Millis;
+
+use crate::{
+    backend::BackendSettings,
+    explain,
+    limit::{HolderSettings, OrphanSettings},
+    member::{MemberSettings, SpreadSettings},
+    queue::QueueSettings,
+    retry::RetrySettings,
+    route,
+    ticket::TicketSettings,
+};
+
+/// Settings of all decisions of an entry VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineSettings {
+    /// Look-ups.
+    pub route: route::Settings,
+    /// Tickets.
+    pub tickets: TicketSettings,
+    /// Queues.
+    pub queue: QueueSettings,
+    /// Retries and hedges.
+    pub retry: RetrySettings,
+    /// Backend servers.
+    pub backend: BackendSettings,
+    /// Membership.
+    pub member: MemberSettings,
+    /// Spread of bundles.
+    pub spread: SpreadSettings,
+    /// Leased grants.
+    pub holder: HolderSettings,
+    /// Backend servers whose entry VM is gone.
+    pub orphan: OrphanSettings,
+    /// Explanations.
+    pub explain: explain::Settings,
+    /// Time between tries to own a shard.
+    pub claim: Millis,
+    /// A larger share that a new bundle gives is spent only after this time, when the bundle is in
+    /// force at the VMs whose share it makes smaller.
+    pub settle: Millis,
+    /// Time between refreshes of the table of entry VMs that look-ups use.
+    pub refresh: Millis,
+    /// A digest of headroom older than this is not used to place requests.
+    pub digest: Millis,
+}
+
+impl Default for EngineSettings {
+    fn default() -> EngineSettings {
+        EngineSettings {
+            route: route::Settings::default(),
+            tickets: TicketSettings::default(),
+            queue: QueueSettings::default(),
+            retry: RetrySettings::default(),
+            backend: BackendSettings::default(),
+            member: MemberSettings::default(),
+            spread: SpreadSettings::default(),
+            holder: HolderSettings::default(),
+            orphan: OrphanSettings::default(),
+            explain: explain::Settings::default(),
+            claim: Millis(1_000),
+            settle: Millis(7_000),
+            refresh: Millis(500),
+            digest: Millis(10_000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/engine/tick.rs
@@ -0,0 +1,156 @@
+//! What is done each tick, and what the platform's list of VMs means.
+
+use std::collections::BTreeMap;
+
+use th_protocol::{
+    BackendId, Bundle, HeadroomDigest, Heartbeat, MemberState, Time, VmRecord, VmRole, VmState,
+};
+
+use super::{Action, Engine};
+use crate::member::{Content, Seed, Source, watchers};
+
+/// Digests of headroom on one heartbeat.
+const DIGESTS: usize = 6;
+/// Backend servers that leave, on one heartbeat.
+const LEAVING: usize = 8;
+/// VMs of a data centre that watch the store.
+const WATCHERS: usize = 2;
+/// Heartbeats that are sent at once when a new bundle is in force.
+const ANNOUNCEMENTS: usize = 3;
+
+impl<A: Clone> Engine<A> {
+    /// Runs each system over its tables. What has to be sent or called is returned.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.tick_routing(now);
+        self.set_allowances(now);
+        self.tick_grants(now, &mut actions);
+        self.tick_members(now, &mut actions);
+        self.tick_spread(now, &mut actions);
+        for (backend, address) in self.backends.due_probes(now) {
+            actions.push(Action::Probe { backend, address });
+        }
+        self.tickets.sweep(now);
+        self.serve_queues(now);
+        actions
+    }
+
+    fn tick_routing(&mut self, now: Time) {
+        let Some(mut routing) = self.routing.take() else {
+            return;
+        };
+        let (members, headroom) = (&self.members, &self.headroom);
+        let records = || {
+            let mut records: Vec<_> = members.records().cloned().collect();
+            records.push(members.me().clone());
+            records
+        };
+        let digests = || headroom.digests(now).collect();
+        routing.tick(records, digests, self.settings.refresh, now);
+        self.routing = Some(routing);
+    }
+
+    fn tick_members(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.publish(now);
+        for it in self.members.tick(now, &mut self.rng) {
+            actions.push(Action::Member(it));
+        }
+    }
+
+    /// Sets what heartbeats carry.
+    fn publish(&mut self, now: Time) {
+        if let Some(region) = self.capacity.region().cloned() {
+            let free = self.capacity.free(now);
+            let zone = self.me.zone.clone();
+            let own = HeadroomDigest { region, zone, free, age: Default::default() };
+            self.headroom.take(&own, now);
+        }
+        self.headroom.expire(self.settings.route.stale, now);
+        let headroom = self.headroom.pick(&self.me.zone, DIGESTS, now, &mut self.rng);
+        let leaving = self.backends.notices(LEAVING, now);
+        let head = self.spread.head();
+        self.members.publish(Content { head, headroom, leaving });
+    }
+
+    fn tick_spread(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let watches = self.watches();
+        for it in self.spread.tick(watches, now, &mut self.rng) {
+            actions.push(Action::Spread(it));
+        }
+    }
+
+    /// Whether this VM is one of those of its data centre that watch the store.
+    pub fn watches(&self) -> bool {
+        let me = self.members.me();
+        let records = self.members.records().chain([me]);
+        watchers(records, &self.me.zone, WATCHERS).contains(&self.me.vm)
+    }
+
+    /// Heartbeats to send at once, since a new bundle is in force.
+    pub fn announce(&mut self, now: Time) -> Vec<Action> {
+        self.publish(now);
+        let mut actions = Vec::new();
+        for it in self.members.announce(ANNOUNCEMENTS, &mut self.rng) {
+            actions.push(Action::Member(it));
+        }
+        actions
+    }
+
+    /// Takes a heartbeat and gives the answer to it.
+    pub fn on_heartbeat(&mut self, message: &Heartbeat, now: Time) -> Heartbeat {
+        self.on_content(message, now);
+        self.members.on_heartbeat(message, now)
+    }
+
+    /// Takes the answer to a heartbeat.
+    pub fn on_answer(&mut self, message: &Heartbeat, now: Time) {
+        self.on_content(message, now);
+        self.members.on_answer(message, now);
+    }
+
+    fn on_content(&mut self, message: &Heartbeat, now: Time) {
+        if let Some(head) = message.head {
+            self.spread.on_head(Source::Peer(message.from.vm.clone()), head);
+        }
+        for digest in &message.headroom {
+            self.headroom.take(digest, now);
+        }
+        for notice in &message.leaving {
+            self.backends.on_notice(notice, now);
+        }
+    }
+}
+
+/// The entry VMs of the platform's list.
+pub(crate) fn seeds(list: &[VmRecord]) -> Vec<Seed> {
+    let mut seeds = Vec::new();
+    for it in list {
+        if it.role != VmRole::Entry {
+            continue;
+        }
+        let state = match it.state {
+            VmState::Live => MemberState::Live,
+            VmState::Leaving => MemberState::Leaving,
+        };
+        seeds.push(Seed { vm: it.vm.clone(), zone: it.zone.clone(), address: it.address, state });
+    }
+    seeds
+}
+
+/// Whether each backend server of the platform's list is live.
+pub(crate) fn backend_states(bundle: &Bundle, list: &[VmRecord]) -> BTreeMap<BackendId, bool> {
+    let mut states = BTreeMap::new();
+    for it in list {
+        if it.role != VmRole::Backend {
+            continue;
+        }
+        let Ok(id) = it.vm.as_str().parse::<BackendId>() else {
+            continue;
+        };
+        let known = bundle.services.values().any(|service| service.backends.contains_key(&id));
+        if known {
+            states.insert(id, it.state == VmState::Live);
+        }
+    }
+    states
+}
--- a/crates/th-steer/src/limit/shift.rs
+++ b/crates/th-steer/src/limit/shift.rs
@@ -192,6 +192,21 @@
         self.done(made, moved - made)
     }
 
+    /// Lets as much of `moved` move as the cap allows now, and charges it; answers are cached for
+    /// `ttl`. For callers that keep the shares themselves.
+    pub fn allow(
+        &mut self,
+        moved: Millionths,
+        ttl: Millis,
+        cause: Movement,
+        now: Time,
+    ) -> Millionths {
+        self.advance(now);
+        let allowed = moved.0.min(self.free());
+        self.charge(allowed, ttl, cause);
+        Millionths(allowed)
+    }
+
     /// Lets `weight` of the traffic move between two regions for one request that is forwarded.
     /// Nothing is cached, so it is charged for one window.
     pub fn try_move(
--- a/crates/th-steer/src/member/table.rs
+++ b/crates/th-steer/src/member/table.rs
@@ -93,6 +93,9 @@
                 vm: seed.vm.clone(),
                 zone: seed.zone.clone(),
                 address: seed.address,
+                // Not known before the VM itself is heard.
+                callers: seed.address,
+                origin: Time::ZERO,
                 incarnation: Incarnation::ZERO,
                 beat: 0,
                 state: seed.state,
--- a/crates/th-testing/src/platform/fake.rs
+++ b/crates/th-testing/src/platform/fake.rs
@@ -7,9 +7,9 @@
 
 use async_trait::async_trait;
 use th_platform::{
-    BootClock, Clock, Entry, Key, LeaseId, Platform, PlatformError, Result, Step, VmRecord, Write,
+    BootClock, Clock, Entry, Key, LeaseId, Platform, PlatformError, Result, Step, Write,
 };
-use th_protocol::{Millis, Revision};
+use th_protocol::{Millis, Revision, VmId, VmRecord};
 use tokio::{sync::watch, time};
 
 use super::Store;
@@ -86,7 +86,7 @@
     }
 
     /// Removes a VM from the list.
-    pub fn unlist_vm(&self, vm: &th_protocol::VmId) {
+    pub fn unlist_vm(&self, vm: &VmId) {
         self.lock().store.vms.remove(vm);
     }
 
--- a/crates/th-testing/src/platform/store.rs
+++ b/crates/th-testing/src/platform/store.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use th_platform::{Entry, Key, LeaseId, MAX_VALUE_BYTES, VmRecord};
-use th_protocol::{Millis, Revision, Time, VmId};
+use th_platform::{Entry, Key, LeaseId, MAX_VALUE_BYTES};
+use th_protocol::{Millis, Revision, Time, VmId, VmRecord};
 
 /// A lease that some values depend on.
 #[derive(Debug, Clone)]
