--- /dev/null
+++ b/crates/th-entry/src/call/attempt.rs
@@ -0,0 +1,65 @@
+//! An attempt at a backend server, which ends in every case.
+
+use std::sync::Arc;
+
+use th_protocol::{AttemptId, ServiceId, Time};
+use th_steer::backend::Outcome;
+
+use crate::entry::Entry;
+
+/// An attempt that holds a slot. Dropped without an end, it counts as cancelled.
+pub(crate) struct Attempt {
+    entry: Arc<Entry>,
+    service: ServiceId,
+    id: AttemptId,
+    began: Time,
+    open: bool,
+}
+
+impl Attempt {
+    pub(crate) fn new(entry: &Arc<Entry>, service: ServiceId, id: AttemptId) -> Attempt {
+        Attempt { entry: Arc::clone(entry), service, id, began: entry.now(), open: true }
+    }
+
+    pub(crate) fn id(&self) -> AttemptId {
+        self.id
+    }
+
+    pub(crate) fn began(&self) -> Time {
+        self.began
+    }
+
+    /// Ends the attempt and frees its slot.
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.close(outcome);
+    }
+
+    fn close(&mut self, outcome: Outcome) {
+        self.open = false;
+        let labels = [self.service.as_str(), name(outcome)];
+        self.entry.metrics.attempts.with_label_values(&labels).inc();
+        self.entry.decide(|engine, now| {
+            engine.finish(&self.service, self.id, outcome, now.since(self.began), now);
+        });
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if self.open {
+            self.close(Outcome::Cancelled);
+        }
+    }
+}
+
+fn name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::Shed(_) => "shed",
+        Outcome::ConnectFailed => "connect-failed",
+        Outcome::Timeout => "timeout",
+        Outcome::Cut => "cut",
+        Outcome::ErrorStatus => "error-status",
+        Outcome::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/crates/th-entry/src/call/flow.rs
@@ -0,0 +1,66 @@
+//! The way of one request, from its arrival to its answer.
+
+use std::{pin::pin, sync::Arc, time::Duration};
+
+use th_protocol::Reason;
+use th_steer::engine::{Receive, Run, notices};
+use tokio::time::timeout;
+
+use super::{Incoming, owner, run::carry_out};
+use crate::{entry::Entry, io::Reply};
+
+/// Who sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// A caller.
+    Caller,
+    /// An entry VM that takes this one for the owner of the request's ticket.
+    Forwarder,
+    /// An entry VM that has no room.
+    Placer,
+}
+
+/// What a request comes to.
+pub(crate) async fn answer(entry: &Arc<Entry>, incoming: Incoming, origin: Origin) -> Reply {
+    loop {
+        // Registered before asking, so that an end in between is not missed.
+        let mut ended = pin!(entry.ended.notified());
+        ended.as_mut().enable();
+        let call = incoming.call.clone();
+        let received = entry.decide(|engine, now| engine.receive(call, now));
+        match received {
+            Receive::Run(run) => return start(entry, run, incoming).await,
+            Receive::Kept(kept) => return kept.reply(),
+            Receive::Notice(notice) => return Reply::notice(&notice),
+            Receive::Forward { .. } if origin != Origin::Caller => {
+                return Reply::notice(&notices::unknown(Reason::OwnerGone));
+            }
+            Receive::Forward { vm, address } => {
+                return owner::forward(entry, &incoming, &vm, address).await;
+            }
+            Receive::Wait => {}
+        }
+        let left = incoming.call.deadline.since(entry.now());
+        if timeout(Duration::from_millis(left.0), ended).await.is_err() {
+            return Reply::notice(&notices::unknown(Reason::Timeout));
+        }
+    }
+}
+
+/// Carries a request out. A non-idempotent one goes on when its caller goes away: whether it ran must be known.
+async fn start(entry: &Arc<Entry>, run: Run, incoming: Incoming) -> Reply {
+    if run.token.is_none() {
+        return carry_out(entry, run, &incoming).await;
+    }
+    let task = {
+        let entry = Arc::clone(entry);
+        tokio::spawn(async move { carry_out(&entry, run, &incoming).await })
+    };
+    match task.await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::error!(target: "caller", "A request ended without an answer: {error}.");
+            Reply::notice(&notices::unknown(Reason::Cancelled))
+        }
+    }
+}
--- /dev/null
+++ b/crates/th-entry/src/call/run.rs
@@ -0,0 +1,231 @@
+//! Carries a request out: finds a place for it, sends it there, and tries again where that is safe.
+
+use std::{sync::Arc, time::Duration};
+
+use th_protocol::{Bytes, Notice, Reason};
+use th_steer::{
+    backend::{Choice, Outcome},
+    engine::{Place, Run, notices},
+    retry::RetryDecision,
+    ticket::{Admitted, Dispatched, Operation, Received},
+};
+use tokio::time::sleep;
+
+use super::{
+    Incoming,
+    attempt::Attempt,
+    elsewhere::{self, There},
+    here,
+};
+use crate::{
+    entry::Entry,
+    io::{Body, Kept, Reply},
+};
+
+/// What a non-idempotent request may still do; an idempotent one needs no permission.
+enum Right {
+    Free,
+    Received(Operation<Received>),
+    Admitted(Operation<Admitted>),
+}
+
+/// The same once the first byte may have left.
+enum Sent {
+    Free,
+    Once(Operation<Dispatched>),
+}
+
+/// How one try ended.
+enum Tried {
+    Done(Reply),
+    /// Surely not run; the request goes on with what it may still do.
+    Again(Right, Reason),
+    /// It may have run, and running it again is the same.
+    Repeat(Reason),
+}
+
+/// Carries a request out.
+pub(crate) async fn carry_out(entry: &Arc<Entry>, mut run: Run, incoming: &Incoming) -> Reply {
+    let mut right = match run.token.take() {
+        None => Right::Free,
+        Some(token) => Right::Received(token),
+    };
+    loop {
+        let place = match find_place(entry, &mut run).await {
+            Some(Place::Refuse(notice)) => return end_unrun(entry, right, &notice),
+            Some(place) => place,
+            None => {
+                let notice = entry.decide(|engine, now| engine.give_up(&run.call, now));
+                return end_unrun(entry, right, &notice);
+            }
+        };
+        run.tries += 1;
+        let tried = match place {
+            Place::Backend(choice) => try_here(entry, &mut run, incoming, choice, right).await,
+            Place::Peer(peer) => try_elsewhere(entry, &mut run, incoming, peer, right).await,
+            Place::Queued(_) | Place::Refuse(_) => unreachable!("handled above"),
+        };
+        let (sure, reason) = match tried {
+            Tried::Done(reply) => return reply,
+            Tried::Again(left, reason) => {
+                right = left;
+                (true, reason)
+            }
+            Tried::Repeat(reason) => {
+                right = Right::Free;
+                (false, reason)
+            }
+        };
+        // Another data centre's refusal costs no second try here: the request may still wait for a slot.
+        if sure && reason == Reason::NoSlot {
+            run.tries -= 1;
+            continue;
+        }
+        let wait = match entry.decide(|engine, now| engine.retry(&run, sure, now)) {
+            RetryDecision::After(wait) => wait,
+            RetryDecision::Stop(_) if sure => {
+                let retry = entry.settings.pace.call;
+                return end_unrun(entry, right, &notices::refused(reason, retry));
+            }
+            RetryDecision::Stop(_) => return Reply::notice(&notices::unknown(reason)),
+        };
+        entry.metrics.retries.with_label_values(&[run.call.service.as_str(), "retry"]).inc();
+        sleep(Duration::from_millis(wait.0)).await;
+    }
+}
+
+/// A place for the request, after a wait where one is needed; `None` where the wait broke off.
+async fn find_place(entry: &Arc<Entry>, run: &mut Run) -> Option<Place> {
+    let service = run.call.service.clone();
+    let (place, wake) = entry.decide(|engine, now| {
+        let place = engine.place(run, now);
+        let wake = match &place {
+            Place::Queued(waiter) => Some(entry.wait_for(*waiter, &service)),
+            _ => None,
+        };
+        (place, wake)
+    });
+    match wake {
+        None => Some(place),
+        Some(wake) => wake.await.ok(),
+    }
+}
+
+/// Tells the caller that nothing ran.
+fn end_unrun(entry: &Entry, right: Right, notice: &Notice) -> Reply {
+    match right {
+        Right::Free => {}
+        Right::Received(token) => entry.decide(|engine, _| engine.abandon(token)),
+        Right::Admitted(token) => entry.decide(|engine, _| engine.abandon(token)),
+    }
+    entry.ended.notify_waiters();
+    Reply::notice(notice)
+}
+
+/// Takes the last step before the first byte. An error is the reason why nothing was sent.
+fn dispatch(entry: &Entry, run: &Run, right: Right) -> Result<Sent, Reason> {
+    let token = match right {
+        Right::Free => return Ok(Sent::Free),
+        Right::Received(token) => token.admit(),
+        Right::Admitted(token) => token,
+    };
+    let deadline = run.call.deadline;
+    entry.decide(|engine, now| engine.dispatch(token, deadline, now)).map(Sent::Once)
+}
+
+/// Tells the caller why its request was not dispatched.
+fn undispatched(entry: &Entry, reason: Reason) -> Tried {
+    entry.ended.notify_waiters();
+    Tried::Done(Reply::notice(&notices::not_run(reason)))
+}
+
+async fn try_here(
+    entry: &Arc<Entry>,
+    run: &mut Run,
+    incoming: &Incoming,
+    choice: Choice,
+    right: Right,
+) -> Tried {
+    let attempt = Attempt::new(entry, run.call.service.clone(), choice.attempt);
+    let sent = match dispatch(entry, run, right) {
+        Ok(sent) => sent,
+        Err(reason) => return undispatched(entry, reason),
+    };
+    let (outcome, answer) = here::send_to(entry, run, incoming, choice, attempt).await;
+    match answer {
+        Some(reply) => Tried::Done(end_answered(entry, sent, reply)),
+        None => end_failed(entry, sent, outcome),
+    }
+}
+
+async fn try_elsewhere(
+    entry: &Arc<Entry>,
+    run: &mut Run,
+    incoming: &Incoming,
+    peer: th_steer::engine::Peer,
+    right: Right,
+) -> Tried {
+    let sent = match dispatch(entry, run, right) {
+        Ok(sent) => sent,
+        Err(reason) => return undispatched(entry, reason),
+    };
+    let zone = peer.zone.clone();
+    match elsewhere::send(entry, peer, run, incoming).await {
+        There::Answer(reply) => Tried::Done(end_answered(entry, sent, reply)),
+        There::NotRun => {
+            run.refused.insert(zone);
+            Tried::Again(take_back(entry, sent), Reason::NoSlot)
+        }
+        There::Unknown(outcome) => end_failed(entry, sent, outcome),
+    }
+}
+
+/// Ends a request with its answer, which a repeat of a non-idempotent one gets as well.
+fn end_answered(entry: &Entry, sent: Sent, reply: Reply) -> Reply {
+    let Sent::Once(token) = sent else {
+        return reply;
+    };
+    let Body::Whole(body) = &reply.body else {
+        // Too large to be kept: a repeat is told that it may have run.
+        entry.decide(|engine, _| engine.unknown(token, Reason::TicketsFull));
+        entry.ended.notify_waiters();
+        return reply;
+    };
+    let kept = Kept { status: reply.status, headers: reply.headers.clone(), body: body.clone() };
+    let size = Bytes(kept.size());
+    entry.decide(|engine, _| engine.answered(token, Arc::new(kept), size));
+    entry.ended.notify_waiters();
+    reply
+}
+
+fn take_back(entry: &Entry, sent: Sent) -> Right {
+    match sent {
+        Sent::Free => Right::Free,
+        Sent::Once(token) => Right::Admitted(entry.decide(|engine, _| engine.take_back(token))),
+    }
+}
+
+fn end_failed(entry: &Entry, sent: Sent, outcome: Outcome) -> Tried {
+    let reason = reason(outcome);
+    if outcome.surely_not_run() {
+        return Tried::Again(take_back(entry, sent), reason);
+    }
+    match sent {
+        Sent::Free => Tried::Repeat(reason),
+        Sent::Once(token) => {
+            entry.decide(|engine, _| engine.unknown(token, reason));
+            entry.ended.notify_waiters();
+            Tried::Done(Reply::notice(&notices::unknown(reason)))
+        }
+    }
+}
+
+fn reason(outcome: Outcome) -> Reason {
+    match outcome {
+        Outcome::Shed(_) => Reason::Shed,
+        Outcome::ConnectFailed => Reason::Unreachable,
+        Outcome::Timeout => Reason::Timeout,
+        Outcome::Cancelled => Reason::Cancelled,
+        Outcome::Cut | Outcome::Answered | Outcome::ErrorStatus => Reason::Cut,
+    }
+}
--- /dev/null
+++ b/crates/th-entry/src/caller/call.rs
@@ -0,0 +1,177 @@
+//! `/v1/call/{service}/{operation}/...`: the requests themselves.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use salvo::{Depot, Request, Response, handler};
+use th_protocol::{Millis, Notice, Reason, ServiceId, header};
+use th_steer::engine::{Call, notices};
+use tokio::time::timeout;
+
+use super::lookup::{source, target};
+use crate::{
+    call::{Incoming, Origin, answer, fingerprint},
+    entry::{Entry, InFlight},
+    io::{Body, Outgoing, Reply, drop_hop_headers},
+    peer::entry,
+};
+
+/// The longest deadline that a caller may state; the operation's own bounds it further.
+const MAX_DEADLINE: Millis = Millis(600_000);
+
+#[handler]
+pub(crate) async fn serve_call(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let entry = entry(depot);
+    let began = entry.now();
+    let service: String = req.param("service").unwrap_or_default();
+    let reply = match InFlight::enter(&entry, entry.settings.limits.requests) {
+        None => Reply::notice(&notices::refused(Reason::Overloaded, entry.settings.pace.call)),
+        Some(passage) => {
+            let reply = match read(&entry, req).await {
+                Ok(incoming) => answer(&entry, incoming, Origin::Caller).await,
+                Err(notice) => Reply::notice(&notice),
+            };
+            reply.until_sent(passage)
+        }
+    };
+    note(&entry, &service, &reply, entry.now().since(began));
+    if entry.is_stopping() {
+        // The caller's next request should go to another entry VM.
+        let closed = res.add_header("connection", "close", true);
+        debug_assert!(closed.is_ok(), "both are constants");
+    }
+    reply.put(res);
+}
+
+/// Counts the answer.
+fn note(entry: &Entry, service: &str, reply: &Reply, waited: Millis) {
+    let known = entry.decide(|engine, _| {
+        let id: ServiceId = service.parse().ok()?;
+        engine.bundle()?.services.contains_key(&id).then_some(id)
+    });
+    // Names that callers make up must not fill the memory.
+    let service = known.as_ref().map_or("unknown", ServiceId::as_str);
+    let verdict = reply.verdict();
+    let outcome = verdict.map_or("answered", |it| it.code());
+    let seconds = waited.0 as f64 / 1_000.0;
+    entry.metrics.latency.with_label_values(&[service, outcome]).observe(seconds);
+    let reason = reply.reason();
+    if let (Some(verdict), Some(reason)) = (verdict, reason) {
+        entry.metrics.notices.with_label_values(&[service, verdict.code(), reason.code()]).inc();
+    }
+    if let Some(id) = &known {
+        entry.note_request(id, verdict, waited);
+    }
+}
+
+/// Reads the request whole, within the bounds on size and time.
+async fn read(entry: &Arc<Entry>, req: &mut Request) -> Result<Incoming, Notice> {
+    let now = entry.now();
+    let bad = |detail: String| Notice { detail, ..notices::not_run(Reason::BadRequest) };
+    let Some((service, operation)) = target(req) else {
+        return Err(bad("The path names no service and operation.".to_owned()));
+    };
+    let source = source(req)?;
+    let stated: Option<u64> = header_of(req, header::DEADLINE)?;
+    let left = stated.map_or(MAX_DEADLINE, Millis).min(MAX_DEADLINE);
+    let customer = header_of(req, header::CUSTOMER)?;
+    let tries: Option<u32> = header_of(req, header::TRY)?;
+    let body = read_body(entry, req).await?;
+    let request = outgoing(req, body);
+    let key: Option<String> = req.header(header::IDEMPOTENCY_KEY);
+    let number = key.as_deref().map_or_else(|| entry.next_number(), number);
+    let call = Call {
+        service,
+        operation,
+        customer,
+        source,
+        ticket: req.header(header::TICKET),
+        key,
+        print: fingerprint(&request),
+        deadline: now.after(left),
+        size: th_protocol::Bytes(request.body.len() as u64),
+        forwarded: false,
+        tries: tries.unwrap_or(1).saturating_sub(1),
+        number,
+    };
+    log::debug!(target: "caller", "Request {number} came in.");
+    Ok(Incoming { call, request })
+}
+
+/// The number by which a request is explained: the hash of its key.
+pub(super) fn number(key: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn header_of<T: std::str::FromStr<Err: std::fmt::Display>>(
+    req: &Request,
+    name: &str,
+) -> Result<Option<T>, Notice> {
+    let Some(value) = req.headers().get(name) else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().map_err(|it| it.to_string());
+    let parsed = parsed.and_then(|it| it.parse::<T>().map_err(|it| it.to_string()));
+    match parsed {
+        Ok(value) => Ok(Some(value)),
+        Err(error) => {
+            let detail = format!("The header {name}: {error}.");
+            Err(Notice { detail, ..notices::not_run(Reason::BadRequest) })
+        }
+    }
+}
+
+async fn read_body(entry: &Entry, req: &mut Request) -> Result<Bytes, Notice> {
+    let limits = entry.settings.limits;
+    let most = limits.body.0 as usize;
+    let body = req.payload_with_max_size(most);
+    match timeout(Duration::from_millis(limits.slow.0), body).await {
+        Ok(Ok(body)) => Ok(body.clone()),
+        Ok(Err(error)) => Err(Notice {
+            detail: format!(
+                "The body, of at most {}: {error}; the request was not run.",
+                limits.body
+            ),
+            ..notices::not_run(Reason::BadRequest)
+        }),
+        Err(_) => Err(notices::not_run(Reason::SlowCaller)),
+    }
+}
+
+/// The request as a backend server gets it: `/{operation}/{rest}` with the query.
+fn outgoing(req: &Request, body: Bytes) -> Outgoing {
+    let mut headers = req.headers().clone();
+    drop_hop_headers(&mut headers);
+    let own = ["host", "content-length", "expect", header::TICKET, header::BLOCK, header::TRY];
+    for name in own.iter().chain(&[header::PEER_KEY, header::ATTEMPT, header::DEADLINE]) {
+        headers.remove(*name);
+    }
+    let uri = req.uri();
+    let path = uri.path().splitn(5, '/').nth(4).unwrap_or_default();
+    let path = match uri.query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    Outgoing { method: req.method().clone(), path, headers, body }
+}
+
+impl Reply {
+    /// Holds `passage` until the last byte of the body has passed.
+    fn until_sent(self, passage: crate::entry::Passage) -> Reply {
+        use futures_util::StreamExt;
+        let Body::Stream(stream) = self.body else {
+            return self;
+        };
+        let held = stream.map(move |chunk| {
+            let _ = &passage;
+            chunk
+        });
+        Reply { body: Body::Stream(held.boxed()), ..self }
+    }
+}
--- /dev/null
+++ b/crates/th-entry/src/caller/explain.rs
@@ -0,0 +1,34 @@
+//! `GET /v1/explain/{service-or-request}`.
+
+use salvo::{Depot, Request, Response, handler, writing::Json};
+use th_steer::explain::Record;
+
+use super::call::number;
+use crate::{entry::Entry, peer::entry};
+
+/// Most records in one answer.
+const MAX_RECORDS: usize = 64;
+
+#[handler]
+pub(crate) async fn explain(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let name: String = req.param("name").unwrap_or_default();
+    res.render(Json(find(&entry(depot), &name)));
+}
+
+/// The reasons of the latest decisions about a service, or those about a request.
+///
+/// A request goes by its idempotency key, or by the number in the log.
+fn find(entry: &Entry, name: &str) -> Vec<Record> {
+    entry.decide(|engine, _| {
+        if let Ok(service) = name.parse()
+            && engine.bundle().is_some_and(|it| it.services.contains_key(&service))
+        {
+            return engine.explain_service(&service, MAX_RECORDS);
+        }
+        let mut records = engine.explain_request(number(name));
+        if let Ok(number) = name.parse() {
+            records.extend(engine.explain_request(number));
+        }
+        records
+    })
+}
--- /dev/null
+++ b/crates/th-entry/src/entry.rs
@@ -0,0 +1,287 @@
+//! What all tasks of an entry process share.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+};
+
+use reqwest::Client;
+use th_platform::{Calls, Clock, Counted};
+use th_protocol::{BackendId, Bytes, Incarnation, Millis, ServiceId, Time, Verdict};
+use th_report::{BurnRing, Measure};
+use th_steer::{
+    backend::Outcome,
+    engine::{Engine, EngineSettings, Identity, Place, Wake},
+    member::Budget,
+    ticket::{TicketKey, TicketKeys},
+};
+use tokio::sync::{Notify, oneshot};
+
+use crate::{
+    io::{ClientSettings, Clients, Kept, client},
+    library::Library,
+    metrics::Metrics,
+    settings::Settings,
+    task::{counted, is_good},
+};
+
+/// Bytes of bundles that peers may fetch each second.
+const SERVE_RATE: Bytes = Bytes(256 << 10);
+/// The same at once.
+const SERVE_BURST: Bytes = Bytes(4 << 20);
+
+/// The state of the decisions, with answers as this process keeps them.
+pub(crate) type Decisions = Engine<Arc<Kept>>;
+
+/// Requests that wait, by number, and where to tell them.
+type Waiters = BTreeMap<u64, (ServiceId, oneshot::Sender<Place>)>;
+
+/// What all tasks of an entry process share.
+pub(crate) struct Entry {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) store: Counted,
+    pub(crate) calls: Arc<Calls>,
+    /// Pools of connections to backend servers.
+    pub(crate) clients: Clients,
+    /// Connections to other entry VMs.
+    pub(crate) peers: Client,
+    pub(crate) library: Mutex<Library>,
+    pub(crate) metrics: Metrics,
+    pub(crate) burn: Mutex<BurnRing>,
+    /// Wakes repeats that wait for an operation to end.
+    pub(crate) ended: Notify,
+    /// Wakes the tick loop when there is something to do at once.
+    pub(crate) hurry: Notify,
+    pub(crate) in_flight: InFlight,
+    pub(crate) stopping: AtomicBool,
+    pub(crate) numbers: AtomicU64,
+    /// Bytes of bundles that peers may still fetch.
+    budget: Mutex<Budget>,
+    /// Good and all events of each promise since the start.
+    counts: Mutex<BTreeMap<(ServiceId, Measure), (u64, u64)>>,
+    /// Backend servers whose drain was noted.
+    quiet: Mutex<BTreeSet<BackendId>>,
+    engine: Mutex<Decisions>,
+    waiters: Mutex<Waiters>,
+}
+
+/// Addresses that the process listens at.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Addresses {
+    pub(crate) callers: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+impl Entry {
+    pub(crate) fn new(
+        settings: Settings,
+        decisions: EngineSettings,
+        store: Counted,
+        clock: Arc<dyn Clock>,
+        addresses: Addresses,
+        start: Start,
+    ) -> Entry {
+        let me = Identity {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            incarnation: start.incarnation,
+            callers: addresses.callers,
+            peers: addresses.peers,
+            origin: start.origin,
+        };
+        let now = clock.now();
+        let keys = ticket_keys(&settings);
+        Entry {
+            calls: store.calls(),
+            engine: Mutex::new(Engine::new(decisions, me, keys, start.seed, now)),
+            waiters: Mutex::default(),
+            clients: Clients::default(),
+            peers: client(ClientSettings::default()),
+            library: Mutex::default(),
+            metrics: Metrics::default(),
+            burn: Mutex::new(BurnRing::new(now)),
+            ended: Notify::new(),
+            hurry: Notify::new(),
+            in_flight: InFlight::default(),
+            stopping: AtomicBool::new(false),
+            numbers: AtomicU64::new(start.seed),
+            budget: Mutex::new(Budget::new(SERVE_RATE, SERVE_BURST, now, &mut rand::rng())),
+            counts: Mutex::default(),
+            quiet: Mutex::default(),
+            store,
+            clock,
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Lets the decisions take something in; requests whose wait ended are told.
+    pub(crate) fn decide<T>(&self, step: impl FnOnce(&mut Decisions, Time) -> T) -> T {
+        let (result, wakes) = {
+            let mut engine = self.engine();
+            let result = step(&mut engine, self.clock.now());
+            (result, engine.take_wakes())
+        };
+        self.deliver(wakes);
+        result
+    }
+
+    fn engine(&self) -> MutexGuard<'_, Decisions> {
+        self.engine.lock().expect("no holder of this lock panics")
+    }
+
+    fn waiters(&self) -> MutexGuard<'_, Waiters> {
+        self.waiters.lock().expect("no holder of this lock panics")
+    }
+
+    /// Registers a request that waits. Call it while deciding, so that its wake cannot come first.
+    pub(crate) fn wait_for(&self, waiter: u64, service: &ServiceId) -> oneshot::Receiver<Place> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters().insert(waiter, (service.clone(), sender));
+        receiver
+    }
+
+    fn deliver(&self, wakes: Vec<Wake>) {
+        for wake in wakes {
+            let Some((service, sender)) = self.waiters().remove(&wake.waiter) else {
+                continue;
+            };
+            let Err(Place::Backend(choice)) = sender.send(wake.place) else {
+                continue;
+            };
+            // The caller went away while its request waited: the slot goes back.
+            self.decide(|engine, now| {
+                engine.finish(&service, choice.attempt, Outcome::Cancelled, Millis::ZERO, now);
+            });
+        }
+    }
+
+    /// A number for a request that brings none.
+    pub(crate) fn next_number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(crate) fn library(&self) -> MutexGuard<'_, Library> {
+        self.library.lock().expect("no holder of this lock panics")
+    }
+
+    pub(crate) fn burn(&self) -> MutexGuard<'_, BurnRing> {
+        self.burn.lock().expect("no holder of this lock panics")
+    }
+
+    /// Whether so many bytes of a bundle may be served to a peer now.
+    pub(crate) fn may_serve(&self, size: usize) -> bool {
+        let now = self.clock.now();
+        let mut budget = self.budget.lock().expect("no holder of this lock panics");
+        budget.take(Bytes(size as u64), now)
+    }
+
+    /// Counts one event of a promise.
+    pub(crate) fn count(&self, service: &ServiceId, measure: Measure, good: bool) {
+        let mut counts = self.counts.lock().expect("no holder of this lock panics");
+        let count = counts.entry((service.clone(), measure)).or_default();
+        count.0 += u64::from(good);
+        count.1 += 1;
+        let sample = counted(self.clock.now(), service, measure, *count);
+        drop(counts);
+        self.burn().record(&sample);
+    }
+
+    /// Counts an answer to a caller.
+    pub(crate) fn note_request(
+        &self,
+        service: &ServiceId,
+        verdict: Option<Verdict>,
+        waited: Millis,
+    ) {
+        let slo = self.decide(|engine, _| {
+            engine.bundle().and_then(|it| Some(it.services.get(service)?.slo.clone()))
+        });
+        if let Some(slo) = slo {
+            self.count(service, Measure::Latency, is_good(&slo, verdict, waited));
+        }
+    }
+
+    /// Whether this is the first word that a backend server has gone quiet.
+    pub(crate) fn drained(&self, backend: &BackendId) -> bool {
+        self.quiet().insert(backend.clone())
+    }
+
+    /// Forgets backend servers that are back.
+    pub(crate) fn forget_drained(&self, keep: impl Fn(&BackendId) -> bool) {
+        self.quiet().retain(|it| keep(it));
+    }
+
+    fn quiet(&self) -> MutexGuard<'_, BTreeSet<BackendId>> {
+        self.quiet.lock().expect("no holder of this lock panics")
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+}
+
+/// What differs between two starts of the process.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Start {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) origin: Time,
+    pub(crate) seed: u64,
+}
+
+fn ticket_keys(settings: &Settings) -> TicketKeys {
+    let mut keys = settings.keys.tickets.iter().copied().map(TicketKey);
+    let first = keys.next().expect("settings are refused without a ticket key");
+    TicketKeys::new(first, keys.collect())
+}
+
+/// Requests in progress.
+#[derive(Debug, Default)]
+pub(crate) struct InFlight {
+    count: AtomicU32,
+    quiet: Notify,
+}
+
+impl InFlight {
+    /// Counts a request; `None` where there are `most` already.
+    pub(crate) fn enter(entry: &Arc<Entry>, most: u32) -> Option<Passage> {
+        let before = entry.in_flight.count.fetch_add(1, Ordering::SeqCst);
+        let passage = Passage(Arc::clone(entry));
+        (before < most).then_some(passage)
+    }
+
+    pub(crate) fn count(&self) -> u32 {
+        self.count.load(Ordering::SeqCst)
+    }
+
+    /// Waits until no request is in progress.
+    pub(crate) async fn quiet(&self) {
+        loop {
+            let quiet = self.quiet.notified();
+            if self.count() == 0 {
+                return;
+            }
+            quiet.await;
+        }
+    }
+}
+
+/// One request in progress; it ends when this is dropped.
+pub(crate) struct Passage(Arc<Entry>);
+
+impl Drop for Passage {
+    fn drop(&mut self) {
+        let in_flight = &self.0.in_flight;
+        if in_flight.count.fetch_sub(1, Ordering::SeqCst) == 1 {
+            in_flight.quiet.notify_waiters();
+        }
+    }
+}
--- a/crates/th-entry/src/io/reply.rs
+++ b/crates/th-entry/src/io/reply.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use futures_util::stream::BoxStream;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
-use th_protocol::{Notice, Verdict, header as names};
+use salvo::{Response, http::ResBody};
+use th_protocol::{Notice, Reason, Verdict, header as names};
 
 /// Milliseconds in a second, for headers that count in seconds.
 const SECOND_MS: u64 = 1_000;
@@ -71,10 +72,35 @@
         Reply { status: status(notice), headers, body: Body::Whole(body.into()) }
     }
 
-    /// Whether the answer is a notice that states this verdict.
+    /// The verdict, if the answer is one of the system's own.
     pub(crate) fn verdict(&self) -> Option<Verdict> {
         self.headers.get(names::VERDICT)?.to_str().ok()?.parse().ok()
     }
+
+    /// The reason, if the answer is one of the system's own.
+    pub(crate) fn reason(&self) -> Option<Reason> {
+        self.headers.get(names::REASON)?.to_str().ok()?.parse().ok()
+    }
+
+    /// Bytes of the body, as far as they are known.
+    pub(crate) fn size(&self) -> u64 {
+        match &self.body {
+            Body::Whole(body) => body.len() as u64,
+            Body::Stream(_) => 0,
+        }
+    }
+
+    /// Hands the answer to the listener.
+    pub(crate) fn put(self, res: &mut Response) {
+        res.status_code(self.status);
+        for (name, value) in &self.headers {
+            res.headers_mut().append(name.clone(), value.clone());
+        }
+        match self.body {
+            Body::Whole(body) => res.replace_body(ResBody::Once(body)),
+            Body::Stream(body) => res.replace_body(ResBody::stream(body)),
+        };
+    }
 }
 
 /// The status that fits a notice best.
@@ -93,16 +119,16 @@
 }
 
 /// Headers that concern one connection only and are not passed on.
-const HOP_BY_HOP: &[HeaderName] = &[
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
+const HOP_BY_HOP: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
 ];
 
 /// Removes headers that concern one connection only, those that `Connection` names included.
@@ -118,7 +144,10 @@
             }
         }
     }
-    for name in HOP_BY_HOP.iter().chain(&named) {
+    for name in HOP_BY_HOP {
+        headers.remove(*name);
+    }
+    for name in &named {
         headers.remove(name);
     }
 }
--- a/crates/th-entry/src/io/send.rs
+++ b/crates/th-entry/src/io/send.rs
@@ -45,6 +45,8 @@
     pub(crate) left: Millis,
     /// Largest answer that is held whole.
     pub(crate) whole: usize,
+    /// Which try of the request this is.
+    pub(crate) tries: u32,
 }
 
 /// Sends the request and waits for the answer's head and, up to a bound, its body.
@@ -61,6 +63,9 @@
     let mut headers = request.headers.clone();
     headers.insert(names::ATTEMPT, HeaderValue::from(course.attempt.0));
     headers.insert(names::DEADLINE, HeaderValue::from(course.left.0));
+    if 1 < course.tries {
+        headers.insert(names::TRY, HeaderValue::from(course.tries));
+    }
     let built = client.request(request.method.clone(), url).headers(headers);
     let response = match built.body(request.body.clone()).send().await {
         Ok(response) => response,
@@ -103,27 +108,39 @@
     echo.to_str().ok().and_then(|it| it.parse().ok()) == Some(attempt.0)
 }
 
-async fn receive(mut response: Response, signs: Signs, whole: usize) -> Sent {
+async fn receive(response: Response, signs: Signs, whole: usize) -> Sent {
+    match receive_reply(response, whole).await {
+        Ok(mut reply) => {
+            reply.headers.remove(names::ATTEMPT);
+            reply.headers.remove(names::LEAVING);
+            // Only the system itself speaks of verdicts.
+            reply.headers.remove(names::VERDICT);
+            reply.headers.remove(names::REASON);
+            Sent::Answer(reply, signs)
+        }
+        Err(error) if error.is_timeout() => Sent::Failed(Outcome::Timeout, signs),
+        Err(_) => Sent::Failed(Outcome::Cut, signs),
+    }
+}
+
+/// Reads a body up to `whole` bytes; one that is larger goes on as a stream.
+pub(crate) async fn receive_reply(
+    mut response: Response,
+    whole: usize,
+) -> Result<Reply, reqwest::Error> {
     let status = response.status();
     let mut headers = response.headers().clone();
     drop_hop_headers(&mut headers);
-    headers.remove(names::ATTEMPT);
-    headers.remove(names::LEAVING);
     let mut first = BytesMut::new();
     while first.len() <= whole {
-        match response.chunk().await {
-            Ok(Some(chunk)) => first.extend_from_slice(&chunk),
-            Ok(None) => {
-                headers.remove(header::CONTENT_LENGTH);
-                let body = Body::Whole(first.freeze());
-                return Sent::Answer(Reply { status, headers, body }, signs);
-            }
-            Err(error) if error.is_timeout() => return Sent::Failed(Outcome::Timeout, signs),
-            Err(_) => return Sent::Failed(Outcome::Cut, signs),
-        }
+        let Some(chunk) = response.chunk().await? else {
+            headers.remove(header::CONTENT_LENGTH);
+            return Ok(Reply { status, headers, body: Body::Whole(first.freeze()) });
+        };
+        first.extend_from_slice(&chunk);
     }
     let body = Body::Stream(rest(first.freeze(), response));
-    Sent::Answer(Reply { status, headers, body }, signs)
+    Ok(Reply { status, headers, body })
 }
 
 /// The first part of a large body and then what follows.
--- a/crates/th-entry/src/lib.rs
+++ b/crates/th-entry/src/lib.rs
@@ -1,1 +1,17 @@
 //! The entry process: listeners, dispatch to backend servers and the tick loop.
+
+mod call;
+mod caller;
+mod entry;
+mod io;
+mod library;
+mod logs;
+mod metrics;
+mod peer;
+mod server;
+mod settings;
+mod task;
+
+pub use logs::{PARTS, start_logs};
+pub use server::{RequestCount, Running, Stopped, start, start_with};
+pub use settings::{Keys, Limits, Listen, LogForm, Logs, Pace, Settings, SettingsFault, Stop};
--- /dev/null
+++ b/crates/th-entry/src/library.rs
@@ -0,0 +1,113 @@
+//! The bytes of bundles: what peers may fetch, and what a bundle is put together from.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use th_protocol::{
+    Bundle, BundleHead, ContentHash, Digest, Fault, Manifest, ManifestError, SignedManifest,
+    assemble, check_bundle,
+};
+use th_steer::member::ManifestInfo;
+use thiserror::Error;
+
+/// The result of putting a bundle together.
+pub(crate) type Result<T, E = LibraryError> = std::result::Result<T, E>;
+
+/// Why the parts at hand make no bundle that can be put in force.
+#[derive(Debug, Error)]
+pub(crate) enum LibraryError {
+    #[error("version {} is not known", .0.version)]
+    Unknown(BundleHead),
+    #[error(transparent)]
+    Manifest(#[from] ManifestError),
+    #[error("the bundle is faulty: {}", list(.0))]
+    Faults(Vec<Fault>),
+}
+
+fn list(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(|it| format!("{}: {}", it.path, it.cause)).collect();
+    lines.join("; ")
+}
+
+/// Manifests and parts at hand.
+#[derive(Debug, Default)]
+pub(crate) struct Library {
+    manifests: BTreeMap<BundleHead, (SignedManifest, Manifest)>,
+    parts: BTreeMap<Digest, Bytes>,
+}
+
+/// The head that a signed manifest stands for.
+pub(crate) fn head_of(signed: &SignedManifest, manifest: &Manifest) -> BundleHead {
+    let digest = ContentHash(*signed.digest().bytes());
+    BundleHead { version: manifest.version, digest }
+}
+
+impl Library {
+    /// Keeps a manifest whose signature is good, and gives what the spread needs to know of it.
+    pub(crate) fn add_manifest(
+        &mut self,
+        signed: SignedManifest,
+        manifest: Manifest,
+    ) -> ManifestInfo {
+        let head = head_of(&signed, &manifest);
+        let mut parts = Vec::new();
+        for digest in manifest.parts.values() {
+            parts.push(ContentHash(*digest.bytes()));
+        }
+        self.manifests.insert(head, (signed, manifest));
+        ManifestInfo { head, parts }
+    }
+
+    /// Keeps a part under the digest of its bytes.
+    pub(crate) fn add_part(&mut self, bytes: Bytes) {
+        self.parts.insert(Digest::of(&bytes), bytes);
+    }
+
+    /// The signed manifest of a bundle.
+    pub(crate) fn manifest(&self, head: &BundleHead) -> Option<&SignedManifest> {
+        self.manifests.get(head).map(|(signed, _)| signed)
+    }
+
+    /// A part's bytes.
+    pub(crate) fn part(&self, hash: &ContentHash) -> Option<&Bytes> {
+        self.parts.get(&Digest::from_bytes(hash.0))
+    }
+
+    /// Whether every part of a bundle is at hand.
+    pub(crate) fn is_complete(&self, head: &BundleHead) -> bool {
+        let Some((_, manifest)) = self.manifests.get(head) else {
+            return false;
+        };
+        manifest.parts.values().all(|digest| self.parts.contains_key(digest))
+    }
+
+    /// Bundles that a part belongs to.
+    pub(crate) fn users(&self, hash: &ContentHash) -> Vec<BundleHead> {
+        let digest = Digest::from_bytes(hash.0);
+        let mut users = Vec::new();
+        for (head, (_, manifest)) in &self.manifests {
+            if manifest.parts.values().any(|it| *it == digest) {
+                users.push(*head);
+            }
+        }
+        users
+    }
+
+    /// Puts a bundle together and checks what it says.
+    pub(crate) fn bundle(&self, head: &BundleHead) -> Result<Bundle> {
+        let (_, manifest) = self.manifests.get(head).ok_or(LibraryError::Unknown(*head))?;
+        let bundle = assemble(manifest, &self.parts)?;
+        let faults = check_bundle(&bundle);
+        if faults.is_empty() { Ok(bundle) } else { Err(LibraryError::Faults(faults)) }
+    }
+
+    /// Forgets manifests of other bundles and a part that the one in force does not use.
+    pub(crate) fn forget(&mut self, hash: &ContentHash) {
+        self.parts.remove(&Digest::from_bytes(hash.0));
+    }
+
+    /// Forgets the manifests of bundles older than the one in force.
+    pub(crate) fn forget_before(&mut self, head: &BundleHead) {
+        self.manifests.retain(|it, _| head.version <= it.version);
+    }
+}
--- a/crates/th-entry/src/logs.rs
+++ b/crates/th-entry/src/logs.rs
@@ -18,12 +18,11 @@
         dispatch = dispatch.level_for(*part, level);
     }
     let form = logs.form;
-    let lines = move |out: FormatCallback<'_>, text: &fmt::Arguments<'_>, record: &Record<'_>| {
-        match form {
+    let lines =
+        move |out: FormatCallback<'_>, text: &fmt::Arguments<'_>, record: &Record<'_>| match form {
             LogForm::Human => human(out, text, record),
             LogForm::Json => json(out, text, record),
-        }
-    };
+        };
     dispatch.format(lines).chain(std::io::stderr()).apply()
 }
 
--- /dev/null
+++ b/crates/th-entry/src/peer/control.rs
@@ -0,0 +1,103 @@
+//! Control messages of other entry VMs.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use salvo::{Depot, Request, Response, handler, http::StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+use th_protocol::{BundleAnswer, BundleRequest, CheckAnswer, Heartbeat, IndirectCheck};
+use th_steer::limit::PartAsk;
+
+use super::{
+    Route, client,
+    codec::{MAX_MESSAGE_BYTES, decode, encode},
+    router::entry,
+};
+use crate::entry::Entry;
+
+/// Reads the message; a malformed one is answered here and changes nothing.
+async fn read<T: DeserializeOwned>(
+    req: &mut Request,
+    res: &mut Response,
+    entry: &Entry,
+) -> Option<T> {
+    let Ok(bytes) = req.payload_with_max_size(MAX_MESSAGE_BYTES).await else {
+        res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
+        return None;
+    };
+    entry.metrics.control.with_label_values(&["in"]).inc_by(bytes.len() as u64);
+    match decode(bytes) {
+        Ok(message) => Some(message),
+        Err(error) => {
+            log::warn!(target: "peer", "A message cannot be read: {error}.");
+            res.status_code(StatusCode::BAD_REQUEST);
+            None
+        }
+    }
+}
+
+fn write<T: Serialize>(res: &mut Response, entry: &Entry, message: &T) {
+    let bytes = encode(message);
+    entry.metrics.control.with_label_values(&["out"]).inc_by(bytes.len() as u64);
+    res.body(bytes);
+}
+
+#[handler]
+pub(crate) async fn take_heartbeat(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let entry = entry(depot);
+    let Some(message) = read::<Heartbeat>(req, res, &entry).await else {
+        return;
+    };
+    let answer = entry.decide(|engine, now| engine.on_heartbeat(&message, now));
+    entry.hurry.notify_one();
+    write(res, &entry, &answer);
+}
+
+#[handler]
+pub(crate) async fn run_check(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let entry = entry(depot);
+    let Some(message) = read::<IndirectCheck>(req, res, &entry).await else {
+        return;
+    };
+    let record = ask(&entry, &message).await;
+    write(res, &entry, &CheckAnswer { record });
+}
+
+/// Sends the target a heartbeat on the asking VM's behalf.
+async fn ask(entry: &Arc<Entry>, message: &IndirectCheck) -> Option<th_protocol::PeerRecord> {
+    let heartbeat = entry.decide(|engine, _| engine.on_check(message));
+    let target: SocketAddr = message.target.address;
+    let answer: client::Result<Heartbeat> =
+        client::call(entry, Route::Heartbeat, target, &heartbeat).await;
+    Some(answer.ok()?.from)
+}
+
+#[handler]
+pub(crate) async fn give_bundle(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let entry = entry(depot);
+    let Some(message) = read::<BundleRequest>(req, res, &entry).await else {
+        return;
+    };
+    let content = {
+        let library = entry.library();
+        match &message {
+            BundleRequest::Manifest(head) => library.manifest(head).map(|it| it.write()),
+            BundleRequest::Part(hash) => library.part(hash).map(|it| it.to_vec()),
+        }
+    };
+    let size = content.as_ref().map_or(0, Vec::len);
+    if !entry.may_serve(size) {
+        res.status_code(StatusCode::TOO_MANY_REQUESTS);
+        return;
+    }
+    write(res, &entry, &BundleAnswer { content });
+}
+
+#[handler]
+pub(crate) async fn give_part(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let entry = entry(depot);
+    let Some(ask) = read::<PartAsk>(req, res, &entry).await else {
+        return;
+    };
+    let answer = entry.decide(|engine, now| engine.on_ask(&ask, now));
+    write(res, &entry, &answer);
+}
--- /dev/null
+++ b/crates/th-entry/src/peer/requests.rs
@@ -0,0 +1,80 @@
+//! Requests that other entry VMs send on.
+
+use std::sync::Arc;
+
+use salvo::{Depot, Request, Response, handler};
+use th_protocol::{Bytes, LinkId, Notice, Reason};
+use th_steer::{engine::notices, limit::Charge};
+
+use super::{codec::decode, router::entry};
+use crate::{
+    call::{Origin, Wire, answer},
+    entry::{Entry, InFlight},
+    io::Reply,
+};
+
+/// Room for a request's head and the names of its fields, besides its body.
+const HEAD_BYTES: usize = 64 << 10;
+
+#[handler]
+pub(crate) async fn own(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    serve(req, &entry(depot), Origin::Forwarder).await.put(res);
+}
+
+#[handler]
+pub(crate) async fn execute(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    serve(req, &entry(depot), Origin::Placer).await.put(res);
+}
+
+async fn serve(req: &mut Request, entry: &Arc<Entry>, origin: Origin) -> Reply {
+    let Some(passage) = InFlight::enter(entry, entry.settings.limits.requests) else {
+        return Reply::notice(&notices::refused(Reason::Overloaded, entry.settings.pace.call));
+    };
+    let most = entry.settings.limits.body.0 as usize + HEAD_BYTES;
+    let Ok(bytes) = req.payload_with_max_size(most).await else {
+        return Reply::notice(&notices::not_run(Reason::BadRequest));
+    };
+    let wire: Wire = match decode(bytes) {
+        Ok(wire) => wire,
+        Err(error) => {
+            log::warn!(target: "peer", "A forwarded request cannot be read: {error}.");
+            return Reply::notice(&notices::not_run(Reason::BadRequest));
+        }
+    };
+    let link = match reserve(entry, &wire, origin) {
+        Ok(link) => link,
+        Err(notice) => return Reply::notice(&notice),
+    };
+    let forwarded = origin == Origin::Placer;
+    let reply = match wire.incoming(forwarded, entry.now()) {
+        Some(incoming) => answer(entry, incoming, origin).await,
+        None => Reply::notice(&notices::not_run(Reason::BadRequest)),
+    };
+    if let Some(charge) = link {
+        entry.decide(|engine, _| engine.settle(charge, Bytes(reply.size())));
+    }
+    drop(passage);
+    reply
+}
+
+/// Charges the expected answer to the link that it will cross.
+///
+/// A request that is to run here is refused where the link has no room. One whose ticket this VM owns may be a repeat of
+/// an operation that ran, so it is never refused for that; its answer is a debt that later requests wait for.
+fn reserve(entry: &Entry, wire: &Wire, origin: Origin) -> Result<Option<(LinkId, Charge)>, Notice> {
+    let Some(region) = wire.region() else {
+        return Ok(None);
+    };
+    let (service, operation) = wire.target();
+    entry.decide(|engine, now| {
+        let size = engine.expected_size(service, operation);
+        match engine.charge(region, size, now) {
+            Ok(link) => Ok(link),
+            Err(it) if origin == Origin::Placer => Err(notices::refused(it.reason, it.retry)),
+            Err(_) => {
+                engine.owe(region, size);
+                Ok(None)
+            }
+        }
+    })
+}
--- /dev/null
+++ b/crates/th-entry/src/server.rs
@@ -0,0 +1,229 @@
+//! The process: its listeners, its tasks, and its stop.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, SystemTime},
+};
+
+use eyre::{Result, WrapErr};
+use hyper_util::rt::TokioTimer;
+use rand::Rng;
+use salvo::{Router, Server, conn::tcp::TcpAcceptor, server::ServerHandle};
+use th_platform::{BootClock, Clock, Counted, Platform};
+use th_protocol::{Incarnation, Status, Time};
+use th_steer::engine::EngineSettings;
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    caller,
+    entry::{Addresses, Entry, Start},
+    peer,
+    settings::Settings,
+    task::{perform, run_ticks, run_vms, run_watch},
+};
+
+/// Bits of an incarnation that are drawn at random, so that two starts within a millisecond differ.
+const INCARNATION_BITS: u32 = 10;
+
+/// A running entry process.
+pub struct Running {
+    entry: Arc<Entry>,
+    addresses: Addresses,
+    listeners: Vec<Listener>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+struct Listener {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+/// The requests in flight of an entry process.
+pub struct RequestCount(Arc<Entry>);
+
+impl RequestCount {
+    /// How many there are now.
+    pub fn now(&self) -> u32 {
+        self.0.in_flight.count()
+    }
+}
+
+/// How a stop ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Stopped {
+    /// Requests that were cut.
+    pub cut: u32,
+}
+
+/// Starts an entry process that uses `store`.
+pub async fn start(settings: Settings, store: Arc<dyn Platform>) -> Result<Running> {
+    start_with(settings, EngineSettings::default(), store).await
+}
+
+/// The same with settings of the decisions of its own.
+pub async fn start_with(
+    settings: Settings,
+    decisions: EngineSettings,
+    store: Arc<dyn Platform>,
+) -> Result<Running> {
+    let callers = bind(settings.listen.callers).await?;
+    let peers = bind(settings.listen.peers).await?;
+    let addresses = Addresses { callers: callers.local_addr()?, peers: peers.local_addr()? };
+    let clock: Arc<dyn Clock> = Arc::new(BootClock);
+    let store = Counted::new(store, settings.pace.call);
+    let beginning = beginning(clock.now());
+    let entry = Entry::new(settings, decisions, store, clock, addresses, beginning);
+    let entry = Arc::new(entry);
+    let listeners = vec![
+        serve(callers, caller::router(&entry), &entry)?,
+        serve(peers, peer::router(&entry), &entry)?,
+    ];
+    let tasks = vec![
+        tokio::spawn(run_ticks(Arc::clone(&entry))),
+        tokio::spawn(run_vms(Arc::clone(&entry))),
+        tokio::spawn(run_watch(Arc::clone(&entry))),
+        tokio::spawn(seed(Arc::clone(&entry))),
+    ];
+    log::info!(target: "entry", "Listening for callers at {}, for peers at {}.", addresses.callers, addresses.peers);
+    Ok(Running { entry, addresses, listeners, tasks })
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("listening at {address}"))
+}
+
+/// What differs between two starts.
+fn beginning(now: Time) -> Start {
+    let mut rng = rand::rng();
+    let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let wall = wall.as_millis() as u64;
+    let low: u64 = rng.random_range(0..1 << INCARNATION_BITS);
+    Start {
+        incarnation: Incarnation((wall << INCARNATION_BITS) | low),
+        origin: Time(wall.saturating_sub(now.0)),
+        seed: rng.random(),
+    }
+}
+
+fn serve(listener: TcpListener, router: Router, entry: &Entry) -> Result<Listener> {
+    let mut server = Server::new(TcpAcceptor::try_from(listener)?);
+    let limits = entry.settings.limits;
+    server
+        .http1_mut()
+        .max_buf_size(limits.head.0 as usize)
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.slow.0));
+    let handle = server.handle();
+    let task = tokio::spawn(async move {
+        if let Err(error) = server.try_serve(router).await {
+            log::error!(target: "entry", "A listener failed: {error}.");
+        }
+    });
+    Ok(Listener { handle, task })
+}
+
+/// Makes the peers of the settings known, until one has answered.
+async fn seed(entry: Arc<Entry>) {
+    for address in entry.settings.peers.clone() {
+        if address == entry.decide(|engine, _| engine.me().peers) {
+            continue;
+        }
+        let message = entry.decide(|engine, _| engine.greeting());
+        let answer = peer::client::call::<_, th_protocol::Heartbeat>(
+            &entry,
+            peer::Route::Heartbeat,
+            address,
+            &message,
+        );
+        match answer.await {
+            Ok(answer) => entry.decide(|engine, now| engine.on_answer(&answer, now)),
+            Err(error) => log::debug!(target: "peer", "No greeting: {error}."),
+        }
+        entry.hurry.notify_one();
+    }
+}
+
+impl Running {
+    /// Where it listens for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.addresses.callers
+    }
+
+    /// Where it listens for other entry VMs.
+    pub fn peers(&self) -> SocketAddr {
+        self.addresses.peers
+    }
+
+    /// A count of the requests in flight, which outlives this.
+    pub fn in_flight(&self) -> RequestCount {
+        RequestCount(Arc::clone(&self.entry))
+    }
+
+    /// What it says of itself.
+    pub fn status(&self) -> Status {
+        caller::status_of(&self.entry)
+    }
+
+    /// Ends at once, as if the VM were lost.
+    pub fn kill(self) {
+        for listener in &self.listeners {
+            listener.handle.stop_forcible();
+            listener.task.abort();
+        }
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+
+    /// Stops without cutting a request: leaves look-ups, then takes nothing new, then finishes what it holds.
+    pub async fn stop(self) -> Stopped {
+        let stop = self.entry.settings.stop;
+        log::info!(target: "stop", "Leaving look-ups.");
+        let entry = &self.entry;
+        entry.decide(|engine, now| engine.leave(now));
+        entry.hurry.notify_one();
+        sleep(Duration::from_millis(stop.linger.0)).await;
+        log::info!(target: "stop", "Taking no new requests; {} are in flight.", entry.in_flight.count());
+        entry.stopping.store(true, Ordering::SeqCst);
+        entry.decide(|engine, _| engine.close());
+        let left = Duration::from_millis((stop.limit - stop.linger).0);
+        let quiet = timeout(left, entry.in_flight.quiet()).await.is_ok();
+        let cut = if quiet { 0 } else { entry.in_flight.count() };
+        if quiet {
+            self.release().await;
+        }
+        self.close(quiet).await;
+        log::info!(target: "stop", "Stopped; {cut} requests were cut.");
+        Stopped { cut }
+    }
+
+    /// Gives the shards back, so that a successor need not wait.
+    async fn release(&self) {
+        for action in self.entry.decide(|engine, _| engine.release_shards()) {
+            perform(Arc::clone(&self.entry), th_steer::engine::Action::Shard(action)).await;
+        }
+    }
+
+    async fn close(self, gently: bool) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        for listener in self.listeners {
+            match gently {
+                true => listener.handle.stop_graceful(CLOSE_LIMIT),
+                false => listener.handle.stop_forcible(),
+            }
+            if timeout(CLOSE_LIMIT, listener.task).await.is_err() {
+                log::warn!(target: "stop", "A listener did not close in time.");
+            }
+        }
+    }
+}
+
+/// Longest time that the last answers' bytes may take to leave.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/th-entry/src/settings/read.rs
+++ b/crates/th-entry/src/settings/read.rs
@@ -17,6 +17,8 @@
 const MIN_PEER_KEY_BYTES: usize = 16;
 /// Longest time that any setting may state.
 const MAX_SPAN: Millis = Millis(3_600_000);
+/// Smallest bound on the head of a request.
+const MIN_HEAD: Bytes = Bytes(8 << 10);
 /// Largest size that any setting may state.
 const MAX_SIZE: Bytes = Bytes(1 << 30);
 
@@ -120,6 +122,9 @@
         requests: fields.read("requests", usual.requests),
         slow: span(&mut fields, "slow", usual.slow),
     };
+    if limits.head < MIN_HEAD {
+        fields.fault("head", format!("at least {MIN_HEAD}, not {}", limits.head));
+    }
     if limits.requests == 0 {
         fields.fault("requests", "at least 1");
     }
@@ -183,7 +188,8 @@
 
     fn try_from(text: String) -> Result<Level, String> {
         let level = text.parse().map(Level);
-        level.map_err(|_| format!("expected off, error, warn, info, debug or trace, found {text:?}"))
+        level
+            .map_err(|_| format!("expected off, error, warn, info, debug or trace, found {text:?}"))
     }
 }
 
--- a/crates/th-entry/src/settings/spec.rs
+++ b/crates/th-entry/src/settings/spec.rs
@@ -120,12 +120,7 @@
 
 impl Default for Pace {
     fn default() -> Pace {
-        Pace {
-            tick: Millis(100),
-            list: Millis(2_000),
-            watch: Millis(20_000),
-            call: Millis(1_000),
-        }
+        Pace { tick: Millis(100), list: Millis(2_000), watch: Millis(20_000), call: Millis(1_000) }
     }
 }
 
--- /dev/null
+++ b/crates/th-entry/src/task/actions.rs
@@ -0,0 +1,79 @@
+//! Carries out what the decisions ask for, and takes the answers back.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use th_protocol::{BackendId, CheckAnswer, Heartbeat, LoadReport};
+use th_steer::{
+    engine::Action,
+    limit::{PartAnswer, PartAsk},
+    member::MemberAction,
+};
+
+use super::{bundles, grants};
+use crate::{
+    entry::Entry,
+    io::{ClientSettings, client},
+    peer::{Route, client::call},
+};
+
+/// Longest time that a probe may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Carries out one action.
+pub(crate) async fn perform(entry: Arc<Entry>, action: Action) {
+    match action {
+        Action::Member(action) => member(&entry, action).await,
+        Action::Spread(action) => bundles::perform(&entry, action).await,
+        Action::Grant(action) => grants::grant(&entry, action).await,
+        Action::Shard(action) => grants::shard(&entry, action).await,
+        Action::Part { vm: _, address, ask } => part(&entry, address, ask).await,
+        Action::Probe { backend, address } => probe(&entry, backend, address).await,
+    }
+}
+
+async fn member(entry: &Arc<Entry>, action: MemberAction) {
+    match action {
+        MemberAction::Heartbeat { to, address, message } => {
+            match call::<_, Heartbeat>(entry, Route::Heartbeat, address, &message).await {
+                Ok(answer) => {
+                    entry.decide(|engine, now| engine.on_answer(&answer, now));
+                    entry.hurry.notify_one();
+                }
+                Err(error) => log::debug!(target: "peer", "No heartbeat from {to}: {error}."),
+            }
+        }
+        MemberAction::Check { via, address, message } => {
+            match call::<_, CheckAnswer>(entry, Route::Check, address, &message).await {
+                Ok(answer) => entry.decide(|engine, now| engine.on_check_answer(&answer, now)),
+                Err(error) => log::debug!(target: "peer", "No check through {via}: {error}."),
+            }
+        }
+    }
+}
+
+async fn part(entry: &Arc<Entry>, address: SocketAddr, ask: PartAsk) {
+    let asked = entry.now();
+    match call::<_, PartAnswer>(entry, Route::Part, address, &ask).await {
+        Ok(answer) => entry.decide(|engine, now| engine.on_part(&answer, asked, now)),
+        Err(error) => log::debug!(target: "peer", "No part of a grant: {error}."),
+    }
+}
+
+/// Asks a backend server for its health and its load.
+async fn probe(entry: &Arc<Entry>, backend: BackendId, address: SocketAddr) {
+    let asked = entry.now();
+    let client = client(ClientSettings::default());
+    let health = client.get(format!("http://{address}/health")).timeout(PROBE_TIMEOUT).send().await;
+    let good = health.is_ok_and(|it| it.status().is_success());
+    entry.decide(|engine, now| engine.on_probe(&backend, good, now));
+    if !good {
+        return;
+    }
+    let load = client.get(format!("http://{address}/load")).timeout(PROBE_TIMEOUT).send().await;
+    let Ok(load) = load else {
+        return;
+    };
+    if let Ok(report) = load.json::<LoadReport>().await {
+        entry.decide(|engine, now| engine.on_report(&backend, report, asked, now));
+    }
+}
--- /dev/null
+++ b/crates/th-entry/src/task/bundles.rs
@@ -0,0 +1,197 @@
+//! Fetches bundles from the store and from peers, checks them, and puts them in force.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use th_platform::{Key, Platform};
+use th_protocol::{
+    BundleAnswer, BundleHead, BundleRequest, ContentHash, Digest, OperatorId, SignedManifest,
+    layout,
+};
+use th_steer::member::{Fetched, ManifestInfo, Source, SpreadAction};
+
+use crate::{
+    entry::Entry,
+    library::head_of,
+    peer::{Route, client::call},
+};
+
+/// Carries out one action of the spread.
+pub(crate) async fn perform(entry: &Arc<Entry>, action: SpreadAction) {
+    match action {
+        SpreadAction::ReadHead => read_head(entry).await,
+        SpreadAction::FetchManifest { head, from } => fetch_manifest(entry, head, from).await,
+        SpreadAction::FetchPart { hash, from } => fetch_part(entry, hash, from).await,
+        SpreadAction::Apply(head) => apply(entry, head).await,
+        SpreadAction::Drop(hash) => entry.library().forget(&hash),
+    }
+}
+
+/// The signed manifest that the store has as head.
+async fn stored_head(entry: &Entry) -> Option<SignedManifest> {
+    let found = match entry.store.read(&Key::new(layout::HEAD)).await {
+        Ok(found) => found?,
+        Err(error) => {
+            log::debug!(target: "store", "The head cannot be read: {error}.");
+            return None;
+        }
+    };
+    match SignedManifest::read(found.value.as_deref()?) {
+        Ok(signed) => Some(signed),
+        Err(error) => {
+            log::warn!(target: "bundle", "The store's head is refused: {error}.");
+            None
+        }
+    }
+}
+
+pub(crate) async fn read_head(entry: &Arc<Entry>) {
+    let Some(signed) = stored_head(entry).await else {
+        return;
+    };
+    let Ok(manifest) = signed.unverified() else {
+        log::warn!(target: "bundle", "The store's head is refused: its manifest is malformed.");
+        return;
+    };
+    let head = head_of(&signed, &manifest);
+    entry.decide(|engine, _| engine.on_head(Source::Store, head));
+    entry.hurry.notify_one();
+}
+
+/// Public keys that may have signed the next bundle.
+fn operators(entry: &Entry) -> BTreeMap<OperatorId, String> {
+    let held = entry.decide(|engine, _| engine.bundle().map(|it| it.operators.clone()));
+    held.unwrap_or_else(|| entry.settings.keys.operators.clone())
+}
+
+async fn fetch_manifest(entry: &Arc<Entry>, head: BundleHead, from: Source) {
+    let fetched = match &from {
+        Source::Store => Ok(stored_head(entry).await),
+        Source::Peer(_) => {
+            let request = BundleRequest::Manifest(head);
+            let content = ask_peer(entry, &from, &request).await;
+            content.map(|it| it.and_then(|it| SignedManifest::read(&it).ok()))
+        }
+    };
+    let fetched = match fetched {
+        Ok(Some(signed)) => check_manifest(entry, head, signed),
+        Ok(None) => Fetched::Missing,
+        Err(ended) => ended,
+    };
+    entry.decide(|engine, now| engine.on_manifest(head, &from, fetched, now));
+    entry.hurry.notify_one();
+}
+
+fn check_manifest(
+    entry: &Entry,
+    head: BundleHead,
+    signed: SignedManifest,
+) -> Fetched<ManifestInfo> {
+    if *signed.digest().bytes() != head.digest.0 {
+        return Fetched::Corrupt;
+    }
+    let manifest = match signed.verify(&operators(entry)) {
+        Ok(manifest) => manifest,
+        Err(error) => {
+            log::warn!(target: "bundle", "Version {} is refused: {error}.", head.version);
+            return Fetched::Unsigned;
+        }
+    };
+    if manifest.version != head.version {
+        return Fetched::Corrupt;
+    }
+    let info = entry.library().add_manifest(signed, manifest);
+    if is_faulty(entry, &head) { Fetched::Unsigned } else { Fetched::Good(info) }
+}
+
+/// Whether all parts of a bundle are at hand and what they say is faulty.
+fn is_faulty(entry: &Entry, head: &BundleHead) -> bool {
+    let library = entry.library();
+    if !library.is_complete(head) {
+        return false;
+    }
+    match library.bundle(head) {
+        Ok(_) => false,
+        Err(error) => {
+            log::warn!(target: "bundle", "Version {} is refused: {error}.", head.version);
+            true
+        }
+    }
+}
+
+async fn fetch_part(entry: &Arc<Entry>, hash: ContentHash, from: Source) {
+    let fetched = match &from {
+        Source::Store => Ok(stored_part(entry, &hash).await),
+        Source::Peer(_) => ask_peer(entry, &from, &BundleRequest::Part(hash)).await,
+    };
+    let fetched = match fetched {
+        Ok(Some(bytes)) if *Digest::of(&bytes).bytes() == hash.0 => {
+            entry.library().add_part(bytes);
+            Fetched::Good(())
+        }
+        Ok(Some(_)) => Fetched::Corrupt,
+        Ok(None) => Fetched::Missing,
+        Err(ended) => ended,
+    };
+    refuse_faulty(entry, &hash, &from);
+    entry.decide(|engine, now| engine.on_bundle_part(hash, &from, fetched, now));
+    entry.hurry.notify_one();
+}
+
+/// Refuses each bundle that this part completes and whose content is faulty.
+fn refuse_faulty(entry: &Entry, hash: &ContentHash, from: &Source) {
+    let users = entry.library().users(hash);
+    for head in users {
+        if is_faulty(entry, &head) {
+            entry.decide(|engine, now| engine.on_manifest(head, from, Fetched::Unsigned, now));
+        }
+    }
+}
+
+async fn stored_part(entry: &Entry, hash: &ContentHash) -> Option<Bytes> {
+    let key = Key::new(layout::part_key(&Digest::from_bytes(hash.0)));
+    let found = entry.store.read(&key).await.ok()??;
+    found.value.map(Bytes::from)
+}
+
+/// Asks a peer for bytes. An error is how the fetch ended otherwise.
+async fn ask_peer<T>(
+    entry: &Entry,
+    from: &Source,
+    request: &BundleRequest,
+) -> Result<Option<Bytes>, Fetched<T>> {
+    let address: Option<SocketAddr> = match from {
+        Source::Store => None,
+        Source::Peer(vm) => entry.decide(|engine, _| engine.peer_address(vm)),
+    };
+    let Some(address) = address else {
+        return Err(Fetched::Missing);
+    };
+    match call::<_, BundleAnswer>(entry, Route::Bundle, address, request).await {
+        Ok(answer) => Ok(answer.content.map(Bytes::from)),
+        Err(error) if error.busy => Err(Fetched::Busy),
+        Err(error) => {
+            log::debug!(target: "peer", "No part of a bundle: {error}.");
+            Err(Fetched::Missing)
+        }
+    }
+}
+
+async fn apply(entry: &Arc<Entry>, head: BundleHead) {
+    let bundle = {
+        let mut library = entry.library();
+        library.forget_before(&head);
+        library.bundle(&head)
+    };
+    let bundle = match bundle {
+        Ok(bundle) => Arc::new(bundle),
+        Err(error) => {
+            log::error!(target: "bundle", "Version {} cannot be applied: {error}.", head.version);
+            return;
+        }
+    };
+    if entry.decide(|engine, now| engine.apply(bundle, now)) {
+        log::info!(target: "bundle", "Version {} is in force.", head.version);
+    }
+    entry.hurry.notify_one();
+}
--- /dev/null
+++ b/crates/th-entry/src/task/grants.rs
@@ -0,0 +1,136 @@
+//! Calls of the platform's service for shards and grants.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use th_platform::{Entry as Stored, Key, LeaseId, Platform, Write};
+use th_protocol::{Millis, Revision, ZoneId};
+use th_steer::{
+    engine::{Claims, ShardAction},
+    limit::{Answer, CapId, Lease, Ledger, Revisioned, ShardClaim, StoreAction},
+};
+
+use crate::entry::Entry;
+
+fn shard_prefix(zone: &ZoneId) -> String {
+    format!("shard/{zone}/")
+}
+
+fn lead_key(zone: &ZoneId) -> Key {
+    Key::new(format!("lead/{zone}"))
+}
+
+fn ledger_key(cap: &CapId) -> Key {
+    Key::new(format!("grant/{cap}"))
+}
+
+fn answer<T>(write: Write<T>) -> Answer<T> {
+    match write {
+        Write::Applied(value) => Answer::Applied(value),
+        Write::Refused(_) => Answer::Refused,
+        Write::Unknown(error) => {
+            log::debug!(target: "store", "A write ended unknown: {error}.");
+            Answer::Unknown
+        }
+    }
+}
+
+/// Reads or writes claims of shards; a read may call for writes.
+pub(crate) async fn shard(entry: &Arc<Entry>, action: ShardAction) {
+    let mut actions = vec![action];
+    while let Some(action) = actions.pop() {
+        match action {
+            ShardAction::Read => {
+                let claims = read_claims(entry).await;
+                actions
+                    .extend(entry.decide(|engine, now| engine.on_shard_read(claims.as_ref(), now)));
+            }
+            ShardAction::Write(index, expected, claim) => {
+                let key = Key::new(format!("{}{index}", shard_prefix(&entry.settings.zone)));
+                let value = claim.map(|it| json(&it));
+                let ended = answer(entry.store.cas(&key, expected, value, None).await);
+                log::info!(target: "store", "The claim of shard {index} ended {ended:?}.");
+                entry.decide(|engine, now| engine.on_shard_write(index, &ended, now));
+            }
+        }
+    }
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("it is plain data")
+}
+
+async fn read_claims(entry: &Entry) -> Option<Claims> {
+    let prefix = shard_prefix(&entry.settings.zone);
+    let found = entry.store.watch(&prefix, Revision::ZERO, Millis::ZERO).await;
+    let found = match found {
+        Ok(found) => found,
+        Err(error) => {
+            log::debug!(target: "store", "The claims of shards cannot be read: {error}.");
+            return None;
+        }
+    };
+    let mut claims = BTreeMap::new();
+    for Stored { key, value, revision } in found {
+        let Some(value) = value else {
+            continue;
+        };
+        let index = key.as_str().strip_prefix(&prefix).and_then(|it| it.parse().ok());
+        let claim = serde_json::from_slice::<ShardClaim>(&value).ok();
+        if let (Some(index), Some(claim)) = (index, claim) {
+            claims.insert(index, (claim, revision));
+        }
+    }
+    Some(claims)
+}
+
+/// Makes one call for the leased grants of this data centre.
+pub(crate) async fn grant(entry: &Arc<Entry>, action: StoreAction) {
+    let store = &entry.store;
+    match action {
+        StoreAction::TakeLease(ttl) => {
+            let ended = answer(store.lease(ttl).await);
+            let ended = match ended {
+                Answer::Applied(LeaseId(id)) => Answer::Applied(Lease(id)),
+                Answer::Refused => Answer::Refused,
+                Answer::Unknown => Answer::Unknown,
+            };
+            entry.decide(|engine, _| engine.holder().on_lease(ended));
+        }
+        StoreAction::Claim(zone, lease) => {
+            let id = Some(LeaseId(lease.0));
+            let ended = answer(store.cas(&lead_key(&zone), None, Some(json(&lease)), id).await);
+            entry.decide(|engine, _| engine.holder().on_claim(ended));
+        }
+        StoreAction::KeepAlive(lease) => {
+            let ended = answer(store.keep_alive(LeaseId(lease.0)).await);
+            entry.decide(|engine, _| engine.holder().on_kept(ended));
+        }
+        StoreAction::ReadLead(zone, _) => {
+            let found = store.read(&lead_key(&zone)).await;
+            let shown = found.ok().map(|it| it.and_then(|it| read::<Lease>(&it)));
+            entry.decide(|engine, now| engine.holder().on_lead(shown, now));
+        }
+        StoreAction::ReadLedger(cap) => {
+            let found = store.read(&ledger_key(&cap)).await;
+            let ledger = found.ok().map(|it| ledger(it.as_ref()));
+            entry.decide(|engine, _| engine.holder().on_read(&cap, ledger));
+        }
+        StoreAction::WriteLedger(cap, Revisioned { revision, ledger }) => {
+            let value = Some(json(&ledger));
+            let ended = answer(store.cas(&ledger_key(&cap), revision, value, None).await);
+            entry.decide(|engine, _| engine.holder().on_write(&cap, ended));
+        }
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(found: &Stored) -> Option<T> {
+    serde_json::from_slice(found.value.as_ref()?).ok()
+}
+
+fn ledger(found: Option<&Stored>) -> Revisioned {
+    let Some(found) = found else {
+        return Revisioned::default();
+    };
+    let ledger = read::<Ledger>(found).unwrap_or_default();
+    Revisioned { revision: Some(found.revision), ledger }
+}
--- /dev/null
+++ b/crates/th-entry/src/task/mod.rs
@@ -0,0 +1,15 @@
+//! What an entry process does besides answering: the tick loop and what it asks for.
+
+mod actions;
+mod bundles;
+mod grants;
+mod sample;
+mod ticking;
+mod vms;
+mod watch;
+
+pub(crate) use actions::perform;
+pub(crate) use sample::{counted, is_good, sample};
+pub(crate) use ticking::run_ticks;
+pub(crate) use vms::run_vms;
+pub(crate) use watch::run_watch;
--- /dev/null
+++ b/crates/th-entry/src/task/ticking.rs
@@ -0,0 +1,34 @@
+//! The tick loop.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use super::{perform, sample};
+use crate::entry::Entry;
+
+/// Shortest time between two ticks, however much there is to do at once.
+const LEAST: Duration = Duration::from_millis(10);
+/// Time between two samples for the burn report.
+const SAMPLE: Duration = Duration::from_secs(1);
+
+/// Runs the systems once a tick, and at once when something calls for it.
+pub(crate) async fn run_ticks(entry: Arc<Entry>) {
+    let mut ticks = interval(Duration::from_millis(entry.settings.pace.tick.0));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut samples = interval(SAMPLE);
+    samples.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = entry.hurry.notified() => sleep(LEAST).await,
+            _ = samples.tick() => {
+                sample(&entry);
+                continue;
+            }
+        }
+        for action in entry.decide(|engine, now| engine.tick(now)) {
+            tokio::spawn(perform(Arc::clone(&entry), action));
+        }
+    }
+}
--- /dev/null
+++ b/crates/th-entry/src/task/vms.rs
@@ -0,0 +1,29 @@
+//! Reads the platform's list of VMs.
+
+use std::{sync::Arc, time::Duration};
+
+use th_platform::Platform;
+use th_protocol::Millis;
+use tokio::time::sleep;
+
+use crate::entry::Entry;
+
+/// How much longer the wait is for each entry VM, on those that do not watch: the whole fleet makes a bounded number of
+/// calls a second.
+const PER_MEMBER: Millis = Millis(8);
+
+/// Reads the list again and again.
+pub(crate) async fn run_vms(entry: Arc<Entry>) {
+    loop {
+        match entry.store.vms().await {
+            Ok(list) => entry.decide(|engine, now| engine.on_vms(&list, now)),
+            Err(error) => log::debug!(target: "store", "The list of VMs cannot be read: {error}."),
+        }
+        let (watches, members) =
+            entry.decide(|engine, _| (engine.watches(), engine.member_count()));
+        let spread = Millis(PER_MEMBER.0.saturating_mul(members as u64));
+        let wait =
+            if watches { entry.settings.pace.list } else { entry.settings.pace.list.max(spread) };
+        sleep(Duration::from_millis(wait.0)).await;
+    }
+}
--- a/crates/th-protocol/src/bundle/digest.rs
+++ b/crates/th-protocol/src/bundle/digest.rs
@@ -25,6 +25,11 @@
         Digest(Sha256::digest(bytes).into())
     }
 
+    /// The digest with these bytes.
+    pub fn from_bytes(bytes: [u8; 32]) -> Digest {
+        Digest(bytes)
+    }
+
     /// The raw bytes.
     pub fn bytes(&self) -> &[u8; 32] {
         &self.0
--- a/crates/th-protocol/src/peer.rs
+++ b/crates/th-protocol/src/peer.rs
@@ -190,5 +190,6 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BundleAnswer {
     /// The bytes.
+    #[serde(with = "serde_bytes")]
     pub content: Option<Vec<u8>>,
 }
--- a/crates/th-steer/src/engine/action.rs
+++ b/crates/th-steer/src/engine/action.rs
@@ -41,8 +41,8 @@
 /// A call about the claim of one shard.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ShardAction {
-    /// Read the claim; answered by `on_shard_read`.
-    Read(u32),
+    /// Read the claims of all shards of this data centre; answered by `on_shard_read`.
+    Read,
     /// Write the claim, or remove it, over that revision; answered by `on_shard_write`.
     Write(u32, Option<Revision>, Option<ShardClaim>),
 }
--- a/crates/th-steer/src/engine/call.rs
+++ b/crates/th-steer/src/engine/call.rs
@@ -36,6 +36,8 @@
     pub size: Bytes,
     /// Whether another entry VM sent it and decides about retries.
     pub forwarded: bool,
+    /// Tries that the caller has made before.
+    pub tries: u32,
     /// A number that names it in explanations.
     pub number: u64,
 }
--- a/crates/th-steer/src/engine/capacity.rs
+++ b/crates/th-steer/src/engine/capacity.rs
@@ -6,11 +6,14 @@
 };
 
 use th_protocol::{
-    AttemptId, BackendId, Bundle, Bytes, Connections, LinkId, Millis, Permille, RegionId,
+    AttemptId, BackendId, Bundle, Bytes, Connections, LinkId, Millis, Permille, RegionId, Revision,
     ServiceId, Slots as Count, Time, VmId, ZoneId,
 };
 
-use super::{EngineSettings, ShardAction, shards::Shards};
+use super::{
+    EngineSettings, ShardAction,
+    shards::{Claims, ShardRules, Shards},
+};
 use crate::limit::{
     Answer, CapId, CapTable, Charge, Holder, LinkMeter, Need, PartAnswer, PartAsk, Refusal,
     ShardClaim, Share, SlotLimit, Slots, Splitter, StoreAction, deal,
@@ -233,6 +236,16 @@
         Ok(Some((link, charged?)))
     }
 
+    /// Notes bytes that go to another region whatever the cap says, as a debt.
+    pub(crate) fn owe(&mut self, to: &RegionId, bytes: Bytes) {
+        let Some(from) = self.region.clone().filter(|it| it != to) else {
+            return;
+        };
+        if let Some(link) = self.link(&from, to) {
+            self.meters.entry(link).or_default().owe(bytes);
+        }
+    }
+
     /// Settles a charge by what was really sent.
     pub(crate) fn settle(&mut self, (link, charge): (LinkId, Charge), actual: Bytes) {
         if let Some(meter) = self.meters.get_mut(&link) {
@@ -263,27 +276,34 @@
         free
     }
 
-    /// The calls about shards that are due.
-    pub(crate) fn tick_shards(&mut self, live: &BTreeSet<VmId>, now: Time) -> Vec<ShardAction> {
-        self.shards.tick(live, self.claim, self.longest, now)
+    fn rules(&self, spare: bool) -> ShardRules {
+        ShardRules { period: self.claim, deadline: self.longest, spare }
     }
 
-    pub(crate) fn on_shard_read(
+    /// The calls about shards that are due.
+    pub(crate) fn tick_shards(
         &mut self,
-        index: u32,
-        read: Option<Option<(ShardClaim, th_protocol::Revision)>>,
-        wants_more: bool,
+        live: &BTreeSet<VmId>,
+        spare: bool,
         now: Time,
-    ) -> Option<ShardAction> {
-        self.shards.on_read(index, read, wants_more, self.longest, now)
+    ) -> Vec<ShardAction> {
+        self.shards.tick(live, self.rules(spare), now)
+    }
+
+    pub(crate) fn release_shards(&mut self) -> Vec<ShardAction> {
+        self.shards.release()
     }
 
-    pub(crate) fn on_shard_write(
+    pub(crate) fn on_shard_read(
         &mut self,
-        index: u32,
-        answer: &Answer<th_protocol::Revision>,
+        read: Option<&Claims>,
+        spare: bool,
         now: Time,
-    ) {
+    ) -> Vec<ShardAction> {
+        self.shards.on_read(read, self.rules(spare), now)
+    }
+
+    pub(crate) fn on_shard_write(&mut self, index: u32, answer: &Answer<Revision>, now: Time) {
         self.shards.on_write(index, answer, self.longest, now);
     }
 
--- a/crates/th-steer/src/engine/engine.rs
+++ b/crates/th-steer/src/engine/engine.rs
@@ -12,7 +12,7 @@
     ZoneId,
 };
 
-use super::{EngineSettings, Identity, Wake, capacity::Capacity, routing::Routing};
+use super::{Action, EngineSettings, Identity, Wake, capacity::Capacity, routing::Routing};
 use crate::{
     backend::Backends,
     explain::Journal,
@@ -43,6 +43,8 @@
     pub(crate) retry: RetryPolicy,
     pub(crate) journal: Journal,
     pub(crate) wakes: Vec<Wake>,
+    /// Actions for the next tick.
+    pub(crate) pending: Vec<Action>,
     pub(crate) waiters: u64,
     pub(crate) stopping: bool,
     /// Entry VMs that the platform lists in this data centre.
@@ -87,6 +89,7 @@
             bundle: None,
             since: now,
             wakes: Vec::new(),
+            pending: Vec::new(),
             waiters: 0,
             stopping: false,
             neighbours: BTreeSet::new(),
@@ -106,8 +109,8 @@
         self.bundle.as_ref()
     }
 
-    /// Puts a bundle in force. One that is not newer than the present one is ignored; false then.
-    pub fn apply(&mut self, bundle: Arc<Bundle>, now: Time) -> bool {
+    /// Takes a bundle over, unless it is not newer than the present one; false then.
+    pub(crate) fn put_in_force(&mut self, bundle: Arc<Bundle>, now: Time) -> bool {
         let newer = self.bundle.as_ref().is_none_or(|it| it.version < bundle.version);
         if !newer {
             return false;
@@ -173,11 +176,6 @@
         }
     }
 
-    /// Leaves look-up answers; requests are still taken.
-    pub fn leave(&mut self) {
-        self.members.leave();
-    }
-
     /// Takes no new requests from here on.
     pub fn close(&mut self) {
         self.stopping = true;
--- a/crates/th-steer/src/engine/finish.rs
+++ b/crates/th-steer/src/engine/finish.rs
@@ -1,20 +1,23 @@
 //! How attempts end, and what follows.
 
-use th_protocol::{AttemptId, BackendId, Bytes, LinkId, Millis, RegionId, Time};
+use th_protocol::{
+    AttemptId, BackendId, Bytes, LinkId, Millis, OperationId, Reason, RegionId, ServiceId, Slots,
+    Time, VmId,
+};
 
 use super::{Engine, Run};
 use crate::{
     backend::Outcome,
     limit::{Charge, Refusal},
     retry::{Failure, RetryDecision, Slow},
-    ticket::{Checkpoint, Dispatched, Operation, Undispatched},
+    ticket::{Admitted, Checkpoint, Dispatched, Operation, Undispatched},
 };
 
 impl<A: Clone> Engine<A> {
     /// Ends an attempt at a backend server: frees its slot and gives it to the next in the queue.
     pub fn finish(
         &mut self,
-        service: &th_protocol::ServiceId,
+        service: &ServiceId,
         attempt: AttemptId,
         outcome: Outcome,
         latency: Millis,
@@ -55,7 +58,7 @@
     }
 
     /// How long a try of a service may take before a second one is considered.
-    pub fn hedge_after(&self, service: &th_protocol::ServiceId) -> Option<Millis> {
+    pub fn hedge_after(&self, service: &ServiceId) -> Option<Millis> {
         self.retry.hedge_after(service)
     }
 
@@ -68,7 +71,7 @@
             forwarded: run.call.forwarded,
             tries: run.tries,
             sent,
-            free: th_protocol::Slots(u32::from(free)),
+            free: Slots(u32::from(free)),
         };
         self.retry.hedge(&run.call.service, &slow, now)
     }
@@ -76,10 +79,10 @@
     /// Takes the last step before the first byte of a non-idempotent request.
     pub fn dispatch(
         &mut self,
-        token: Operation<crate::ticket::Admitted>,
+        token: Operation<Admitted>,
         deadline: Time,
         now: Time,
-    ) -> Result<Operation<Dispatched>, th_protocol::Reason> {
+    ) -> Result<Operation<Dispatched>, Reason> {
         let incarnation = self.members.replaced().unwrap_or(self.me.incarnation);
         self.tickets.dispatch(token, Checkpoint { now, incarnation, deadline })
     }
@@ -90,10 +93,7 @@
     }
 
     /// Takes a non-idempotent request back, since it was surely not run.
-    pub fn take_back(
-        &mut self,
-        token: Operation<Dispatched>,
-    ) -> Operation<crate::ticket::Admitted> {
+    pub fn take_back(&mut self, token: Operation<Dispatched>) -> Operation<Admitted> {
         self.tickets.refused(token)
     }
 
@@ -103,7 +103,7 @@
     }
 
     /// Ends a non-idempotent request that may have run.
-    pub fn unknown(&mut self, token: Operation<Dispatched>, reason: th_protocol::Reason) {
+    pub fn unknown(&mut self, token: Operation<Dispatched>, reason: Reason) {
         self.tickets.unknown(token, reason);
     }
 
@@ -121,4 +121,25 @@
     ) -> Result<Option<(LinkId, Charge)>, Refusal> {
         self.capacity.charge(to, bytes, now)
     }
+
+    /// Notes bytes that were sent to another region without asking, as a debt of the link.
+    pub fn owe(&mut self, to: &RegionId, bytes: Bytes) {
+        self.capacity.owe(to, bytes);
+    }
+
+    /// Notes a request that is sent to the owner of its ticket.
+    pub fn charge_forward(&mut self, owner: &VmId, bytes: Bytes) {
+        let zone = self.members.record(owner).map(|it| it.zone.clone());
+        let spec = zone.and_then(|it| self.bundle.as_ref()?.zones.get(&it).cloned());
+        if let Some(spec) = spec {
+            self.capacity.owe(&spec.region, bytes);
+        }
+    }
+
+    /// The expected size of a request and its answer.
+    pub fn expected_size(&self, service: &ServiceId, operation: &OperationId) -> Bytes {
+        let spec = self.bundle.as_ref().and_then(|it| it.services.get(service));
+        let spec = spec.and_then(|it| it.operations.get(operation));
+        spec.map_or(Bytes::ZERO, |it| it.size)
+    }
 }
--- a/crates/th-steer/src/engine/mod.rs
+++ b/crates/th-steer/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! All decisions of one entry VM, put together.
 
 mod action;
+mod bundles;
 mod call;
 mod capacity;
 #[expect(clippy::module_inception, reason = "the file is named after its type")]
@@ -23,4 +24,5 @@
 pub use engine::Engine;
 pub use identity::Identity;
 pub use settings::EngineSettings;
+pub use shards::Claims;
 pub use view::View;
--- a/crates/th-steer/src/engine/place.rs
+++ b/crates/th-steer/src/engine/place.rs
@@ -20,6 +20,9 @@
 /// When a request that nothing is known about may come back.
 const USUAL_RETRY: Millis = Millis(1_000);
 
+/// Data centres that may refuse a request before it is tried nowhere else.
+const MAX_REFUSALS: usize = 2;
+
 /// A request that waits for a slot.
 #[derive(Debug, Clone)]
 pub(crate) struct Waiter {
@@ -67,6 +70,17 @@
         self.enqueue(run, obstacle, now)
     }
 
+    /// A backend server of this data centre for a second try of a slow request.
+    pub fn place_hedge(&mut self, run: &Run, now: Time) -> Option<Place> {
+        let left = remaining(run.call.deadline, now)?;
+        self.place_here(&run.call, run.spec.idempotent, left, now).ok()
+    }
+
+    /// The region that this VM is in.
+    pub fn region(&self) -> Option<&RegionId> {
+        self.capacity.region()
+    }
+
     fn no_place(&mut self, call: &Call, reason: Reason, retry: Millis, now: Time) -> Place {
         let notice = notices::refused(reason, retry);
         self.explain_refusal(call, &notice, now);
@@ -120,6 +134,9 @@
         let Some(home) = self.capacity.region().cloned() else {
             return Err(None);
         };
+        if MAX_REFUSALS <= run.refused.len() {
+            return Err(None);
+        }
         let mut binding = None;
         for (zone, region) in self.zones_with_room(run, &home, now) {
             let Some(record) = self.live_entry(&zone) else {
--- a/crates/th-steer/src/engine/receive.rs
+++ b/crates/th-steer/src/engine/receive.rs
@@ -13,7 +13,11 @@
 /// What the table of operations says, or nothing for an idempotent request.
 enum Checked<A> {
     Go(Option<Operation<Received>>),
-    End(Receive<A>),
+    End(Box<Receive<A>>),
+}
+
+fn end<A>(receive: Receive<A>) -> Checked<A> {
+    Checked::End(Box::new(receive))
 }
 
 impl<A: Clone> Engine<A> {
@@ -28,8 +32,10 @@
         let checked = self.check(&call, &spec, now);
         let token = match checked {
             Checked::Go(token) => token,
-            Checked::End(Receive::Notice(notice)) => return self.refuse(&call, notice, now),
-            Checked::End(end) => return end,
+            Checked::End(end) => match *end {
+                Receive::Notice(notice) => return self.refuse(&call, notice, now),
+                end => return end,
+            },
         };
         if !call.forwarded {
             self.retry.offered(&call.service);
@@ -37,7 +43,8 @@
         if let Some(routing) = &mut self.routing {
             routing.count(&call.service, call.source);
         }
-        Receive::Run(Run { call, spec, token, tries: 0, refused: BTreeSet::new() })
+        let tries = call.tries;
+        Receive::Run(Run { call, spec, token, tries, refused: BTreeSet::new() })
     }
 
     fn spec(&self, call: &Call) -> Result<Spec, Notice> {
@@ -54,37 +61,37 @@
         // An entry VM that forwards a non-idempotent request is the owner of its ticket.
         if spec.idempotent || call.forwarded {
             return match self.stopping {
-                true => Checked::End(Receive::Notice(notices::not_run(Reason::Stopping))),
+                true => end(Receive::Notice(notices::not_run(Reason::Stopping))),
                 false => Checked::Go(None),
             };
         }
         let Some(sealed) = &call.ticket else {
-            return Checked::End(Receive::Notice(self.with_ticket(call, Reason::NoTicket, now)));
+            return end(Receive::Notice(self.with_ticket(call, Reason::NoTicket, now)));
         };
         let Some(key) = &call.key else {
-            return Checked::End(Receive::Notice(notices::not_run(Reason::NoKey)));
+            return end(Receive::Notice(notices::not_run(Reason::NoKey)));
         };
         let key: IdempotencyKey = match key.parse() {
             Ok(key) => key,
-            Err(_) => return Checked::End(Receive::Notice(notices::not_run(Reason::NoKey))),
+            Err(_) => return end(Receive::Notice(notices::not_run(Reason::NoKey))),
         };
         let ticket = match self.keys.open(sealed) {
             Ok(ticket) => ticket,
             Err(error) => {
                 let notice = self.with_ticket(call, error.reason(), now);
-                return Checked::End(Receive::Notice(notice));
+                return end(Receive::Notice(notice));
             }
         };
         if ticket.service != call.service || ticket.operation != call.operation {
-            return Checked::End(Receive::Notice(notices::not_run(Reason::BadTicket)));
+            return end(Receive::Notice(notices::not_run(Reason::BadTicket)));
         }
         match self.tickets.begin(&ticket, key, call.print, now) {
             Begin::Fresh(token) => Checked::Go(Some(token)),
-            Begin::InFlight => Checked::End(Receive::Wait),
-            Begin::Kept(answer) => Checked::End(Receive::Kept(answer)),
-            Begin::Unknown(reason) => Checked::End(Receive::Notice(notices::unknown(reason))),
-            Begin::Refused(reason) => Checked::End(Receive::Notice(notices::not_run(reason))),
-            Begin::Forward(owner) => Checked::End(self.to_owner(&owner, ticket.incarnation)),
+            Begin::InFlight => end(Receive::Wait),
+            Begin::Kept(answer) => end(Receive::Kept(answer)),
+            Begin::Unknown(reason) => end(Receive::Notice(notices::unknown(reason))),
+            Begin::Refused(reason) => end(Receive::Notice(notices::not_run(reason))),
+            Begin::Forward(owner) => end(self.to_owner(&owner, ticket.incarnation)),
         }
     }
 
--- a/crates/th-steer/src/engine/shards.rs
+++ b/crates/th-steer/src/engine/shards.rs
@@ -7,7 +7,12 @@
 use super::ShardAction;
 use crate::limit::{Answer, ShardClaim, ShardSlot};
 
-/// One shard, and the call about it that is under way.
+/// Reads of all claims between two reads by a VM that has what it needs.
+const SETTLED_PERIODS: u64 = 30;
+/// The same for a VM that holds a shard which another VM may lack.
+const SPARE_PERIODS: u64 = 5;
+
+/// One shard, and the write of its claim that is under way.
 #[derive(Debug, Clone, Default)]
 struct Row {
     slot: ShardSlot,
@@ -16,7 +21,20 @@
     /// Given up at this time; the claim is removed once work from before has ended.
     given: Option<Time>,
     busy: bool,
-    read: Option<Time>,
+}
+
+/// The claims of a data centre's shards, as one read brought them.
+pub type Claims = BTreeMap<u32, (ShardClaim, Revision)>;
+
+/// What is decided from, besides the claims.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ShardRules {
+    /// Time between reads while a shard is wanted.
+    pub(crate) period: Millis,
+    /// The longest deadline of any operation.
+    pub(crate) deadline: Millis,
+    /// Whether more than one shard is wanted, since the data centre has fewer VMs than shards.
+    pub(crate) spare: bool,
 }
 
 /// The shards of one data centre, as one VM sees them.
@@ -26,15 +44,20 @@
     rows: Vec<Row>,
     /// The platform's list of VMs; no shard is taken over before it was read.
     listed: Option<BTreeSet<VmId>>,
+    reading: bool,
+    read: Option<Time>,
 }
 
 impl Shards {
     pub(crate) fn new(me: ShardClaim) -> Shards {
-        Shards { me, rows: Vec::new(), listed: None }
+        Shards { me, rows: Vec::new(), listed: None, reading: false, read: None }
     }
 
     /// Sets the number of shards.
     pub(crate) fn resize(&mut self, count: u32) {
+        if count as usize != self.rows.len() {
+            self.read = None;
+        }
         self.rows.resize_with(count as usize, Row::default);
     }
 
@@ -57,49 +80,45 @@
         usable
     }
 
-    /// Whether this VM owns a shard, usable yet or not.
+    /// The number of shards that this VM owns, usable yet or not.
     fn owned(&self) -> usize {
         let owns = |row: &&Row| row.given.is_none() && matches!(row.slot, ShardSlot::Owned(_));
         self.rows.iter().filter(owns).count()
     }
 
-    /// The calls that are due: claims of shards that nobody owns, and the return of shards that
-    /// live VMs of the data centre lack.
+    /// The calls that are due: a read of the claims, and the removal of those given up.
     pub(crate) fn tick(
         &mut self,
         live: &BTreeSet<VmId>,
-        period: Millis,
-        deadline: Millis,
+        rules: ShardRules,
         now: Time,
     ) -> Vec<ShardAction> {
         let mut actions = Vec::new();
         self.give_up(live, now);
-        let first = self.first();
-        for step in 0..self.rows.len() {
-            let i = (first + step) % self.rows.len();
-            let row = &mut self.rows[i];
-            if row.busy {
-                continue;
-            }
-            if let Some(action) = remove(i as u32, row, deadline, now) {
-                actions.push(action);
-                continue;
-            }
-            let waits = row.read.is_some_and(|at| now < at.after(period));
-            if waits || row.given.is_some() {
-                continue;
-            }
-            row.busy = true;
-            row.read = Some(now);
-            actions.push(ShardAction::Read(i as u32));
+        for (i, row) in (0..).zip(&mut self.rows) {
+            actions.extend(removal(i, row, rules.deadline, now));
+        }
+        if self.read_due(rules, now) {
+            self.reading = true;
+            self.read = Some(now);
+            actions.push(ShardAction::Read);
         }
         actions
     }
 
-    /// The shard to try first: spread by name, so that VMs that start together seldom collide.
-    fn first(&self) -> usize {
-        let sum: usize = self.me.vm.as_str().bytes().map(usize::from).sum();
-        sum % self.rows.len().max(1)
+    fn read_due(&self, rules: ShardRules, now: Time) -> bool {
+        if self.reading || self.rows.is_empty() {
+            return false;
+        }
+        let unsettled = self.rows.iter().any(|row| matches!(row.slot, ShardSlot::Claiming { .. }));
+        let periods = match self.owned() {
+            0 => 1,
+            _ if unsettled => 1,
+            1 if !rules.spare => SETTLED_PERIODS,
+            _ => SPARE_PERIODS,
+        };
+        let wait = Millis(rules.period.0.saturating_mul(periods));
+        self.read.is_none_or(|at| at.after(wait) <= now)
     }
 
     /// Gives one shard up where this VM owns several and another live VM owns none.
@@ -124,41 +143,82 @@
         }
     }
 
-    /// Takes the claim of a shard as it was read; `None` where the read failed. Gives the write
-    /// that is due.
+    /// Gives every shard up, since this VM stops and has nothing in flight. Gives the writes.
+    pub(crate) fn release(&mut self) -> Vec<ShardAction> {
+        let mut actions = Vec::new();
+        for (i, row) in (0..).zip(&mut self.rows) {
+            let Some((claim, revision)) = &row.found else {
+                continue;
+            };
+            if *claim == self.me {
+                actions.push(ShardAction::Write(i, Some(*revision), None));
+            }
+            row.given = Some(Time::ZERO);
+            row.busy = true;
+        }
+        actions
+    }
+
+    /// Takes the claims as they were read; `None` where the read failed. Gives the writes that
+    /// are due.
     pub(crate) fn on_read(
         &mut self,
-        index: u32,
-        read: Option<Option<(ShardClaim, Revision)>>,
-        wants_more: bool,
-        deadline: Millis,
+        read: Option<&Claims>,
+        rules: ShardRules,
+        now: Time,
+    ) -> Vec<ShardAction> {
+        self.reading = false;
+        let Some(claims) = read else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        let first = self.first();
+        for step in 0..self.rows.len() {
+            let index = (first + step) % self.rows.len();
+            actions.extend(self.on_claim(index, claims.get(&(index as u32)), rules, now));
+        }
+        actions
+    }
+
+    /// The shard to try first: spread by name, so that VMs that start together seldom collide.
+    fn first(&self) -> usize {
+        let sum: usize = self.me.vm.as_str().bytes().map(usize::from).sum();
+        sum % self.rows.len().max(1)
+    }
+
+    fn on_claim(
+        &mut self,
+        index: usize,
+        found: Option<&(ShardClaim, Revision)>,
+        rules: ShardRules,
         now: Time,
     ) -> Option<ShardAction> {
-        let owned = self.owned();
-        let row = self.rows.get_mut(index as usize)?;
-        row.busy = false;
-        let found = read?;
-        row.found = found.clone();
-        let claim = found.as_ref().map(|(claim, revision)| (claim, *revision));
-        let mine = claim.is_some_and(|(claim, _)| *claim == self.me);
+        let held = self.owned() + self.rows.iter().filter(|it| it.busy).count();
+        let row = &mut self.rows[index];
+        if row.busy {
+            return None;
+        }
+        row.found = found.cloned();
         // A claim that this VM has given up is its own until it is removed.
         if row.given.is_some() {
             return None;
         }
-        let enough = 0 < owned && !wants_more;
+        let claim = found.map(|(claim, revision)| (claim, *revision));
+        let mine = claim.is_some_and(|(claim, _)| *claim == self.me);
+        let enough = 0 < held && !rules.spare;
         if !mine && enough {
             row.slot = ShardSlot::Other;
             return None;
         }
-        let empty = BTreeSet::new();
-        let taken = claim.is_some_and(|(claim, _)| claim.vm != self.me.vm);
-        if taken && self.listed.is_none() {
+        let foreign = claim.is_some_and(|(claim, _)| claim.vm != self.me.vm);
+        if foreign && self.listed.is_none() {
             return None;
         }
-        let listed = self.listed.as_ref().unwrap_or(&empty);
-        let expected = row.slot.on_read(claim, &self.me, listed, deadline, now)?;
+        let none = BTreeSet::new();
+        let listed = self.listed.as_ref().unwrap_or(&none);
+        let expected = row.slot.on_read(claim, &self.me, listed, rules.deadline, now)?;
         row.busy = true;
-        Some(ShardAction::Write(index, expected, Some(self.me.clone())))
+        Some(ShardAction::Write(index as u32, expected, Some(self.me.clone())))
     }
 
     /// Takes how a write ended.
@@ -173,15 +233,17 @@
             return;
         };
         row.busy = false;
-        row.read = None;
-        if row.given.is_none() {
-            row.slot.on_write(answer, deadline, now);
+        if row.given.is_some() {
+            match answer {
+                Answer::Applied(_) => *row = Row::default(),
+                // Read anew before the next try.
+                Answer::Refused | Answer::Unknown => row.found = None,
+            }
             return;
         }
-        match answer {
-            Answer::Applied(_) => *row = Row { read: Some(now), ..Row::default() },
-            // Read anew before the next try.
-            Answer::Refused | Answer::Unknown => row.found = None,
+        row.slot.on_write(answer, deadline, now);
+        if let Answer::Applied(revision) = answer {
+            row.found = Some((self.me.clone(), *revision));
         }
     }
 
@@ -198,14 +260,12 @@
 }
 
 /// The removal of a claim that was given up long enough ago.
-fn remove(index: u32, row: &mut Row, deadline: Millis, now: Time) -> Option<ShardAction> {
+fn removal(index: u32, row: &mut Row, deadline: Millis, now: Time) -> Option<ShardAction> {
     let given = row.given?;
-    if now < given.after(deadline) {
+    if row.busy || now < given.after(deadline) {
         return None;
     }
+    let (_, revision) = row.found.as_ref()?;
     row.busy = true;
-    let Some((_, revision)) = &row.found else {
-        return Some(ShardAction::Read(index));
-    };
     Some(ShardAction::Write(index, Some(*revision), None))
 }
--- a/crates/th-steer/src/engine/store.rs
+++ b/crates/th-steer/src/engine/store.rs
@@ -2,23 +2,28 @@
 
 use th_protocol::{Revision, Time};
 
-use super::{Action, Engine, ShardAction};
-use crate::limit::{Answer, Holder, PartAnswer, PartAsk, ShardClaim};
+use super::{Action, Claims, Engine, ShardAction};
+use crate::limit::{Answer, Holder, PartAnswer, PartAsk};
 
 impl<A: Clone> Engine<A> {
-    /// Takes the claim of a shard as it was read; `None` where the read failed. Gives the write
-    /// that is due.
-    pub fn on_shard_read(
-        &mut self,
-        index: u32,
-        read: Option<Option<(ShardClaim, Revision)>>,
-        now: Time,
-    ) -> Option<ShardAction> {
-        let wants_more = self.neighbours.len() < self.capacity.shards().count() as usize
-            && !self.neighbours.is_empty();
-        let action = self.capacity.on_shard_read(index, read, wants_more, now);
+    /// Whether the data centre has fewer entry VMs than shards.
+    fn spare(&self) -> bool {
+        let listed = self.neighbours.len();
+        0 < listed && listed < self.capacity.shards().count() as usize
+    }
+
+    /// Takes the claims of this data centre's shards; `None` where the read failed. Gives the
+    /// writes that are due.
+    pub fn on_shard_read(&mut self, read: Option<&Claims>, now: Time) -> Vec<ShardAction> {
+        let spare = self.spare();
+        let actions = self.capacity.on_shard_read(read, spare, now);
         self.set_allowances(now);
-        action
+        actions
+    }
+
+    /// Gives up all shards, since this VM has nothing in flight and stops.
+    pub fn release_shards(&mut self) -> Vec<ShardAction> {
+        self.capacity.release_shards()
     }
 
     /// Takes how the write of a shard's claim ended.
@@ -47,7 +52,8 @@
     /// The calls for grants that are due.
     pub(crate) fn tick_grants(&mut self, now: Time, actions: &mut Vec<Action>) {
         let live = self.live_neighbours();
-        for it in self.capacity.tick_shards(&live, now) {
+        let spare = self.spare();
+        for it in self.capacity.tick_shards(&live, spare, now) {
             actions.push(Action::Shard(it));
         }
         let lead = live.first() == Some(&self.me.vm);
--- a/crates/th-steer/src/engine/tick.rs
+++ b/crates/th-steer/src/engine/tick.rs
@@ -1,9 +1,10 @@
 //! What is done each tick, and what the platform's list of VMs means.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use th_protocol::{
-    BackendId, Bundle, HeadroomDigest, Heartbeat, MemberState, Time, VmRecord, VmRole, VmState,
+    BackendId, Bundle, HeadroomDigest, Heartbeat, IndirectCheck, MemberState, Time, VmRecord,
+    VmRole, VmState,
 };
 
 use super::{Action, Engine};
@@ -21,7 +22,7 @@
 impl<A: Clone> Engine<A> {
     /// Runs each system over its tables. What has to be sent or called is returned.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let mut actions = std::mem::take(&mut self.pending);
         self.tick_routing(now);
         self.set_allowances(now);
         self.tick_grants(now, &mut actions);
@@ -86,14 +87,34 @@
         watchers(records, &self.me.zone, WATCHERS).contains(&self.me.vm)
     }
 
-    /// Heartbeats to send at once, since a new bundle is in force.
-    pub fn announce(&mut self, now: Time) -> Vec<Action> {
+    /// Makes the next tick send heartbeats, since there is news.
+    fn announce(&mut self, now: Time) {
         self.publish(now);
-        let mut actions = Vec::new();
         for it in self.members.announce(ANNOUNCEMENTS, &mut self.rng) {
-            actions.push(Action::Member(it));
+            self.pending.push(Action::Member(it));
         }
-        actions
+    }
+
+    /// Leaves look-up answers; requests are still taken.
+    pub fn leave(&mut self, now: Time) {
+        self.members.leave();
+        self.announce(now);
+    }
+
+    /// Puts a bundle in force and tells peers. One that is not newer than the present one is
+    /// ignored; false then.
+    pub fn apply(&mut self, bundle: Arc<Bundle>, now: Time) -> bool {
+        if !self.put_in_force(bundle, now) {
+            return false;
+        }
+        self.announce(now);
+        true
+    }
+
+    /// A heartbeat for a VM of which only the address is known.
+    pub fn greeting(&mut self) -> Heartbeat {
+        let target = self.members.me().clone();
+        self.members.on_check(&IndirectCheck { target })
     }
 
     /// Takes a heartbeat and gives the answer to it.
--- a/crates/th-steer/src/limit/link.rs
+++ b/crates/th-steer/src/limit/link.rs
@@ -52,6 +52,11 @@
         self.debt = self.debt.saturating_sub(charge.bytes.minus(actual).0);
     }
 
+    /// Notes bytes that are sent without having been charged.
+    pub fn owe(&mut self, bytes: Bytes) {
+        self.debt = self.debt.saturating_add(bytes.0);
+    }
+
     /// Bytes that were sent over the estimates and are still to be charged.
     pub fn debt(&self) -> Bytes {
         Bytes(self.debt)
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,88 @@
-//! The entry process.
-fn main() {}
+//! The entry process: one on each entry VM.
+
+use std::{fs, path::PathBuf, process::ExitCode, sync::Arc};
+
+use argh::FromArgs;
+use eyre::{Result, WrapErr};
+use th_entry::{Settings, SettingsFault, start, start_logs};
+use th_platform::HttpPlatform;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The process was started wrongly, or its settings are faulty.
+const EXIT_USAGE: u8 = 2;
+/// The stop cut requests, or something failed.
+const EXIT_FAILED: u8 = 1;
+
+/// Steers requests of callers to backend servers. Runs until SIGTERM, then finishes what it holds; a second SIGTERM
+/// ends it at once.
+#[derive(FromArgs)]
+struct Arguments {
+    /// the settings, a JSON file (docs/SETTINGS.md lists its fields)
+    #[argh(positional)]
+    settings: PathBuf,
+
+    /// check the settings, print every fault and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings = match read(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    if arguments.check {
+        println!("{}: no faults", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(cut) => {
+            eprintln!("the stop cut {cut} requests");
+            ExitCode::from(EXIT_FAILED)
+        }
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn read(path: &PathBuf) -> Result<Settings, ExitCode> {
+    let text = fs::read_to_string(path).map_err(|error| {
+        eprintln!("error: reading {}: {error}", path.display());
+        ExitCode::from(EXIT_USAGE)
+    })?;
+    Settings::read(&text).map_err(|faults| {
+        print_faults(path, &faults);
+        ExitCode::from(EXIT_USAGE)
+    })
+}
+
+fn print_faults(path: &PathBuf, faults: &[SettingsFault]) {
+    for fault in faults {
+        eprintln!("{}: {fault}", path.display());
+    }
+    eprintln!("{} faults; docs/SETTINGS.md lists every field", faults.len());
+}
+
+/// Runs until it is told to stop. Gives how many requests the stop cut.
+#[tokio::main]
+async fn run(settings: Settings) -> Result<u32> {
+    start_logs(&settings.logs).wrap_err("starting the log")?;
+    let url = settings.store.clone().unwrap_or_default();
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("listening for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("listening for SIGINT")?;
+    let running = start(settings, Arc::new(HttpPlatform::new(&url))).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let in_flight = running.in_flight();
+    tokio::select! {
+        stopped = running.stop() => Ok(stopped.cut),
+        _ = terminate.recv() => Ok(in_flight.now()),
+        _ = interrupt.recv() => Ok(in_flight.now()),
+    }
+}
