Choose region and next region in one pass

Cause: a look-up drew the exponentials of all regions twice and of all data centres up to three times. Steps towards the desired weights now end instead of leaving a tail of tiny weights.

--- a/crates/th-steer/src/route/choice.rs
+++ b/crates/th-steer/src/route/choice.rs
@@ -13,17 +13,47 @@
     salts: &[u64],
     skip: impl Fn(usize) -> bool,
 ) -> Option<usize> {
-    let mut best = None;
-    let mut least = f64::INFINITY;
+    let mut best = (f64::INFINITY, None);
     for (i, (&weight, &salt)) in weights.iter().zip(salts).enumerate() {
         if weight <= 0.0 || skip(i) {
             continue;
         }
-        let score = -unit(mix(key ^ salt)).ln() / f64::from(weight);
-        if score < least {
-            least = score;
-            best = Some(i);
+        let score = score(key, salt, weight);
+        if score < best.0 {
+            best = (score, Some(i));
         }
     }
-    best
+    best.1
+}
+
+/// Something to choose: its index, weight and salt.
+pub(crate) type Candidate = (usize, f32, u64);
+
+/// The choice among all candidates, and the best other one for which `spare` holds.
+pub(crate) fn choose_two(
+    key: u64,
+    candidates: impl Iterator<Item = Candidate>,
+    spare: impl Fn(usize) -> bool,
+) -> [Option<usize>; 2] {
+    let mut first = (f64::INFINITY, None);
+    let mut second = (f64::INFINITY, None);
+    for (i, weight, salt) in candidates {
+        if weight <= 0.0 {
+            continue;
+        }
+        let score = score(key, salt, weight);
+        if score < first.0 {
+            if first.1.is_some_and(&spare) {
+                second = first;
+            }
+            first = (score, Some(i));
+        } else if score < second.0 && spare(i) {
+            second = (score, Some(i));
+        }
+    }
+    [first.1, second.1]
+}
+
+fn score(key: u64, salt: u64, weight: f32) -> f64 {
+    -unit(mix(key ^ salt)).ln() / f64::from(weight)
 }
--- a/crates/th-steer/src/route/lookup.rs
+++ b/crates/th-steer/src/route/lookup.rs
@@ -5,7 +5,8 @@
 use th_protocol::{Millis, Time};
 
 use super::{
-    Fleet, Map, Picks, RegionIx, ServiceIx, Settings, Weights, ZoneIx, choose,
+    Fleet, Map, Picks, RegionIx, ServiceIx, Settings, Weights, ZoneIx,
+    choice::choose_two,
     hash::{mix, unit},
     map::Place,
 };
@@ -52,14 +53,14 @@
     let map = tables.map;
     let place = map.place(address);
     let row = tables.weights.row(service, place.class);
-    let chosen = choose(place.key, row, &map.region_salts, |_| false);
-    let mut zones = [None; 3];
-    if let Some(region) = chosen {
-        zones[0] = zone(tables, service, region, place.key, None);
-        zones[1] = zone(tables, service, region, place.key, zones[0]);
-    }
-    zones[2] = next_region(tables, service, place, row, chosen)
-        .and_then(|region| zone(tables, service, region, place.key, None));
+    let serves = |it: usize| tables.fleet.serves(RegionIx(it as u16));
+    let regions = row.iter().zip(&map.region_salts).enumerate();
+    let regions = regions.map(|(i, (&weight, &salt))| (i, weight, salt));
+    let [chosen, next] = choose_two(place.key, regions, serves);
+    let next = next.or_else(|| nearest(tables, service, place, chosen));
+    let [first, second] = zones(tables, service, chosen, place.key);
+    let [other, _] = zones(tables, service, next, place.key);
+    let zones = [first, second, other];
     let mut picks = Picks::default();
     fill(tables.fleet, &zones, place.key, &mut picks);
     if picks.is_empty() {
@@ -76,38 +77,33 @@
     }
 }
 
-/// A data centre of `region` with usable entry VMs, by weighted rendezvous over its slots.
-fn zone(
+/// Two data centres of `region` with usable entry VMs, by weighted rendezvous over their slots.
+fn zones(
     tables: &Tables,
     service: ServiceIx,
-    region: usize,
+    region: Option<usize>,
     key: u64,
-    taken: Option<usize>,
-) -> Option<usize> {
+) -> [Option<usize>; 2] {
+    let Some(region) = region else { return [None; 2] };
     let map = tables.map;
-    choose(key, map.zone_slots(service), &map.zone_salts, |it| {
-        map.zone_region[it].row() != region || Some(it) == taken || !tables.fleet.has(it)
-    })
+    let slots = map.zone_slots(service);
+    let usable = map.zones_of(region).iter().filter(|it| tables.fleet.has(it.row()));
+    let zones = usable.map(|it| (it.row(), slots[it.row()], map.zone_salts[it.row()]));
+    choose_two(key, zones, |_| true)
 }
 
-/// The next choice by weight, or else the nearest region that may serve.
-fn next_region(
+/// The nearest region other than the chosen one that the service may use.
+fn nearest(
     tables: &Tables,
     service: ServiceIx,
     place: Place,
-    row: &[f32],
     chosen: Option<usize>,
 ) -> Option<usize> {
-    let map = tables.map;
-    let unusable = |it: usize| Some(it) == chosen || !tables.fleet.serves(RegionIx(it as u16));
-    let next = choose(place.key, row, &map.region_salts, unusable);
-    if next.is_some() {
-        return next;
-    }
-    for &region in map.order(place.class) {
-        let planned = map.planned(service, RegionIx(region.into()));
-        if 0.0 < planned && !unusable(region.into()) {
-            return Some(region.into());
+    for &region in tables.map.order(place.class) {
+        let row = RegionIx(region.into());
+        let planned = tables.map.planned(service, row);
+        if Some(row.row()) != chosen && 0.0 < planned && tables.fleet.serves(row) {
+            return Some(row.row());
         }
     }
     None
--- a/crates/th-steer/src/route/map.rs
+++ b/crates/th-steer/src/route/map.rs
@@ -36,7 +36,8 @@
     zones: Vec<ZoneId>,
     services: Vec<ServiceId>,
     classes: Vec<ClassId>,
-    pub(crate) zone_region: Vec<RegionIx>,
+    zone_region: Vec<RegionIx>,
+    region_zones: Vec<Vec<ZoneIx>>,
     pub(crate) region_salts: Vec<u64>,
     pub(crate) zone_salts: Vec<u64>,
     ranges: Ranges,
@@ -65,9 +66,13 @@
         };
         map.region_salts = map.regions.iter().map(|it| name(it.as_str())).collect();
         map.zone_salts = map.zones.iter().map(|it| name(it.as_str())).collect();
-        for zone in bundle.zones.values() {
+        map.region_zones = vec![Vec::new(); map.regions.len()];
+        for (i, zone) in bundle.zones.values().enumerate() {
             let region = map.region_ix(&zone.region).unwrap_or(RegionIx(u16::MAX));
             map.zone_region.push(region);
+            if let Some(zones) = map.region_zones.get_mut(region.row()) {
+                zones.push(ZoneIx(i as u16));
+            }
         }
         map.add_blocks(bundle);
         map.add_orders(bundle, home);
@@ -158,12 +163,8 @@
         if self.planned[cell] <= 0.0 {
             return 0.0;
         }
-        let mut slots = 0.0;
-        for (&zone, &home) in self.zone_slots(service).iter().zip(&self.zone_region) {
-            if home == region {
-                slots += zone;
-            }
-        }
+        let slots = self.zone_slots(service);
+        let slots: f32 = self.zones_of(region.row()).iter().map(|it| slots[it.row()]).sum();
         self.caps[cell].min(slots) * self.usable[service.row()]
     }
 
@@ -172,6 +173,11 @@
         self.planned[service.row() * self.regions.len() + region.row()]
     }
 
+    /// The data centres of a region.
+    pub(crate) fn zones_of(&self, region: usize) -> &[ZoneIx] {
+        &self.region_zones[region]
+    }
+
     /// Regions by rising delay from the class.
     pub(crate) fn order(&self, class: ClassIx) -> &[u8] {
         &self.order[class.row() * self.regions.len()..][..self.regions.len()]
--- a/crates/th-steer/src/route/planner.rs
+++ b/crates/th-steer/src/route/planner.rs
@@ -8,6 +8,9 @@
     trust,
 };
 
+/// A weight this near to the desired one is set to it, so that steps come to an end.
+const SNAP: f32 = 1e-4;
+
 /// The tables that a tick reads.
 #[derive(Debug, Clone, Copy)]
 pub struct Inputs<'a> {
@@ -189,6 +192,9 @@
         let desired = self.desired.rows(service);
         for (weight, to) in self.in_force.rows_mut(service).iter_mut().zip(desired) {
             *weight += share * (to - *weight);
+            if (to - *weight).abs() < SNAP {
+                *weight = *to;
+            }
         }
     }
 
--- a/crates/th-steer/src/route/ranges.rs
+++ b/crates/th-steer/src/route/ranges.rs
@@ -9,8 +9,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Ranges {
     starts: Vec<u32>,
-    bases: Vec<u32>,
-    classes: Vec<u16>,
+    /// Base and class, side by side since a look-up reads both.
+    blocks: Vec<(u32, u16)>,
 }
 
 struct Open {
@@ -34,8 +34,7 @@
         }
         ranges.close(&mut open, None);
         ranges.starts.shrink_to_fit();
-        ranges.bases.shrink_to_fit();
-        ranges.classes.shrink_to_fit();
+        ranges.blocks.shrink_to_fit();
         ranges
     }
 
@@ -58,25 +57,24 @@
     fn push(&mut self, start: u32, base: u32, class: u16) {
         if self.starts.last() == Some(&start) {
             self.starts.pop();
-            self.bases.pop();
-            self.classes.pop();
+            self.blocks.pop();
         }
         self.starts.push(start);
-        self.bases.push(base);
-        self.classes.push(class);
+        self.blocks.push((base, class));
     }
 
     /// The class of `address` and the base of its block.
     pub(crate) fn find(&self, address: u32) -> Option<(u16, u32)> {
         let i = self.starts.partition_point(|&it| it <= address) - 1;
-        if self.classes[i] == UNKNOWN {
+        let (base, class) = self.blocks[i];
+        if class == UNKNOWN {
             return None;
         }
-        Some((self.classes[i], self.bases[i]))
+        Some((class, base))
     }
 
     /// Bytes of memory held.
     pub(crate) fn bytes(&self) -> usize {
-        self.starts.capacity() * 4 + self.bases.capacity() * 4 + self.classes.capacity() * 2
+        self.starts.capacity() * 4 + self.blocks.capacity() * size_of::<(u32, u16)>()
     }
 }
