Carry weights in force and open effects over to a new bundle

Cause: tables are rebuilt for a new bundle, and a planner that starts anew would jump to the static plan past the cap on shifts. Now rows are matched by id; a test with renumbered rows shows that nothing moves by itself.

--- /dev/null
+++ b/crates/th-steer/src/route/carry.rs
@@ -0,0 +1,46 @@
+//! From the tables of one bundle to those of the next.
+
+use super::Map;
+
+/// For each row of a new map, the row of the same id in an old one.
+#[derive(Debug, Clone)]
+pub struct Carry {
+    pub(crate) services: Vec<Option<usize>>,
+    pub(crate) classes: Vec<Option<usize>>,
+    pub(crate) regions: Vec<Option<usize>>,
+}
+
+impl Carry {
+    /// Matches the ids of two maps.
+    pub fn new(old: &Map, new: &Map) -> Carry {
+        let mut classes = rows(old.classes(), new.classes());
+        classes.push(Some(old.classes().len())); // unknown blocks
+        Carry {
+            services: rows(old.services(), new.services()),
+            classes,
+            regions: rows(old.regions(), new.regions()),
+        }
+    }
+
+    /// Pairs of old and new rows of services and regions.
+    pub(crate) fn regions(&self) -> impl Iterator<Item = ((usize, usize), (usize, usize))> {
+        let services = self.services.iter().enumerate();
+        services.flat_map(move |(s, old)| {
+            let regions = self.regions.iter().enumerate();
+            regions.filter_map(move |(r, region)| Some((((*old)?, (*region)?), (s, r))))
+        })
+    }
+
+    /// Pairs of old and new rows of services and classes.
+    pub(crate) fn classes(&self) -> impl Iterator<Item = ((usize, usize), (usize, usize))> {
+        let services = self.services.iter().enumerate();
+        services.flat_map(move |(s, old)| {
+            let classes = self.classes.iter().enumerate();
+            classes.filter_map(move |(c, class)| Some((((*old)?, (*class)?), (s, c))))
+        })
+    }
+}
+
+fn rows<T: Ord>(old: &[T], new: &[T]) -> Vec<Option<usize>> {
+    new.iter().map(|it| old.binary_search(it).ok()).collect()
+}
--- a/crates/th-steer/src/route/demand.rs
+++ b/crates/th-steer/src/route/demand.rs
@@ -2,7 +2,7 @@
 
 use th_protocol::{Millis, Time};
 
-use super::{ClassIx, ServiceIx};
+use super::{Carry, ClassIx, ServiceIx};
 
 /// Weight of the newest window in the moving average.
 const GAIN: f32 = 0.3;
@@ -83,6 +83,21 @@
         self.seen[service.row()].map(|it| now.since(it))
     }
 
+    /// Takes over the estimates from the tables of the bundle before.
+    pub fn carry(&mut self, from: &Demand, rows: &Carry) {
+        for ((service, class), (to, cell)) in rows.classes() {
+            let (old, new) = (service * from.classes + class, to * self.classes + cell);
+            self.counts[new] = from.counts[old];
+            self.rates[new] = from.rates[old];
+        }
+        for (to, service) in rows.services.iter().enumerate() {
+            let Some(service) = *service else { continue };
+            self.holds[to] = from.holds[service];
+            self.seen[to] = from.seen[service];
+        }
+        self.closed = from.closed;
+    }
+
     /// Bytes of memory held.
     pub fn bytes(&self) -> usize {
         self.counts.capacity() * 4 + self.rates.capacity() * 4 + self.seen.capacity() * 24
--- a/crates/th-steer/src/route/effects.rs
+++ b/crates/th-steer/src/route/effects.rs
@@ -2,7 +2,7 @@
 
 use th_protocol::{Millis, Time};
 
-use super::{RegionIx, ServiceIx};
+use super::{Carry, RegionIx, ServiceIx};
 
 /// Most effects kept for one service and region; the oldest are merged beyond it.
 const MAX_EFFECTS: usize = 16;
@@ -68,6 +68,14 @@
         self.cells[self.cell(service, region)].iter().map(|it| it.slots).sum()
     }
 
+    /// Takes over the effects under way from the tables of the bundle before.
+    pub fn carry(&mut self, from: &Effects, rows: &Carry) {
+        for ((service, region), (to, cell)) in rows.regions() {
+            self.cells[to * self.regions + cell]
+                .clone_from(&from.cells[service * from.regions + region]);
+        }
+    }
+
     /// Bytes of memory held.
     pub fn bytes(&self) -> usize {
         let mut total = self.cells.capacity() * size_of::<Vec<Effect>>();
--- a/crates/th-steer/src/route/loads.rs
+++ b/crates/th-steer/src/route/loads.rs
@@ -2,7 +2,7 @@
 
 use th_protocol::{Millis, Time};
 
-use super::{Effects, RegionIx, ServiceIx, Settings, trust};
+use super::{Carry, Effects, RegionIx, ServiceIx, Settings, trust};
 
 /// A measurement of the slots that run a service's requests in a region.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -99,6 +99,13 @@
         self.age(service, region, now).map_or(0.0, |it| trust(it, settings))
     }
 
+    /// Takes over the measurements from the tables of the bundle before.
+    pub fn carry(&mut self, from: &Loads, rows: &Carry) {
+        for ((service, region), (to, cell)) in rows.regions() {
+            self.cells[to * self.regions + cell] = from.cells[service * from.regions + region];
+        }
+    }
+
     /// Bytes of memory held.
     pub fn bytes(&self) -> usize {
         self.cells.capacity() * size_of::<Cell>()
--- a/crates/th-steer/src/route/map.rs
+++ b/crates/th-steer/src/route/map.rs
@@ -198,6 +198,11 @@
         &self.services
     }
 
+    /// The classes, by row, without the one for unknown blocks.
+    pub fn classes(&self) -> &[ClassId] {
+        &self.classes
+    }
+
     /// The regions, by row.
     pub fn regions(&self) -> &[RegionId] {
         &self.regions
--- a/crates/th-steer/src/route/mod.rs
+++ b/crates/th-steer/src/route/mod.rs
@@ -6,6 +6,7 @@
 //! answers from the weights in force.
 
 pub mod baseline;
+mod carry;
 mod choice;
 mod demand;
 mod effects;
@@ -24,6 +25,7 @@
 mod trust;
 mod weights;
 
+pub use carry::Carry;
 pub use choice::choose;
 pub use demand::Demand;
 pub use effects::Effects;
--- a/crates/th-steer/src/route/planner.rs
+++ b/crates/th-steer/src/route/planner.rs
@@ -3,7 +3,8 @@
 use th_protocol::{Permille, Time};
 
 use super::{
-    ClassIx, Demand, Effects, Expected, Fleet, Loads, Map, RegionIx, ServiceIx, Settings, Weights,
+    Carry, ClassIx, Demand, Effects, Expected, Fleet, Loads, Map, RegionIx, ServiceIx, Settings,
+    Weights,
     fill::{Fill, Scratch},
     trust,
 };
@@ -204,6 +205,18 @@
         self.in_force.rows_mut(service)[start..start + self.regions].copy_from_slice(row);
     }
 
+    /// Takes over the weights in force from the planner of the bundle before, so that a new bundle
+    /// moves traffic only by steps. Classes that the old bundle did not know start with the plan.
+    pub fn carry(&mut self, from: &Planner, rows: &Carry, demand: &Demand) {
+        self.in_force.carry(&from.in_force, rows);
+        for service in 0..rows.services.len() {
+            self.expect(ServiceIx(service as u16), demand);
+        }
+        for ((service, region), (to, cell)) in rows.regions() {
+            self.residue[to * self.regions + cell] = from.residue[service * from.regions + region];
+        }
+    }
+
     /// Records the effect of the changes since the last tick, to be counted until measured.
     pub fn commit(
         &mut self,
--- a/crates/th-steer/src/route/weights.rs
+++ b/crates/th-steer/src/route/weights.rs
@@ -1,6 +1,6 @@
 //! Weights per service, class and region.
 
-use super::{ClassIx, ServiceIx};
+use super::{Carry, ClassIx, ServiceIx};
 
 /// A weight from 0 to 1 for each service, class and region. The weights of one row sum to 1.
 #[derive(Debug, Clone, PartialEq)]
@@ -44,6 +44,24 @@
         self.moving[service.row()] = moving;
     }
 
+    /// Takes over the rows of the bundle before. A weight of a region that is gone is spread over
+    /// the others of its row; a row of which nothing is left stays as it is.
+    pub(crate) fn carry(&mut self, from: &Weights, rows: &Carry) {
+        for ((service, class), (to, cell)) in rows.classes() {
+            let old = &from.cells[(service * from.classes + class) * from.regions..];
+            let start = (to * self.classes + cell) * self.regions;
+            let new = &mut self.cells[start..start + self.regions];
+            let kept = rows.regions.iter().map(|it| it.map_or(0.0, |region| old[region]));
+            let sum: f32 = kept.clone().sum();
+            if sum <= 0.0 {
+                continue;
+            }
+            for (weight, kept) in new.iter_mut().zip(kept) {
+                *weight = kept / sum;
+            }
+        }
+    }
+
     /// Bytes of memory held.
     pub fn bytes(&self) -> usize {
         self.cells.capacity() * size_of::<f32>()
--- a/crates/th-steer/tests/route_settle.rs
+++ b/crates/th-steer/tests/route_settle.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use th_protocol::{Millis, Permille, Time};
 use th_steer::route::{
-    ClassIx, Effects, Expected, Inputs, Loads, RegionIx, Sample, ServiceIx, Settings, lookup,
+    Carry, ClassIx, Effects, Expected, Inputs, Loads, RegionIx, Sample, ServiceIx, Settings, lookup,
 };
 use world::{Size, World};
 
@@ -198,3 +198,35 @@
     assert!(answer.ttl <= settings.shift_ttl, "{}", answer.ttl);
     assert_eq!(answer.region, Some(RegionIx(2)));
 }
+
+#[rstest]
+fn a_new_bundle_moves_nothing_by_itself() {
+    let size = Size { regions: 3, zones: 6, sites: 6, vms: 12, blocks: 300, classes: 3 };
+    let bundle = world::bundle(&size);
+    let mut old = world::world(&bundle, size.vms, Settings::default());
+    let mut effects = Effects::new(1, REGIONS, Millis(10_000));
+    old.planner.set_in_force(SERVICE, ClassIx(0), &[0.2, 0.5, 0.3]);
+    effects.record(SERVICE, RegionIx(1), 7.0, Time(5));
+    // A class and a region with a lower id come in: all rows change their numbers.
+    let mut next = bundle.clone();
+    next.classes.insert("a".parse().unwrap(), th_protocol::Class::default());
+    next.regions.insert("a".parse().unwrap(), th_protocol::Region::default());
+    let mut new = world::world(&next, size.vms, Settings::default());
+    let planned = new.planner.in_force().row(SERVICE, ClassIx(1)).to_vec();
+    let rows = Carry::new(&old.map, &new.map);
+    new.demand.carry(&old.demand, &rows);
+    new.planner.carry(&old.planner, &rows, &new.demand);
+    let mut carried = Effects::new(1, REGIONS + 1, Millis(10_000));
+    carried.carry(&effects, &rows);
+    let row = new.planner.in_force().row(SERVICE, ClassIx(1));
+    assert_eq!(row, [0.0, 0.2, 0.5, 0.3]);
+    assert_ne!(row, planned);
+    assert_eq!(carried.pending(SERVICE, RegionIx(2)), 7.0);
+    // The last region goes: its weight is spread over those that stay.
+    let mut less = bundle.clone();
+    less.regions.remove(&"r02".parse().unwrap());
+    let mut new = world::world(&less, size.vms, Settings::default());
+    new.planner.carry(&old.planner, &Carry::new(&old.map, &new.map), &new.demand);
+    let row = new.planner.in_force().row(SERVICE, ClassIx(0));
+    assert!((row[0] - 0.2 / 0.7).abs() < 1e-6 && row.len() == 2, "{row:?}");
+}
