--- a/crates/th-steer/src/route/ranges.rs
+++ b/crates/th-steer/src/route/ranges.rs
@@ -5,12 +5,17 @@
 /// The class row of addresses that no block holds.
 pub(crate) const UNKNOWN: u16 = u16::MAX;
 
+const LOW_BITS: u32 = 16;
+const HIGH_BITS: u32 = 32 - LOW_BITS;
+
 /// Address ranges, each with the class and the base address of its longest matching block.
 #[derive(Debug, Default)]
 pub(crate) struct Ranges {
     starts: Vec<u32>,
-    bases: Vec<u32>,
-    classes: Vec<u16>,
+    /// How many ranges start before each value of the upper half of an address.
+    index: Vec<u32>,
+    /// Base and class, side by side since a look-up reads both.
+    blocks: Vec<(u32, u16)>,
 }
 
 struct Open {
@@ -22,7 +27,8 @@
 impl Ranges {
     /// Flattens blocks, which come sorted by base and then by prefix length.
     pub(crate) fn new(blocks: impl Iterator<Item = (Block, u16)>) -> Ranges {
-        let mut ranges = Ranges::default();
+        let index = Vec::with_capacity((1 << HIGH_BITS) + 1);
+        let mut ranges = Ranges { starts: Vec::new(), index, blocks: Vec::new() };
         let mut open: Vec<Open> = Vec::new();
         ranges.push(0, 0, UNKNOWN);
         for (block, class) in blocks {
@@ -34,8 +40,11 @@
         }
         ranges.close(&mut open, None);
         ranges.starts.shrink_to_fit();
-        ranges.bases.shrink_to_fit();
-        ranges.classes.shrink_to_fit();
+        for high in 0..=1u64 << HIGH_BITS {
+            let before = ranges.starts.partition_point(|&it| u64::from(it) < high << LOW_BITS);
+            ranges.index.push(before as u32);
+        }
+        ranges.blocks.shrink_to_fit();
         ranges
     }
 
@@ -58,25 +67,27 @@
     fn push(&mut self, start: u32, base: u32, class: u16) {
         if self.starts.last() == Some(&start) {
             self.starts.pop();
-            self.bases.pop();
-            self.classes.pop();
+            self.blocks.pop();
         }
         self.starts.push(start);
-        self.bases.push(base);
-        self.classes.push(class);
+        self.blocks.push((base, class));
     }
 
     /// The class of `address` and the base of its block.
     pub(crate) fn find(&self, address: u32) -> Option<(u16, u32)> {
-        let i = self.starts.partition_point(|&it| it <= address) - 1;
-        if self.classes[i] == UNKNOWN {
+        let high = (address >> LOW_BITS) as usize;
+        let (from, to) = (self.index[high] as usize, self.index[high + 1] as usize);
+        let i = from + self.starts[from..to].partition_point(|&it| it <= address) - 1;
+        let (base, class) = self.blocks[i];
+        if class == UNKNOWN {
             return None;
         }
-        Some((self.classes[i], self.bases[i]))
+        Some((class, base))
     }
 
     /// Bytes of memory held.
     pub(crate) fn bytes(&self) -> usize {
-        self.starts.capacity() * 4 + self.bases.capacity() * 4 + self.classes.capacity() * 2
+        (self.starts.capacity() + self.index.capacity()) * 4
+            + self.blocks.capacity() * size_of::<(u32, u16)>()
     }
 }
