Add thctl: check, keygen, sign, roll, show, status, report, explain, lookup

Cause: operators drive the system by bundles alone and need one tool for them. Measured: 19 tests run the binary against the fake platform over loopback and against canned entry VMs, with each exit code from 0 to 5 at least once.

--- /dev/null
+++ b/src/bin/thctl/answer.rs
@@ -0,0 +1,85 @@
+//! What a command prints, and the code that it exits with.
+
+use std::process::ExitCode;
+
+use serde_json::{Value, json};
+
+/// Exit codes; they stay as they are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Exit {
+    /// It is done.
+    Done = 0,
+    /// It was refused, or faults were found.
+    Refused = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// Nobody can tell whether it took effect.
+    Unknown = 3,
+    /// Another operator was first.
+    Conflict = 4,
+    /// Something could not be reached.
+    Unreachable = 5,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        ExitCode::from(exit as u8)
+    }
+}
+
+/// What a command has to say.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) exit: Exit,
+    /// For people.
+    pub(crate) text: String,
+    /// What to do next, for people.
+    pub(crate) help: Option<String>,
+    /// For programs: an object.
+    pub(crate) json: Value,
+}
+
+impl Answer {
+    pub(crate) fn done(text: impl Into<String>, json: Value) -> Answer {
+        Answer { exit: Exit::Done, text: text.into(), help: None, json }
+    }
+
+    pub(crate) fn failed(exit: Exit, text: impl Into<String>) -> Answer {
+        let text = text.into();
+        let json = json!({ "error": text });
+        Answer { exit, text, help: None, json }
+    }
+
+    pub(crate) fn help(self, help: impl Into<String>) -> Answer {
+        Answer { help: Some(help.into()), ..self }
+    }
+
+    /// Prints JSON to stdout; or text, to stdout if it is done and else to stderr.
+    pub(crate) fn print(&self, json: bool) {
+        if json {
+            println!("{}", self.with_exit());
+            return;
+        }
+        let mut text = self.text.trim_end().to_owned();
+        if let Some(help) = &self.help {
+            text.push_str("\nhelp: ");
+            text.push_str(help);
+        }
+        if self.exit == Exit::Done {
+            println!("{text}");
+            return;
+        }
+        eprintln!("{text}");
+    }
+
+    fn with_exit(&self) -> Value {
+        let mut json = self.json.clone();
+        if let Value::Object(fields) = &mut json {
+            fields.insert("exit".into(), (self.exit as u8).into());
+            if let Some(help) = &self.help {
+                fields.insert("help".into(), help.as_str().into());
+            }
+        }
+        json
+    }
+}
--- /dev/null
+++ b/src/bin/thctl/entries.rs
@@ -0,0 +1,182 @@
+//! Commands that ask entry VMs: status, report burn, explain and lookup.
+
+use std::collections::BTreeSet;
+
+use eyre::Result;
+use serde_json::{Value, json};
+use th_operator::{ClientError, EntryClient, Failure, gather};
+use th_protocol::Status;
+use th_report::{Report, plot, text};
+
+use crate::{
+    answer::{Answer, Exit},
+    args::{Burn, Explain, Lookup, Status as StatusArgs},
+    bundle::write,
+};
+
+const REACH_HELP: &str =
+    "check the addresses of --entry, and whether `tanagerhollow` runs and listens there";
+
+fn addresses(given: &[String]) -> Result<Vec<String>, Answer> {
+    let split = given.iter().flat_map(|it| it.split(','));
+    let addresses: Vec<_> = split.filter(|it| !it.is_empty()).map(str::to_owned).collect();
+    if addresses.is_empty() {
+        let help = "name at least one entry VM: --entry 10.0.0.1:8080";
+        return Err(Answer::failed(Exit::Usage, "no entry VM was named").help(help));
+    }
+    Ok(addresses)
+}
+
+fn failed(error: &ClientError) -> Answer {
+    let answer = |exit| Answer::failed(exit, error.to_string());
+    match &error.failure {
+        Failure::Unreachable(_) => answer(Exit::Unreachable).help(REACH_HELP),
+        Failure::Notice(_) | Failure::Status(_) => answer(Exit::Refused),
+        Failure::Malformed(_) => {
+            answer(Exit::Refused).help("is that the caller listener of an entry VM?")
+        }
+    }
+}
+
+pub(crate) async fn status(args: &StatusArgs) -> Result<Answer> {
+    let addresses = match addresses(&args.entry) {
+        Ok(it) => it,
+        Err(answer) => return Ok(answer),
+    };
+    let found = gather(&addresses, |it| async move { it.status().await }).await;
+    let mut text = format!(
+        "{:<22} {:<16} {:<12} {:>8} {:>10}  state\n",
+        "entry", "vm", "zone", "version", "age"
+    );
+    let mut rows = Vec::new();
+    let mut bundles = BTreeSet::new();
+    let mut exit = Exit::Done;
+    for (address, answer) in addresses.iter().zip(&found) {
+        match answer {
+            Ok(it) => {
+                text.push_str(&status_line(address, it));
+                rows.push(json!({ "entry": address, "status": it }));
+                bundles.insert((it.version, it.digest));
+                if !it.ready && exit == Exit::Done {
+                    exit = Exit::Refused;
+                }
+            }
+            Err(e) => {
+                text.push_str(&format!("{address:<22} {e}\n"));
+                rows.push(json!({ "entry": address, "error": e.to_string() }));
+                exit = Exit::Unreachable;
+            }
+        }
+    }
+    let same = bundles.len() <= 1;
+    if !same {
+        text.push_str("the bundles in force differ\n");
+        exit = if exit == Exit::Done { Exit::Refused } else { exit };
+    }
+    Ok(Answer { exit, text, help: None, json: json!({ "same": same, "entries": rows }) })
+}
+
+fn status_line(address: &str, it: &Status) -> String {
+    let version = it.version.map_or("-".into(), |it| it.to_string());
+    let age = it.age_ms.map_or("-".into(), |it| format!("{}s", it.0 / 1000));
+    let state = match (&it.reason, it.stopping, it.ready) {
+        (_, true, _) => "stopping".to_owned(),
+        (_, _, true) => "ready".to_owned(),
+        (Some(reason), ..) => format!("not ready: {reason}"),
+        (None, ..) => "not ready".to_owned(),
+    };
+    format!("{address:<22} {:<16} {:<12} {version:>8} {age:>10}  {state}\n", it.vm, it.zone)
+}
+
+pub(crate) async fn burn(args: &Burn) -> Result<Answer> {
+    let addresses = match addresses(&args.entry) {
+        Ok(it) => it,
+        Err(answer) => return Ok(answer),
+    };
+    let found = gather(&addresses, |it| async move { it.burn().await }).await;
+    let mut answers = Vec::new();
+    let mut silent = Vec::new();
+    let mut error = None;
+    for (address, answer) in addresses.iter().zip(found) {
+        match answer {
+            Ok(it) => answers.push(it),
+            Err(e) => {
+                silent.push(address.clone());
+                error = Some(e);
+            }
+        }
+    }
+    if let (true, Some(error)) = (answers.is_empty(), error) {
+        return Ok(failed(&error));
+    }
+    let report = Report::merge(&answers, &silent);
+    if let Some(path) = &args.plot {
+        write(path, &plot(&report)?)?;
+    }
+    let exit = if silent.is_empty() { Exit::Done } else { Exit::Unreachable };
+    let json = json!({ "alert": report.worst(), "report": report });
+    Ok(Answer { exit, text: text(&report), help: None, json })
+}
+
+pub(crate) async fn explain(args: &Explain) -> Result<Answer> {
+    let addresses = match addresses(&args.entry) {
+        Ok(it) => it,
+        Err(answer) => return Ok(answer),
+    };
+    let found = gather(&addresses, |it| async move { it.explain(&args.what).await }).await;
+    let mut text = String::new();
+    let mut rows = Vec::new();
+    let mut exit = Exit::Done;
+    let mut records = 0;
+    for (address, answer) in addresses.iter().zip(&found) {
+        match answer {
+            Ok(found) => {
+                records += found.len();
+                text.push_str(&format!("{address}: {} records\n", found.len()));
+                for record in found {
+                    text.push_str(&format!("  {}\n", record_line(record)));
+                }
+                rows.push(json!({ "entry": address, "records": found }));
+            }
+            Err(e) => {
+                text.push_str(&format!("{address}: {e}\n"));
+                rows.push(json!({ "entry": address, "error": e.to_string() }));
+                exit = Exit::Unreachable;
+            }
+        }
+    }
+    let help = (records == 0).then(|| {
+        "entry VMs remember only their latest decisions; ask the VM that answered the request"
+            .to_owned()
+    });
+    Ok(Answer { exit, text, help, json: json!({ "entries": rows }) })
+}
+
+/// A record's fields on one line.
+fn record_line(record: &Value) -> String {
+    let Value::Object(fields) = record else { return record.to_string() };
+    let mut line = Vec::new();
+    for (name, value) in fields {
+        match value {
+            Value::String(text) => line.push(format!("{name}={text}")),
+            value => line.push(format!("{name}={value}")),
+        }
+    }
+    line.join(" ")
+}
+
+pub(crate) async fn lookup(args: &Lookup) -> Result<Answer> {
+    let client = EntryClient::new(&args.entry);
+    let found = match client.lookup(&args.service, &args.operation, args.block).await {
+        Ok(it) => it,
+        Err(e) => return Ok(failed(&e)),
+    };
+    let mut text = format!("version {}, good for {}\n", found.version, found.ttl);
+    for it in &found.entries {
+        text.push_str(&format!("  {} {} ({})\n", it.address, it.vm, it.zone));
+    }
+    if let Some(ticket) = &found.ticket {
+        text.push_str(&format!("ticket {ticket}\n"));
+    }
+    Ok(Answer::done(text, json!({ "answer": found })))
+}
--- /dev/null
+++ b/src/bin/thctl/roll.rs
@@ -0,0 +1,129 @@
+//! Commands on the platform's service: roll and show.
+
+use std::sync::Arc;
+
+use eyre::{Result, WrapErr};
+use serde_json::{Value, json};
+use th_operator::{Outcome, Refusal, RollError, RollSettings, Winner, read_bundle, roll};
+use th_platform::{HttpPlatform, Platform};
+use th_protocol::{SignedBundle, Version};
+
+use crate::{
+    answer::{Answer, Exit},
+    args::{Roll, Show},
+    bundle::{list_faults, read, write},
+};
+
+fn open_store(url: &str) -> Arc<dyn Platform> {
+    Arc::new(HttpPlatform::new(url))
+}
+
+pub(crate) async fn roll_file(args: &Roll) -> Result<Answer> {
+    let text = read(&args.file)?;
+    let signed: SignedBundle = serde_json::from_str(&text).wrap_err_with(|| {
+        let file = args.file.display();
+        format!("{file} is no signed bundle; make one with `thctl bundle sign`")
+    })?;
+    let outcome = roll(&open_store(&args.store), &signed, RollSettings::default()).await;
+    Ok(tell(outcome))
+}
+
+fn tell(outcome: Outcome) -> Answer {
+    match outcome {
+        Outcome::Rolled { version, since } => rolled("rolled", version, since),
+        Outcome::AlreadyRolled { version, since } => rolled("already-rolled", version, since),
+        Outcome::Conflict(won) => Answer {
+            exit: Exit::Conflict,
+            text: format!("not rolled: {won} is in force"),
+            help: Some(
+                "look at it with `thctl bundle show --out FILE`, make your change there, raise \
+                 the version, sign and roll again"
+                    .into(),
+            ),
+            json: json!({ "outcome": "conflict", "won": won }),
+        },
+        Outcome::Refused(Refusal::Faults(faults)) => list_faults(&faults),
+        Outcome::Refused(refusal) => {
+            let json = json!({ "outcome": "refused", "error": refusal.to_string() });
+            let text = format!("not rolled: {refusal}");
+            Answer { exit: Exit::Refused, text, help: Some(advice(&refusal).into()), json }
+        }
+        Outcome::Unreachable(cause) => Answer {
+            exit: Exit::Unreachable,
+            text: format!("not rolled: {cause}"),
+            help: Some("the bundle in force stays; try again when the service answers".into()),
+            json: json!({ "outcome": "unreachable", "error": cause }),
+        },
+        Outcome::Unknown(cause) => Answer {
+            exit: Exit::Unknown,
+            text: format!("unknown whether it took effect: {cause}"),
+            help: Some("repeat the same roll: that is safe, and settles it".into()),
+            json: json!({ "outcome": "unknown", "error": cause }),
+        },
+    }
+}
+
+fn rolled(outcome: &str, version: Version, since: Option<Winner>) -> Answer {
+    let mut text = match outcome {
+        "rolled" => format!("rolled version {version}"),
+        _ => format!("version {version} was rolled before"),
+    };
+    if let Some(since) = &since {
+        text.push_str(&format!("; {since} has replaced it since"));
+    }
+    let json = json!({ "outcome": outcome, "version": version, "since": since });
+    Answer::done(text, json).help("`thctl status` shows when it is in force at each entry VM")
+}
+
+fn advice(refusal: &Refusal) -> &'static str {
+    match refusal {
+        Refusal::Sign(_) => {
+            "sign it with the key of an operator whom the bundle in force names; \
+             `thctl bundle show` lists them"
+        }
+        Refusal::Parts(_) => "sign the bundle again: the signed file was changed or cut",
+        Refusal::Skips { .. } => "set `version` to the one in force plus one, and sign again",
+        Refusal::Part(_) => "the store holds a damaged part; look for who else writes there",
+        Refusal::Head(_) => "the store's head is damaged; see docs/operate/bad-bundle.md",
+        Refusal::Faults(_) => "mend the faults, and sign again",
+    }
+}
+
+pub(crate) async fn show(args: &Show) -> Result<Answer> {
+    let (head, bundle) = match read_bundle(&open_store(&args.store)).await {
+        Ok(Some(it)) => it,
+        Ok(None) => {
+            let json = json!({ "version": Value::Null });
+            return Ok(Answer::done("no bundle was rolled yet", json));
+        }
+        Err(RollError::Platform(e)) => {
+            let help = "check --store, and whether the platform's service answers";
+            return Ok(Answer::failed(Exit::Unreachable, e.to_string()).help(help));
+        }
+        Err(e) => {
+            let help = "see docs/operate/bad-bundle.md";
+            return Ok(Answer::failed(Exit::Refused, e.to_string()).help(help));
+        }
+    };
+    if let Some(out) = &args.out {
+        write(out, &serde_json::to_string_pretty(&bundle)?)?;
+    }
+    let operators: Vec<_> = bundle.operators.keys().map(|it| it.as_str()).collect();
+    let text = format!(
+        "version {} signed by {}\ndigest {}\nservices {}, regions {}, zones {}, blocks {}\n\
+         operators who may sign the next: {}",
+        head.version,
+        head.signed.operator,
+        head.signed.digest(),
+        bundle.services.len(),
+        bundle.regions.len(),
+        bundle.zones.len(),
+        bundle.blocks.len(),
+        operators.join(", "),
+    );
+    let json = json!({
+        "version": head.version, "operator": head.signed.operator,
+        "digest": head.signed.digest(), "bundle": bundle,
+    });
+    Ok(Answer::done(text, json))
+}
--- /dev/null
+++ b/tests/thctl.rs
@@ -0,0 +1,313 @@
+//! The operators' tool as a user runs it: its output and its exit codes.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use th_platform::Platform;
+use th_protocol::{Millis, Permille, Revision, ServiceId, Time};
+use th_report::{BurnRing, Measure, Sample};
+use th_testing::{FakePlatform, Faults, PlatformServer};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    task::spawn_blocking,
+};
+
+/// A folder of the test's own, removed at its end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(test: &str) -> Folder {
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+
+    fn file(&self, name: &str) -> String {
+        self.0.join(name).display().to_string()
+    }
+
+    /// Writes a bundle with the public keys of `operators`.
+    fn bundle(&self, version: u64, operators: &[(&str, &str)]) -> String {
+        let mut it = json!({
+            "version": version,
+            "regions": { "north": { "cap": 40 } },
+            "zones": { "n1": { "region": "north" } },
+            "services": { "roster": {
+                "regions": { "north": { "weight": 1, "cap": 20 } },
+                "operations": { "book": { "idempotent": false, "deadline": 2000, "size": 4000 } },
+                "backends": { "b1": {
+                    "zone": "n1", "address": "10.0.0.1:80", "slots": 4, "connections": 330,
+                } },
+                "shift": { "cap": 200, "window": 10000 },
+                "slo": { "latency": 250, "objective": 990, "headroom": 100, "drain": 30000 },
+            }},
+            "operators": {},
+        });
+        for (name, key) in operators {
+            it["operators"][*name] = (*key).into();
+        }
+        let path = self.file(&format!("bundle-{version}.json"));
+        fs::write(&path, it.to_string()).unwrap();
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Exit code and output.
+fn thctl(args: &[&str]) -> (i32, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_thctl")).args(args).output().unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code().unwrap(), String::from_utf8(text).unwrap())
+}
+
+fn thctl_json(args: &[&str]) -> (i32, Value) {
+    let (code, text) = thctl(&[args, &["--json"]].concat());
+    let value: Value = serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {text}"));
+    assert_eq!(value["exit"], code, "{value}");
+    (code, value)
+}
+
+fn keygen(folder: &Folder, name: &str) -> String {
+    let (code, found) = thctl_json(&["bundle", "keygen", "--out", &folder.file(name)]);
+    assert_eq!(code, 0);
+    found["public"].as_str().unwrap().to_owned()
+}
+
+fn sign(folder: &Folder, bundle: &str, operator: &str) -> String {
+    let (key, out) = (folder.file(operator), format!("{bundle}.{operator}"));
+    let (code, text) =
+        thctl(&["bundle", "sign", bundle, "--key", &key, "--operator", operator, "--out", &out]);
+    assert_eq!(code, 0, "{text}");
+    out
+}
+
+#[rstest]
+#[case(&["--help"], 0, "bundle roll")]
+#[case(&["help"], 0, "4 conflict")]
+#[case(&["bundle", "roll", "help"], 0, "--store")]
+#[case(&[], 2, "help")]
+#[case(&["fly"], 2, "thctl help")]
+#[case(&["bundle", "roll"], 2, "--store")]
+#[case(&["lookup", "Roster", "book", "--entry", "x"], 2, "a-z")]
+#[case(&["status"], 2, "--entry")]
+#[case(&["bundle", "check", "no-such-file"], 1, "no-such-file")]
+#[case(&["bundle", "show", "--store", "http://127.0.0.1:1"], 5, "--store")]
+#[case(&["status", "--entry", "127.0.0.1:1"], 5, "127.0.0.1:1")]
+#[case(&["explain", "roster", "--entry", "127.0.0.1:1"], 5, "127.0.0.1:1")]
+#[case(&["report", "burn", "--entry", "127.0.0.1:1"], 5, "127.0.0.1:1")]
+#[case(&["lookup", "roster", "book", "--entry", "127.0.0.1:1"], 5, "tanagerhollow")]
+fn a_user_is_told_what_to_do(#[case] args: &[&str], #[case] code: i32, #[case] part: &str) {
+    let found = thctl(args);
+    assert_eq!(found.0, code, "{}", found.1);
+    assert!(found.1.contains(part), "{}", found.1);
+}
+
+#[test]
+fn every_fault_is_listed() {
+    let folder = Folder::new("faults");
+    let path = folder.file("bad.json");
+    fs::write(
+        &path,
+        r#"{ "version": 0, "regions": {}, "zones": {}, "services": {}, "operators": {} }"#,
+    )
+    .unwrap();
+    let (code, found) = thctl_json(&["bundle", "check", &path]);
+    assert_eq!(code, 1);
+    let faults = found["faults"].as_array().unwrap();
+    let paths: Vec<_> = faults.iter().map(|it| it["path"].as_str().unwrap()).collect();
+    assert_eq!(paths, ["operators", "regions", "services", "version", "zones"]);
+}
+
+#[test]
+fn a_key_is_never_overwritten() {
+    let folder = Folder::new("key");
+    keygen(&folder, "ana");
+    let before = fs::read(folder.file("ana")).unwrap();
+    let (code, text) = thctl(&["bundle", "keygen", "--out", &folder.file("ana")]);
+    assert_eq!(code, 1, "{text}");
+    assert_eq!(fs::read(folder.file("ana")).unwrap(), before);
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// From a key to a bundle in force, then a repeat, a rival, a stranger and a lost answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bundle_is_signed_and_rolled() {
+    let fake = FakePlatform::default();
+    let server = PlatformServer::start(fake.clone(), loopback()).await.unwrap();
+    let url = server.url();
+    let work = move || {
+        let folder = Folder::new("roll");
+        let ana = keygen(&folder, "ana");
+        let ben = keygen(&folder, "ben");
+        keygen(&folder, "eve");
+        let operators = [("ana", ana.as_str()), ("ben", ben.as_str())];
+        let roll = |file: &str| thctl_json(&["bundle", "roll", file, "--store", &url]);
+        let first = folder.bundle(1, &operators);
+        let signed = sign(&folder, &first, "ana");
+
+        let (code, found) = thctl_json(&["bundle", "show", "--store", &url]);
+        assert_eq!((code, &found["version"]), (0, &Value::Null));
+        let (code, found) = roll(&first);
+        assert_eq!(code, 1, "{found}");
+        for outcome in ["rolled", "already-rolled"] {
+            let (code, found) = roll(&signed);
+            assert_eq!((code, found["outcome"].as_str()), (0, Some(outcome)), "{found}");
+        }
+
+        let out = folder.file("shown.json");
+        let (code, found) = thctl_json(&["bundle", "show", "--store", &url, "--out", &out]);
+        assert_eq!((code, found["version"].as_u64()), (0, Some(1)), "{found}");
+        assert_eq!(thctl(&["bundle", "check", &out]).0, 0);
+
+        let second = folder.bundle(2, &operators);
+        let (code, found) = roll(&sign(&folder, &second, "eve"));
+        assert_eq!((code, found["outcome"].as_str()), (1, Some("refused")), "{found}");
+        assert_eq!(roll(&sign(&folder, &second, "ben")).0, 0);
+        let (code, found) = roll(&sign(&folder, &folder.bundle(2, &operators[..1]), "ana"));
+        assert_eq!(code, 4, "{found}");
+        assert_eq!(found["won"], json!({ "version": 2, "by": "ben" }));
+
+        let third = sign(&folder, &folder.bundle(3, &operators), "ana");
+        fake.set_faults(Faults { lost: 1, ..Faults::default() });
+        let (code, found) = roll(&third);
+        assert_eq!((code, found["outcome"].as_str()), (0, Some("rolled")), "{found}");
+        fake.set_faults(Faults { lost: u32::MAX, ..Faults::default() });
+        let fourth = sign(&folder, &folder.bundle(4, &operators), "ana");
+        let (code, found) = roll(&fourth);
+        assert_eq!((code, found["outcome"].as_str()), (0, Some("rolled")), "{found}");
+        fake.set_faults(Faults { down: true, ..Faults::default() });
+        assert_eq!(roll(&third).0, 5);
+        fake.set_faults(Faults::default());
+        assert_eq!(roll(&third).1["outcome"], "already-rolled");
+    };
+    spawn_blocking(work).await.unwrap();
+}
+
+/// A store that answers reads and no writes: the old head proves nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_without_an_answer_is_unknown() {
+    let folder = Folder::new("unknown");
+    let ana = keygen(&folder, "ana");
+    let [first, second] = [1, 2].map(|it| folder.bundle(it, &[("ana", &ana)]));
+    let [first, second] = [first, second].map(|it| sign(&folder, &it, "ana"));
+    let fake = FakePlatform::default();
+    let server = PlatformServer::start(fake.clone(), loopback()).await.unwrap();
+    let url = server.url();
+    let roll = |file: String, url: String| {
+        spawn_blocking(move || thctl_json(&["bundle", "roll", &file, "--store", &url]))
+    };
+    assert_eq!(roll(first, url).await.unwrap().0, 0);
+
+    let mut answers = Vec::new();
+    for entry in fake.watch("", Revision(0), Millis(0)).await.unwrap() {
+        let path = format!("/v1/read/{}", entry.key).leak() as &str;
+        answers.push((path, serde_json::to_string(&entry).unwrap()));
+    }
+    let url = format!("http://{}", serve(answers.leak()).await);
+    let (code, found) = roll(second, url).await.unwrap();
+    assert_eq!((code, found["outcome"].as_str()), (3, Some("unknown")), "{found}");
+}
+
+/// Answers each GET with the JSON that `answers` has for its path.
+async fn serve(answers: &'static [(&'static str, String)]) -> String {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = vec![0; 4096];
+            let size = stream.read(&mut request).await.unwrap_or(0);
+            let request = String::from_utf8_lossy(&request[..size]).into_owned();
+            let path = request.split_whitespace().nth(1).unwrap_or("").to_owned();
+            let found = answers.iter().find(|it| it.0 == path);
+            let (status, body) = found.map_or((404, "{}"), |it| (200, it.1.as_str()));
+            let head = format!("HTTP/1.1 {status} x\r\nconnection: close\r\n");
+            let size = body.len();
+            let answer = format!("{head}content-length: {size}\r\n\r\n{body}");
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address.to_string()
+}
+
+fn burn_answer() -> String {
+    let service: ServiceId = "roster".parse().unwrap();
+    let mut ring = BurnRing::new(Time(0));
+    for minute in 1..=60 {
+        let (at, measure) = (Time(minute * 60_000), Measure::Latency);
+        let (good, total) = (minute * 80, minute * 100);
+        ring.record(&Sample { at, service: service.clone(), measure, good, total });
+    }
+    let objectives = [(service, Permille(990))].into();
+    let answer = ring.answer(&"e1".parse().unwrap(), Time(3_600_000), &objectives);
+    serde_json::to_string(&answer).unwrap()
+}
+
+fn status_answer(version: u64) -> String {
+    json!({
+        "vm": "e1", "zone": "n1", "incarnation": 7, "version": version, "age_ms": 65_000,
+        "ready": true, "stopping": false,
+    })
+    .to_string()
+}
+
+fn entry(version: u64) -> &'static [(&'static str, String)] {
+    let lookup = json!({
+        "service": "roster", "operation": "book", "ttl": 5000, "ticket": "t-1", "version": 3,
+        "entries": [{ "vm": "e1", "zone": "n1", "address": "10.0.0.1:80" }],
+    });
+    let records = json!([{ "rule": "region-cap", "region": "north", "age": 40 }]);
+    vec![
+        ("/v1/status", status_answer(version)),
+        ("/v1/burn", burn_answer()),
+        ("/v1/explain/roster", records.to_string()),
+        ("/v1/lookup/roster/book?block=10.1.2.0%2F24", lookup.to_string()),
+    ]
+    .leak()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_vms_are_asked() {
+    let (old, new) = (serve(entry(3)).await, serve(entry(4)).await);
+    let work = move || {
+        let folder = Folder::new("entries");
+        let (code, found) = thctl_json(&["status", "--entry", &old]);
+        assert_eq!((code, &found["same"]), (0, &json!(true)), "{found}");
+        assert_eq!(found["entries"][0]["status"]["age_ms"], 65_000);
+        let (code, text) = thctl(&["status", "--entry", &format!("{old},{new}")]);
+        assert_eq!(code, 1, "{text}");
+        assert!(text.contains("differ") && text.contains("65s"), "{text}");
+
+        let plot = folder.file("burn.svg");
+        let (code, found) = thctl_json(&["report", "burn", "--entry", &old, "--plot", &plot]);
+        assert_eq!((code, found["alert"].as_str()), (0, Some("fast")), "{found}");
+        assert!(fs::read_to_string(&plot).unwrap().contains("roster latency"));
+        let (code, text) = thctl(&["report", "burn", "--entry", &old, "--entry", "127.0.0.1:1"]);
+        assert_eq!(code, 5, "{text}");
+        assert!(text.contains("FAST BURN") && text.contains("silent: 127.0.0.1:1"), "{text}");
+
+        let (code, text) = thctl(&["explain", "roster", "--entry", &old]);
+        assert_eq!(code, 0);
+        assert!(text.contains("rule=region-cap"), "{text}");
+        let args = ["lookup", "roster", "book", "--entry", &old, "--block", "10.1.2.0/24"];
+        let (code, text) = thctl(&args);
+        assert_eq!(code, 0, "{text}");
+        assert!(text.contains("10.0.0.1:80 e1 (n1)") && text.contains("ticket t-1"), "{text}");
+    };
+    spawn_blocking(work).await.unwrap();
+}
