--- /dev/null
+++ b/crates/th-protocol/examples/bundle_measure.rs
@@ -0,0 +1,179 @@
+//! Measures the bytes of a manifest and of single changes at four sizes of a bundle.
+//!
+//! `cargo run --release -p th-protocol --example bundle_measure -- [--json]`
+
+use std::{collections::BTreeMap, net::Ipv4Addr, time::Instant};
+
+use th_protocol::{
+    Backend, Block, Bundle, Class, Connections, Digest, Millis, Operation, Permille, Region,
+    Service, SignedBundle, Signer, Slots, Split, Target, Version, Zone, assemble, split,
+};
+
+const REGIONS: u32 = 12;
+const ZONES: u32 = 26;
+const SITES: u32 = 430;
+const BLOCKS: u32 = 130_000;
+const CLASSES: u32 = 2_000;
+const BACKENDS: u32 = 12;
+const CHANGES_PER_DAY: f64 = 3_900.0;
+const DAY_SECONDS: f64 = 86_400.0;
+const BUDGET_BYTES: f64 = 5_000.0;
+const EIGHTHS: [u32; 4] = [1, 2, 4, 8];
+
+#[derive(Debug, serde::Serialize)]
+struct Row {
+    sites: u32,
+    blocks: u32,
+    parts: usize,
+    whole_bytes: usize,
+    head_bytes: usize,
+    largest_part_bytes: usize,
+    service_bytes: usize,
+    block_bytes: usize,
+    class_bytes: usize,
+    topology_bytes: usize,
+    mean_bytes_per_second: f64,
+    worst_bytes_per_second: f64,
+    split_ms: f64,
+    assemble_ms: f64,
+}
+
+fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(kind: &str, n: u32) -> T {
+    format!("{kind}-{n}").parse().expect("the name is an id")
+}
+
+fn service(n: u32) -> Service {
+    let mut it = Service::default();
+    for region in 0..REGIONS {
+        it.regions.insert(id("region", region), Target { weight: 1, cap: Slots(40) });
+    }
+    let operation =
+        Operation { idempotent: false, deadline: Millis(2_000), size: th_protocol::Bytes(4_000) };
+    it.operations.insert(id("operation", 0), operation);
+    for backend in 0..BACKENDS {
+        let raw = 0x0a00_0000 + n * 256 + backend;
+        let it_runs = Backend {
+            zone: id("zone", backend % ZONES),
+            address: (Ipv4Addr::from(raw), 8080).into(),
+            slots: Slots(4),
+            connections: Connections(330),
+            leaving: false,
+        };
+        it.backends.insert(id("backend", backend), it_runs);
+    }
+    it
+}
+
+fn bundle(eighths: u32) -> Bundle {
+    let mut it = Bundle { version: Version(1), ..Bundle::default() };
+    for n in 0..REGIONS {
+        let region = Region { cap: Slots(4_000), floors: BTreeMap::new() };
+        it.regions.insert(id("region", n), region);
+    }
+    for n in 0..ZONES {
+        it.zones.insert(id("zone", n), Zone { region: id("region", n % REGIONS), shards: 4 });
+        let region = it.regions.get_mut(&id("region", n % REGIONS)).expect("it was added");
+        region.floors.insert(id("zone", n), Permille(250));
+    }
+    for n in 0..SITES * eighths / 8 {
+        it.services.insert(id("service", n), service(n));
+    }
+    let classes = CLASSES * eighths / 8;
+    for n in 0..classes {
+        let delays = (0..REGIONS).map(|r| (id("region", r), Millis(u64::from(n * r % 200))));
+        it.classes.insert(id("class", n), Class { delays: delays.collect() });
+    }
+    for n in 0..BLOCKS * eighths / 8 {
+        // Spread over the whole address space by a multiplicative hash.
+        let address = Ipv4Addr::from(n.wrapping_mul(2_654_435_761));
+        let block = Block::new(address, 24).expect("24 is a prefix length");
+        it.blocks.insert(block, id("class", n % classes));
+    }
+    it
+}
+
+/// Bytes of the parts that a change makes new.
+fn change(before: &Split, mut bundle: Bundle, change: impl FnOnce(&mut Bundle)) -> usize {
+    change(&mut bundle);
+    let after = split(&bundle, None);
+    let new = after.parts.iter().filter(|(digest, _)| !before.parts.contains_key(digest));
+    new.map(|(_, text)| text.len()).sum()
+}
+
+fn drain(it: &mut Bundle) {
+    let service = it.services.values_mut().next().expect("there is a service");
+    service.backends.values_mut().next().expect("it has a backend server").leaving = true;
+}
+
+fn move_block(it: &mut Bundle) {
+    *it.blocks.values_mut().next().expect("there is a block") = id("class", 1);
+}
+
+fn change_delay(it: &mut Bundle) {
+    it.classes.values_mut().next().expect("there is a class").delays.clear();
+}
+
+fn change_cap(it: &mut Bundle) {
+    it.regions.values_mut().next().expect("there is a region").cap = Slots(1);
+}
+
+fn measure(eighths: u32) -> Row {
+    let bundle = bundle(eighths);
+    let start = Instant::now();
+    let it = split(&bundle, None);
+    let split_ms = start.elapsed().as_secs_f64() * 1e3;
+    let start = Instant::now();
+    let whole = assemble(&it.manifest, &it.parts).expect("the parts were just made");
+    let assemble_ms = start.elapsed().as_secs_f64() * 1e3;
+    assert_eq!(whole, bundle, "the parts make up the bundle");
+
+    let signer = Signer::new(id("operator", 0), [7; 32]);
+    let base = Some(Digest::of(b""));
+    let SignedBundle { mut head, .. } = signer.sign_bundle(&bundle, base);
+    head.earlier = vec![Digest::of(b""); th_protocol::layout::EARLIER_HEADS];
+    let head_bytes = head.write().len();
+
+    let service_bytes = change(&it, bundle.clone(), drain);
+    let block_bytes = change(&it, bundle.clone(), move_block);
+    let class_bytes = change(&it, bundle.clone(), change_delay);
+    let topology_bytes = change(&it, bundle.clone(), change_cap);
+    let sizes = [service_bytes, block_bytes, class_bytes, topology_bytes];
+    let rate = |bytes: f64| (head_bytes as f64 + bytes) * CHANGES_PER_DAY / DAY_SECONDS;
+    Row {
+        sites: bundle.services.len() as u32,
+        blocks: bundle.blocks.len() as u32,
+        parts: it.parts.len(),
+        whole_bytes: it.parts.values().map(String::len).sum(),
+        head_bytes,
+        largest_part_bytes: it.parts.values().map(String::len).max().unwrap_or(0),
+        service_bytes,
+        block_bytes,
+        class_bytes,
+        topology_bytes,
+        mean_bytes_per_second: rate(sizes.iter().sum::<usize>() as f64 / sizes.len() as f64),
+        worst_bytes_per_second: rate(sizes.into_iter().max().unwrap_or(0) as f64),
+        split_ms,
+        assemble_ms,
+    }
+}
+
+fn main() {
+    let json = std::env::args().any(|it| it == "--json");
+    let mut rows = Vec::new();
+    for eighths in EIGHTHS {
+        eprintln!("measuring {eighths}/8 of the full size");
+        rows.push(measure(eighths));
+    }
+    if json {
+        println!("{}", serde_json::to_string(&rows).expect("rows are plain data"));
+        return;
+    }
+    for row in &rows {
+        println!("{row:#?}");
+        let whole = (row.whole_bytes + row.head_bytes) as f64 * CHANGES_PER_DAY / DAY_SECONDS;
+        let share = row.worst_bytes_per_second / BUDGET_BYTES * 100.0;
+        println!(
+            "whole bundle per change: {whole:.0} B/s; worst change: {share:.0}% of the budget"
+        );
+    }
+}
--- a/crates/th-protocol/src/bundle/manifest.rs
+++ b/crates/th-protocol/src/bundle/manifest.rs
@@ -6,12 +6,12 @@
 use thiserror::Error;
 
 use crate::{
-    ServiceId, Version,
+    Block, ClassId, ServiceId, Version,
     bundle::{
         digest::Digest,
         layout::MAX_PART_BYTES,
         part::{CLASS_PARTS, Topology},
-        spec::Bundle,
+        spec::{Bundle, Class},
     },
 };
 
@@ -187,8 +187,13 @@
         PartName::Service(id) => {
             bundle.services.insert(id.clone(), read(name, bytes)?);
         }
-        PartName::Classes(_) => bundle.classes.append(&mut read(name, bytes)?),
-        PartName::Blocks(_) => bundle.blocks.append(&mut read(name, bytes)?),
+        // `extend` costs as much as the part; `append` would rebuild the whole map.
+        PartName::Classes(_) => {
+            bundle.classes.extend(read::<BTreeMap<ClassId, Class>>(name, bytes)?);
+        }
+        PartName::Blocks(_) => {
+            bundle.blocks.extend(read::<BTreeMap<Block, ClassId>>(name, bytes)?);
+        }
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/th-protocol/tests/manifest.rs
@@ -0,0 +1,147 @@
+//! A bundle is the sum of its parts, and a small change is a small part.
+
+use std::{collections::BTreeMap, net::Ipv4Addr};
+
+use rstest::rstest;
+use th_protocol::{
+    Backend, Block, Bundle, Class, Digest, MAX_PART_BLOCKS, ManifestError, Millis, PartName,
+    Region, Service, Slots, Version, Zone, assemble, split,
+};
+
+/// Services, classes and blocks; the blocks are `/24`s in a row.
+fn bundle(services: u32, classes: u32, blocks: u32) -> Bundle {
+    let mut it = Bundle { version: Version(1), ..Bundle::default() };
+    it.regions.insert("north".parse().unwrap(), Region { cap: Slots(40), ..Region::default() });
+    let zone = Zone { region: "north".parse().unwrap(), shards: 1 };
+    it.zones.insert("n1".parse().unwrap(), zone);
+    for n in 0..services {
+        let backend = Backend {
+            zone: "n1".parse().unwrap(),
+            address: format!("10.0.{}.{}:80", n / 256, n % 256).parse().unwrap(),
+            slots: Slots(4),
+            connections: th_protocol::Connections(330),
+            leaving: false,
+        };
+        let backends = [("b1".parse().unwrap(), backend)].into();
+        let service = Service { backends, ..Service::default() };
+        it.services.insert(format!("s{n}").parse().unwrap(), service);
+    }
+    for n in 0..classes {
+        let delays = [("north".parse().unwrap(), Millis(n.into()))].into();
+        it.classes.insert(format!("c{n}").parse().unwrap(), Class { delays });
+    }
+    for n in 0..blocks {
+        let block = Block::new(Ipv4Addr::from(0x0a00_0000 + n * 256), 24).unwrap();
+        it.blocks.insert(block, format!("c{}", n % classes).parse().unwrap());
+    }
+    it
+}
+
+#[rstest]
+#[case(1, 0, 0)]
+#[case(3, 40, 100)]
+#[case(40, 100, MAX_PART_BLOCKS as u32 * 3 + 1)]
+fn parts_make_up_the_bundle(#[case] services: u32, #[case] classes: u32, #[case] blocks: u32) {
+    let bundle = bundle(services, classes, blocks);
+    let it = split(&bundle, None);
+    assert_eq!(split(&bundle, None), it);
+    assert_eq!(assemble(&it.manifest, &it.parts), Ok(bundle));
+    for name in it.manifest.parts.keys() {
+        assert_eq!(name.to_string().parse().as_ref(), Ok(name));
+    }
+}
+
+type Change = fn(&mut Bundle);
+
+fn drain(it: &mut Bundle) {
+    let service = it.services.get_mut(&"s7".parse().unwrap()).unwrap();
+    service.backends.values_mut().next().unwrap().leaving = true;
+}
+
+#[rstest]
+#[case::version(|it: &mut Bundle| it.version = Version(2), &[])]
+#[case::drain(drain, &["service/s7"])]
+#[case::delay(|it: &mut Bundle| it.classes.values_mut().next().unwrap().delays.clear(), &["classes/"])]
+#[case::block(|it: &mut Bundle| *it.blocks.values_mut().next().unwrap() = "c9".parse().unwrap(), &["blocks/"])]
+#[case::region(|it: &mut Bundle| it.regions.values_mut().next().unwrap().cap = Slots(1), &["topology"])]
+fn a_change_touches_its_own_part_alone(#[case] change: Change, #[case] touched: &[&str]) {
+    let mut bundle = bundle(40, 100, MAX_PART_BLOCKS as u32 * 3);
+    let before = split(&bundle, None);
+    change(&mut bundle);
+    let after = split(&bundle, None);
+    let mut names = Vec::new();
+    for (name, digest) in &after.manifest.parts {
+        if before.manifest.parts.get(name) != Some(digest) {
+            names.push(name.to_string());
+        }
+    }
+    assert_eq!(names.len(), touched.len(), "{names:?}");
+    for (name, start) in names.iter().zip(touched) {
+        assert!(name.starts_with(start), "{name}");
+    }
+}
+
+/// Blocks that share every leading bit cannot be split, and are one part all the same.
+#[test]
+fn blocks_of_one_address_end_the_splitting() {
+    let mut it = bundle(1, 1, 0);
+    for length in 8..=32 {
+        let block = Block::new(Ipv4Addr::new(10, 0, 0, 0), length).unwrap();
+        it.blocks.insert(block, "c0".parse().unwrap());
+    }
+    for n in 0..MAX_PART_BLOCKS as u32 {
+        let block = Block::new(Ipv4Addr::from(0x0a00_0000 + n), 32).unwrap();
+        it.blocks.insert(block, "c0".parse().unwrap());
+    }
+    let split = split(&it, None);
+    assert_eq!(assemble(&split.manifest, &split.parts), Ok(it));
+}
+
+fn topology() -> (PartName, Digest) {
+    let it = split(&bundle(1, 0, 0), None);
+    (PartName::Topology, it.manifest.parts[&PartName::Topology])
+}
+
+fn assemble_changed(
+    change: impl FnOnce(&mut BTreeMap<Digest, String>, &Digest),
+) -> Result<Bundle, ManifestError> {
+    let mut it = split(&bundle(1, 0, 0), None);
+    change(&mut it.parts, &topology().1);
+    assemble(&it.manifest, &it.parts)
+}
+
+#[test]
+fn a_missing_part_is_named() {
+    let (name, digest) = topology();
+    let result = assemble_changed(|parts, digest| drop(parts.remove(digest)));
+    assert_eq!(result, Err(ManifestError::Missing { name, digest }));
+}
+
+#[test]
+fn a_changed_part_is_named() {
+    let (name, wanted) = topology();
+    let result = assemble_changed(|parts, digest| parts.get_mut(digest).unwrap().push(' '));
+    let Err(ManifestError::Mismatch { name: it, wanted: digest, .. }) = result else {
+        panic!("{result:?}");
+    };
+    assert_eq!((it, digest), (name, wanted));
+}
+
+#[test]
+fn a_manifest_without_topology_is_malformed() {
+    let mut it = split(&bundle(1, 0, 0), None);
+    it.manifest.parts.remove(&PartName::Topology);
+    let result = assemble(&it.manifest, &it.parts);
+    assert!(matches!(result, Err(ManifestError::Malformed(_))), "{result:?}");
+}
+
+#[rstest]
+#[case("")]
+#[case("more")]
+#[case("service/")]
+#[case("service/UPPER")]
+#[case("classes/16")]
+#[case("blocks/012")]
+fn other_names_are_no_parts(#[case] text: &str) {
+    assert_eq!(text.parse::<PartName>(), Err(ManifestError::Name(text.into())));
+}
--- /dev/null
+++ b/crates/th-protocol/tests/sign.rs
@@ -0,0 +1,70 @@
+//! Signatures over manifests.
+
+use std::collections::BTreeMap;
+
+use rstest::rstest;
+use th_protocol::{OperatorId, SignError, SignedManifest, Signer, public_key};
+
+const MANIFEST: &str = r#"{"version":3,"parts":{}}"#;
+
+fn signer(name: &str) -> Signer {
+    Signer::new(name.parse().unwrap(), [name.as_bytes()[0]; 32])
+}
+
+fn keys() -> BTreeMap<OperatorId, String> {
+    ["ana", "ben"].map(|it| (it.parse().unwrap(), signer(it).public())).into()
+}
+
+fn flip(hex: &mut String) {
+    let last = hex.pop().unwrap();
+    hex.push(if last == '0' { '1' } else { '0' });
+}
+
+type Change = fn(&mut SignedManifest);
+
+#[rstest]
+#[case::good(|_: &mut SignedManifest| (), Ok(3))]
+#[case::earlier_is_not_signed(|it: &mut SignedManifest| it.earlier.push(it.digest()), Ok(3))]
+#[case::unsigned(|it: &mut SignedManifest| it.signature.clear(), Err(SignError::Unsigned))]
+#[case::stranger(|it: &mut SignedManifest| it.operator = "eve".parse().unwrap(), Err(SignError::Operator("eve".parse().unwrap())))]
+#[case::other(|it: &mut SignedManifest| it.operator = "ben".parse().unwrap(), Err(SignError::Signature("ben".parse().unwrap())))]
+#[case::text(|it: &mut SignedManifest| it.manifest = it.manifest.replace('3', "4"), Err(SignError::Signature("ana".parse().unwrap())))]
+#[case::spaces(|it: &mut SignedManifest| it.manifest.push(' '), Err(SignError::Signature("ana".parse().unwrap())))]
+#[case::bit(|it: &mut SignedManifest| flip(&mut it.signature), Err(SignError::Signature("ana".parse().unwrap())))]
+#[case::short(|it: &mut SignedManifest| it.signature.truncate(126), Err(SignError::Signature("ana".parse().unwrap())))]
+#[case::no_hex(|it: &mut SignedManifest| it.signature = "x".repeat(128), Err(SignError::Signature("ana".parse().unwrap())))]
+fn only_the_signed_text_is_taken(#[case] change: Change, #[case] result: Result<u64, SignError>) {
+    let mut signed = signer("ana").sign(MANIFEST.to_owned());
+    change(&mut signed);
+    let read = SignedManifest::read(&signed.write()).unwrap();
+    assert_eq!(read.verify(&keys()).map(|it| it.version.0), result);
+}
+
+/// A signature is good for a manifest only: the bare text is not what is signed.
+#[test]
+fn signatures_are_bound_to_their_use() {
+    use ed25519_dalek::{Signer as _, SigningKey};
+    let mut signed = signer("ana").sign(MANIFEST.to_owned());
+    let bare = SigningKey::from_bytes(&[b'a'; 32]).sign(MANIFEST.as_bytes());
+    signed.signature = hex::encode(bare.to_bytes());
+    assert!(matches!(signed.verify(&keys()), Err(SignError::Signature(_))));
+}
+
+#[rstest]
+#[case("")]
+#[case("{}")]
+#[case(r#"{"manifest":"{}","operator":"Ana"}"#)]
+#[case(r#"{"manifest":"{}","operator":"ana","signature":"","more":1}"#)]
+fn what_is_no_signed_manifest_is_malformed(#[case] text: &str) {
+    let result = SignedManifest::read(text.as_bytes());
+    assert!(matches!(result, Err(SignError::Malformed(_))), "{result:?}");
+}
+
+#[rstest]
+#[case("")]
+#[case("00")]
+#[case("zz")]
+fn a_key_is_64_hex_digits(#[case] text: &str) {
+    assert!(matches!(public_key(text), Err(SignError::Key(_))));
+    assert!(Signer::from_hex("ana".parse().unwrap(), text).is_err());
+}
