--- /dev/null
+++ b/crates/th-protocol/tests/bundle_page.rs
@@ -0,0 +1,90 @@
+//! docs/BUNDLE.md names each field of a bundle, and no other.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use th_protocol::{Bundle, check};
+
+const PAGE: &str = include_str!("../../../docs/BUNDLE.md");
+
+/// Every field is given, and no map is empty.
+const WHOLE: &str = r#"{
+    "version": 1,
+    "regions": { "north": { "cap": 40, "floors": { "n1": 1 } }, "south": { "cap": 1 } },
+    "zones": { "n1": { "region": "north", "shards": 1 } },
+    "links": { "ns": {
+        "from": "north", "to": "south", "cap": 280, "delay": 20, "floors": { "n1": 1 }
+    } },
+    "services": { "roster": {
+        "regions": { "north": { "weight": 2, "cap": 20 } },
+        "operations": { "book": { "idempotent": false, "deadline": 2000, "size": 4000 } },
+        "backends": { "b1": {
+            "zone": "n1", "address": "10.0.0.1:80", "slots": 4, "connections": 330, "leaving": true
+        } },
+        "shift": { "cap": 200, "window": 10000 },
+        "slo": { "latency": 250, "objective": 990, "headroom": 100, "drain": 30000 },
+        "customers": { "alpha": 1 }
+    } },
+    "classes": { "c1": { "delays": { "north": 8 } } },
+    "blocks": { "10.1.2.0/24": "c1" },
+    "operators": { "ana": "d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a" }
+}"#;
+
+/// Where an object of each type stands.
+const TYPES: [(&str, &str); 11] = [
+    ("Bundle", ""),
+    ("Region", "/regions/north"),
+    ("Zone", "/zones/n1"),
+    ("Link", "/links/ns"),
+    ("Service", "/services/roster"),
+    ("Target", "/services/roster/regions/north"),
+    ("Operation", "/services/roster/operations/book"),
+    ("Backend", "/services/roster/backends/b1"),
+    ("Shift", "/services/roster/shift"),
+    ("Slo", "/services/roster/slo"),
+    ("Class", "/classes/c1"),
+];
+
+type Fields = BTreeMap<String, BTreeSet<String>>;
+
+/// The fields of each type as serde writes them, which are all that the types have.
+fn fields_of_types(bundle: &Bundle) -> Fields {
+    let value = serde_json::to_value(bundle).unwrap();
+    let mut fields = Fields::new();
+    for (name, path) in TYPES {
+        let object = value.pointer(path).unwrap().as_object().unwrap();
+        fields.insert(name.into(), object.keys().cloned().collect());
+    }
+    fields
+}
+
+/// The first column of the table below each heading.
+fn fields_of_page(page: &str) -> Fields {
+    let mut fields = Fields::new();
+    let mut section = String::new();
+    for line in page.lines() {
+        if let Some(heading) = line.strip_prefix("## ") {
+            section = heading.to_owned();
+        }
+        let Some(row) = line.strip_prefix("| `") else { continue };
+        let (field, _) = row.split_once('`').unwrap();
+        assert_eq!(line.matches(" |").count(), 5, "{line}");
+        let new = fields.entry(section.clone()).or_default().insert(field.to_owned());
+        assert!(new, "{section}.{field} is listed twice");
+    }
+    fields
+}
+
+#[test]
+fn the_page_has_each_field_and_no_other() {
+    let bundle = check(WHOLE).unwrap();
+    assert_eq!(fields_of_page(PAGE), fields_of_types(&bundle));
+}
+
+/// A field gone from the page, or from the types, is seen.
+#[test]
+fn a_difference_is_seen() {
+    let types = fields_of_types(&check(WHOLE).unwrap());
+    assert_ne!(fields_of_page(&PAGE.replace("| `leaving` |", "| `leaves` |")), types);
+    let more = format!("{PAGE}| `more` | ms | | | |\n");
+    assert_ne!(fields_of_page(&more), types);
+}
