Run the operate pages' commands as printed

Every command on docs/operate must parse, and first-bundle.md is followed from the key to the status.

--- a/tests/thctl.rs
+++ b/tests/thctl.rs
@@ -141,6 +141,67 @@
     assert_eq!(fs::read(folder.file("ana")).unwrap(), before);
 }
 
+/// The commands on a page, each without its name.
+fn commands(page: &str) -> Vec<Vec<String>> {
+    let lines = page.lines().filter_map(|it| it.trim_start().strip_prefix("thctl "));
+    lines.map(|it| it.split_whitespace().map(str::to_owned).collect()).collect()
+}
+
+/// The page's addresses lead nowhere here, but none of its commands is a wrong one.
+#[rstest]
+fn commands_on_the_pages_are_well_formed(#[files("docs/operate/*.md")] page: PathBuf) {
+    let text = fs::read_to_string(&page).unwrap();
+    let folder = Folder::new(&format!("page-{}", page.file_stem().unwrap().display()));
+    let digest = "0".repeat(64);
+    for command in commands(&text) {
+        let mut args = Vec::new();
+        for arg in &command {
+            let arg = arg.replace("10.0.0.1:7000", "127.0.0.1:1").replace("DIGEST", &digest);
+            args.push(
+                arg.replace("10.0.0.2:8080", "127.0.0.1:1").replace("10.0.0.3:8080", "127.0.0.1:1"),
+            );
+        }
+        let output = Command::new(env!("CARGO_BIN_EXE_thctl"))
+            .args(&args)
+            .current_dir(&folder.0)
+            .output()
+            .unwrap();
+        let error = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_ne!(output.status.code(), Some(2), "{args:?}: {error}");
+    }
+}
+
+/// A new user follows docs/operate/first-bundle.md as printed.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_first_bundle_page_works() {
+    let page = include_str!("../docs/operate/first-bundle.md");
+    let server = PlatformServer::start(FakePlatform::default(), loopback()).await.unwrap();
+    let (url, vm) = (server.url(), serve(entry(1)).await);
+    let work = move || {
+        let folder = Folder::new("first-bundle");
+        let mut key = String::new();
+        for command in commands(page) {
+            let mut args = Vec::new();
+            for arg in command {
+                let arg = arg.replace("http://10.0.0.1:7000", &url).replace("10.0.0.2:8080", &vm);
+                let own = arg.ends_with(".json") || arg.ends_with(".key");
+                args.push(if own { folder.file(&arg) } else { arg });
+            }
+            let args: Vec<_> = args.iter().map(String::as_str).collect();
+            let (code, text) = thctl(&args);
+            assert_eq!(code, 0, "{args:?}: {text}");
+            if key.is_empty() {
+                key = text.lines().next().unwrap().to_owned();
+                let start = page.find("       {\n").unwrap();
+                let end = page.find("       }\n").unwrap() + "       }\n".len();
+                let bundle = page[start..end].replace("PUBLIC KEY", &key);
+                fs::write(folder.file("bundle.json"), bundle).unwrap();
+            }
+        }
+    };
+    spawn_blocking(work).await.unwrap();
+}
+
 fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
