Update a bundle from the parts that differ

Parts may hold their own entries alone, and may not overlap, or an update could differ from putting all together; tests cover both.

--- a/crates/th-protocol/examples/bundle_measure.rs
+++ b/crates/th-protocol/examples/bundle_measure.rs
@@ -6,7 +6,7 @@
 
 use th_protocol::{
     Backend, Block, Bundle, Class, Connections, Digest, Millis, Operation, Permille, Region,
-    Service, SignedBundle, Signer, Slots, Split, Target, Version, Zone, assemble, split,
+    Service, SignedBundle, Signer, Slots, Split, Target, Version, Zone, assemble, split, update,
 };
 
 const REGIONS: u32 = 12;
@@ -36,6 +36,7 @@
     worst_bytes_per_second: f64,
     split_ms: f64,
     assemble_ms: f64,
+    update_ms: f64,
 }
 
 fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(kind: &str, n: u32) -> T {
@@ -117,6 +118,18 @@
     it.regions.values_mut().next().expect("there is a region").cap = Slots(1);
 }
 
+/// Milliseconds that an entry VM takes for a change of one backend server.
+fn time_update(old: &Bundle, from: &Split) -> f64 {
+    let mut new = old.clone();
+    drain(&mut new);
+    let to = split(&new, None);
+    let start = Instant::now();
+    let found = update(old, &from.manifest, &to.manifest, &to.parts);
+    let span = start.elapsed().as_secs_f64() * 1e3;
+    assert_eq!(found.as_ref(), Ok(&new), "the update gives the new bundle");
+    span
+}
+
 fn measure(eighths: u32) -> Row {
     let bundle = bundle(eighths);
     let start = Instant::now();
@@ -154,6 +167,7 @@
         worst_bytes_per_second: rate(sizes.into_iter().max().unwrap_or(0) as f64),
         split_ms,
         assemble_ms,
+        update_ms: time_update(&bundle, &it),
     }
 }
 
--- a/crates/th-protocol/src/bundle/manifest.rs
+++ b/crates/th-protocol/src/bundle/manifest.rs
@@ -10,7 +10,7 @@
     bundle::{
         digest::Digest,
         layout::MAX_PART_BYTES,
-        part::{CLASS_PARTS, Topology},
+        part::{CLASS_PARTS, Topology, class_shard},
         spec::{Bundle, Class},
     },
 };
@@ -155,17 +155,42 @@
     manifest: &Manifest,
     parts: &BTreeMap<Digest, B>,
 ) -> Result<Bundle> {
+    check_names(manifest)?;
     let mut bundle = Bundle { version: manifest.version, ..Bundle::default() };
     for (name, digest) in &manifest.parts {
-        let Some(bytes) = parts.get(digest) else {
-            return Err(ManifestError::Missing { name: name.clone(), digest: *digest });
-        };
-        add_part(&mut bundle, name, *digest, bytes.as_ref())?;
+        add_named(&mut bundle, name, digest, parts)?;
     }
+    Ok(bundle)
+}
+
+/// Refuses a manifest without a topology, or with two parts for the same blocks.
+pub(crate) fn check_names(manifest: &Manifest) -> Result<()> {
     if !manifest.parts.contains_key(&PartName::Topology) {
         return Err(ManifestError::Malformed("it names no topology".into()));
     }
-    Ok(bundle)
+    let mut before: Option<&str> = None;
+    for name in manifest.parts.keys() {
+        let PartName::Blocks(bits) = name else { continue };
+        // In order, a prefix stands right before what it starts.
+        if before.is_some_and(|it| bits.starts_with(it)) {
+            return Err(ManifestError::Malformed(format!("{name} overlaps another part")));
+        }
+        before = Some(bits);
+    }
+    Ok(())
+}
+
+/// Adds the part of that name and digest.
+pub(crate) fn add_named<B: AsRef<[u8]>>(
+    bundle: &mut Bundle,
+    name: &PartName,
+    digest: &Digest,
+    parts: &BTreeMap<Digest, B>,
+) -> Result<()> {
+    let Some(bytes) = parts.get(digest) else {
+        return Err(ManifestError::Missing { name: name.clone(), digest: *digest });
+    };
+    add_part(bundle, name, *digest, bytes.as_ref())
 }
 
 fn add_part(bundle: &mut Bundle, name: &PartName, wanted: Digest, bytes: &[u8]) -> Result<()> {
@@ -188,16 +213,29 @@
             bundle.services.insert(id.clone(), read(name, bytes)?);
         }
         // `extend` costs as much as the part; `append` would rebuild the whole map.
-        PartName::Classes(_) => {
-            bundle.classes.extend(read::<BTreeMap<ClassId, Class>>(name, bytes)?);
+        PartName::Classes(shard) => {
+            let classes: BTreeMap<ClassId, Class> = read(name, bytes)?;
+            if classes.keys().any(|it| class_shard(it) != *shard) {
+                return Err(stray(name));
+            }
+            bundle.classes.extend(classes);
         }
-        PartName::Blocks(_) => {
-            bundle.blocks.extend(read::<BTreeMap<Block, ClassId>>(name, bytes)?);
+        PartName::Blocks(bits) => {
+            let blocks: BTreeMap<Block, ClassId> = read(name, bytes)?;
+            if blocks.keys().any(|it| !format!("{:032b}", it.base()).starts_with(bits)) {
+                return Err(stray(name));
+            }
+            bundle.blocks.extend(blocks);
         }
     }
     Ok(())
 }
 
+fn stray(name: &PartName) -> ManifestError {
+    let cause = "it holds an entry of another part".to_owned();
+    ManifestError::Part { name: name.clone(), cause }
+}
+
 fn read<T: DeserializeOwned>(name: &PartName, bytes: &[u8]) -> Result<T> {
     serde_json::from_slice(bytes)
         .map_err(|e| ManifestError::Part { name: name.clone(), cause: e.to_string() })
--- a/crates/th-protocol/src/bundle/mod.rs
+++ b/crates/th-protocol/src/bundle/mod.rs
@@ -10,6 +10,7 @@
 mod sign;
 mod spec;
 mod unique;
+mod update;
 
 pub use check::{check, check_bundle};
 pub use digest::{Digest, DigestError};
@@ -20,3 +21,4 @@
 pub use spec::{
     Backend, Bundle, Class, Link, Operation, Region, Service, Shift, Slo, Target, Zone,
 };
+pub use update::update;
--- a/crates/th-protocol/src/bundle/part.rs
+++ b/crates/th-protocol/src/bundle/part.rs
@@ -83,11 +83,15 @@
     it
 }
 
+/// The share of the classes that a class belongs to.
+pub(crate) fn class_shard(id: &ClassId) -> u8 {
+    Digest::of(id.as_str().as_bytes()).bytes()[0] % CLASS_PARTS
+}
+
 fn shard_classes(classes: &BTreeMap<ClassId, Class>) -> BTreeMap<u8, BTreeMap<&ClassId, &Class>> {
     let mut shards = BTreeMap::<u8, BTreeMap<_, _>>::new();
     for (id, class) in classes {
-        let shard = Digest::of(id.as_str().as_bytes()).bytes()[0] % CLASS_PARTS;
-        shards.entry(shard).or_default().insert(id, class);
+        shards.entry(class_shard(id)).or_default().insert(id, class);
     }
     shards
 }
--- /dev/null
+++ b/crates/th-protocol/src/bundle/update.rs
@@ -0,0 +1,70 @@
+//! Makes a bundle from the one before it and the parts that differ.
+
+use std::{collections::BTreeMap, net::Ipv4Addr};
+
+use crate::{
+    Block,
+    bundle::{
+        digest::Digest,
+        manifest::{Manifest, PartName, Result, add_named, check_names},
+        part::class_shard,
+        spec::Bundle,
+    },
+};
+
+/// The bundle that `to` names, from `old`, which `from` names. `parts` needs to hold only the
+/// parts that `from` does not name; those are checked against their digests.
+pub fn update<B: AsRef<[u8]>>(
+    old: &Bundle,
+    from: &Manifest,
+    to: &Manifest,
+    parts: &BTreeMap<Digest, B>,
+) -> Result<Bundle> {
+    check_names(to)?;
+    let mut bundle = Bundle { version: to.version, ..old.clone() };
+    for (name, digest) in &from.parts {
+        if to.parts.get(name) != Some(digest) {
+            remove(&mut bundle, name);
+        }
+    }
+    for (name, digest) in &to.parts {
+        if from.parts.get(name) != Some(digest) {
+            add_named(&mut bundle, name, digest, parts)?;
+        }
+    }
+    Ok(bundle)
+}
+
+fn remove(bundle: &mut Bundle, name: &PartName) {
+    match name {
+        // It is in every manifest, and adding it replaces all that it holds.
+        PartName::Topology => (),
+        PartName::Service(id) => {
+            bundle.services.remove(id);
+        }
+        PartName::Classes(shard) => bundle.classes.retain(|id, _| class_shard(id) != *shard),
+        PartName::Blocks(bits) => remove_blocks(bundle, bits),
+    }
+}
+
+fn remove_blocks(bundle: &mut Bundle, bits: &str) {
+    let lowest = format!("{bits:0<32}");
+    let highest = format!("{bits:1<32}");
+    let block = |bits: &str, length| {
+        let raw = u32::from_str_radix(bits, 2).ok()?;
+        Block::new(Ipv4Addr::from(raw), length).ok()
+    };
+    // A short block can share the lowest address: order is by address, then by length.
+    let (Some(first), Some(last)) = (block(&lowest, 32), block(&highest, 32)) else { return };
+    let low = first.base();
+    let mut gone = Vec::new();
+    for (block, _) in bundle.blocks.range(..=last).rev() {
+        if block.base() < low {
+            break;
+        }
+        gone.push(*block);
+    }
+    for block in gone {
+        bundle.blocks.remove(&block);
+    }
+}
--- a/crates/th-protocol/tests/manifest.rs
+++ b/crates/th-protocol/tests/manifest.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use th_protocol::{
     Backend, Block, Bundle, Class, Digest, MAX_PART_BLOCKS, ManifestError, Millis, PartName,
-    Region, Service, Slots, Version, Zone, assemble, split,
+    Region, Service, Slots, Version, Zone, assemble, split, update,
 };
 
 /// Services, classes and blocks; the blocks are `/24`s in a row.
@@ -53,6 +53,38 @@
 
 type Change = fn(&mut Bundle);
 
+fn fill(it: &mut Bundle, blocks: impl Iterator<Item = u32>) {
+    for raw in blocks {
+        let block = Block::new(Ipv4Addr::from(raw), 32).unwrap();
+        it.blocks.insert(block, "c0".parse().unwrap());
+    }
+}
+
+/// An update from the parts that differ is the same as putting all parts together.
+#[rstest]
+#[case::nothing(|_: &mut Bundle| ())]
+#[case::drain(drain)]
+#[case::service_gone(|it: &mut Bundle| drop(it.services.remove(&"s7".parse().unwrap())))]
+#[case::classes_gone(|it: &mut Bundle| it.classes.retain(|id, _| id.as_str() < "c3"))]
+#[case::region(|it: &mut Bundle| it.regions.values_mut().next().unwrap().cap = Slots(1))]
+#[case::blocks_gone(|it: &mut Bundle| it.blocks.clear())]
+#[case::half_the_blocks(|it: &mut Bundle| it.blocks.retain(|block, _| block.base() % 512 == 0))]
+#[case::parts_split(|it: &mut Bundle| fill(it, 0x0a00_0100..0x0a00_0900))]
+#[case::highest(|it: &mut Bundle| fill(it, u32::MAX - 2000..=u32::MAX))]
+#[case::lowest(|it: &mut Bundle| fill(it, 0..2000))]
+fn updates_agree_with_assembling(#[case] change: Change) {
+    let old = bundle(40, 100, MAX_PART_BLOCKS as u32 * 3);
+    let mut new = Bundle { version: Version(2), ..old.clone() };
+    change(&mut new);
+    for (old, new) in [(&old, &new), (&new, &old)] {
+        let (from, to) = (split(old, None), split(new, None));
+        let mut parts = to.parts.clone();
+        parts.retain(|digest, _| !from.parts.contains_key(digest));
+        let found = update(old, &from.manifest, &to.manifest, &parts);
+        assert!(found.as_ref() == Ok(new), "{} new parts", parts.len());
+    }
+}
+
 fn drain(it: &mut Bundle) {
     let service = it.services.get_mut(&"s7".parse().unwrap()).unwrap();
     service.backends.values_mut().next().unwrap().leaving = true;
@@ -135,6 +167,31 @@
     assert!(matches!(result, Err(ManifestError::Malformed(_))), "{result:?}");
 }
 
+/// Else an update could take away what another part holds.
+#[rstest]
+#[case("blocks/1", r#"{"10.0.0.0/24":"c0"}"#, "another part")]
+#[case(
+    "classes/0",
+    r#"{"c0":{"delays":{}},"c1":{"delays":{}},"c2":{"delays":{}}}"#,
+    "another part"
+)]
+#[case("blocks/00", "{}", "overlaps")]
+fn parts_hold_their_own_entries(#[case] name: &str, #[case] part: &str, #[case] cause: &str) {
+    let mut it = split(&bundle(1, 0, 0), None);
+    for (name, part) in [("blocks/0", "{}"), (name, part)] {
+        let digest = Digest::of(part.as_bytes());
+        it.manifest.parts.insert(name.parse().unwrap(), digest);
+        it.parts.insert(digest, part.to_owned());
+    }
+    let from = split(&bundle(1, 0, 0), None).manifest;
+    for result in [
+        assemble(&it.manifest, &it.parts),
+        update(&bundle(1, 0, 0), &from, &it.manifest, &it.parts),
+    ] {
+        assert!(result.as_ref().is_err_and(|e| e.to_string().contains(cause)), "{result:?}");
+    }
+}
+
 #[rstest]
 #[case("")]
 #[case("more")]
