--- a/crates/th-protocol/src/bundle/manifest.rs
+++ b/crates/th-protocol/src/bundle/manifest.rs
@@ -221,10 +221,16 @@
             bundle.classes.extend(classes);
         }
         PartName::Blocks(bits) => {
-            let blocks: BTreeMap<Block, ClassId> = read(name, bytes)?;
+            let mut blocks: BTreeMap<Block, ClassId> = read(name, bytes)?;
             if blocks.keys().any(|it| !format!("{:032b}", it.base()).starts_with(bits)) {
                 return Err(stray(name));
             }
+            // Classes come first; many blocks share the text of one class's id.
+            for class in blocks.values_mut() {
+                if let Some((known, _)) = bundle.classes.get_key_value(class) {
+                    *class = known.clone();
+                }
+            }
             bundle.blocks.extend(blocks);
         }
     }
