--- a/crates/th-protocol/src/lib.rs
+++ b/crates/th-protocol/src/lib.rs
@@ -6,9 +6,11 @@
 mod ids;
 mod load;
 mod lookup;
+mod peer;
 mod status;
 mod units;
 mod verdict;
+mod vm;
 
 pub use block::{Block, BlockError};
 pub use bundle::{
@@ -23,9 +25,14 @@
 };
 pub use load::LoadReport;
 pub use lookup::{EntryAddress, LookupAnswer};
+pub use peer::{
+    BundleAnswer, BundleHead, BundleRequest, CheckAnswer, ContentHash, HeadroomDigest, Heartbeat,
+    IndirectCheck, LeavingNotice, LeavingSource, MemberState, PeerRecord,
+};
 pub use status::Status;
 pub use units::{
     AttemptId, Bytes, Connections, Incarnation, Mbit, Millis, Permille, Revision, Slots, Time,
     UnitError, Version,
 };
 pub use verdict::{Notice, Reason, Verdict, VerdictError};
+pub use vm::{VmRecord, VmRole, VmState};
