Run the whole path on loopback by one command

Cause: nothing showed yet that caller, entry processes, backend servers, store and operator work together. Change: a deployment of fakes and real entry processes, callers that keep look-ups, an audit of what they were told against the backend servers' ledger, and examples/local, which drains, stops, kills, cuts the store off, silences connections and rolls under load. A notice says "unknown" where an earlier try or a lost race may have run the request.

--- a/crates/th-entry/src/call/here.rs
+++ b/crates/th-entry/src/call/here.rs
@@ -48,17 +48,23 @@
     tokio::pin!(second);
     // The loser is dropped, which frees its slot and closes its connection.
     tokio::select! {
-        ended = &mut first => match ended.1 {
-            Some(_) => ended,
-            None => second.await,
-        },
-        ended = &mut second => match ended.1 {
-            Some(_) => ended,
-            None => first.await,
-        },
+        ended = &mut first => better(ended, second).await,
+        ended = &mut second => better(ended, first).await,
     }
 }
 
+/// The answer of the try that ended, or else how the other one ends. Without any, what may have run counts.
+async fn better(
+    ended: (Outcome, Option<Reply>),
+    other: impl Future<Output = (Outcome, Option<Reply>)>,
+) -> (Outcome, Option<Reply>) {
+    if ended.1.is_some() {
+        return ended;
+    }
+    let last = other.await;
+    if last.1.is_none() && last.0.surely_not_run() { ended } else { last }
+}
+
 /// A second backend server for a slow request, where the budget and a free slot allow it.
 fn hedge(entry: &Arc<Entry>, run: &Run, sent: Time) -> Option<(Choice, Attempt)> {
     let place = entry.decide(|engine, now| {
--- a/crates/th-entry/src/call/run.rs
+++ b/crates/th-entry/src/call/run.rs
@@ -50,9 +50,16 @@
         None => Right::Free,
         Some(token) => Right::Received(token),
     };
+    // Why an earlier try of an idempotent request may have run.
+    let mut unsure = None;
     loop {
         let place = match find_place(entry, &mut run).await {
-            Some(Place::Refuse(notice)) => return end_unrun(entry, right, &notice),
+            Some(Place::Refuse(notice)) => {
+                return match unsure {
+                    Some(reason) => Reply::notice(&notices::unknown(reason)),
+                    None => end_unrun(entry, right, &notice),
+                };
+            }
             Some(place) => place,
             None => {
                 let notice = entry.decide(|engine, now| engine.give_up(&run.call, now));
@@ -73,6 +80,7 @@
             }
             Tried::Repeat(reason) => {
                 right = Right::Free;
+                unsure = Some(reason);
                 (false, reason)
             }
         };
@@ -83,11 +91,13 @@
         }
         let wait = match entry.decide(|engine, now| engine.retry(&run, sure, now)) {
             RetryDecision::After(wait) => wait,
-            RetryDecision::Stop(_) if sure => {
+            RetryDecision::Stop(_) if sure && unsure.is_none() => {
                 let retry = entry.settings.pace.call;
                 return end_unrun(entry, right, &notices::refused(reason, retry));
             }
-            RetryDecision::Stop(_) => return Reply::notice(&notices::unknown(reason)),
+            RetryDecision::Stop(_) => {
+                return Reply::notice(&notices::unknown(unsure.unwrap_or(reason)));
+            }
         };
         entry.metrics.retries.with_label_values(&[run.call.service.as_str(), "retry"]).inc();
         sleep(Duration::from_millis(wait.0)).await;
--- /dev/null
+++ b/crates/th-testing/src/caller/caller.rs
@@ -0,0 +1,180 @@
+//! A caller that keeps the answers to look-ups, as real ones do.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use reqwest::{Client, Response, StatusCode};
+use th_platform::{BootClock, Clock};
+use th_protocol::{LookupAnswer, Millis, Notice, Time, header};
+
+use super::{End, Record, Records};
+use crate::REQUEST;
+
+/// Settings of a caller.
+#[derive(Debug, Clone)]
+pub struct CallerSettings {
+    /// Starts the names of its requests.
+    pub name: String,
+    /// The block that it calls from.
+    pub block: String,
+    /// Entry VMs that it asks when it knows no other.
+    pub seeds: Vec<SocketAddr>,
+    /// How long it waits for an answer.
+    pub patience: Millis,
+    /// Entry VMs that it sends one request to at most.
+    pub tries: usize,
+    /// Where it writes down what it was told.
+    pub records: Records,
+}
+
+impl Default for CallerSettings {
+    fn default() -> CallerSettings {
+        CallerSettings {
+            name: "caller".to_owned(),
+            block: "10.0.0.0/24".to_owned(),
+            seeds: Vec::new(),
+            patience: Millis(5_000),
+            tries: 3,
+            records: Records::default(),
+        }
+    }
+}
+
+/// One caller, with its cache of look-ups.
+pub struct Caller {
+    settings: CallerSettings,
+    client: Client,
+    cache: BTreeMap<&'static str, (LookupAnswer, Time)>,
+    sent: u64,
+}
+
+impl Caller {
+    /// A caller with an empty cache.
+    pub fn new(settings: CallerSettings) -> Caller {
+        let client = Client::builder()
+            .timeout(Duration::from_millis(settings.patience.0))
+            .connect_timeout(Duration::from_millis(500))
+            .no_proxy()
+            .build()
+            .expect("a client without TLS needs nothing that could be missing");
+        Caller { settings, client, cache: BTreeMap::new(), sent: 0 }
+    }
+
+    /// Sends one request of an operation and writes down how it ended.
+    pub async fn call(&mut self, operation: &'static str, idempotent: bool) -> Record {
+        self.sent += 1;
+        let request = format!("{}-{}", self.settings.name, self.sent);
+        self.call_as(operation, idempotent, request).await
+    }
+
+    /// The same under a name that the caller chooses.
+    pub async fn call_as(
+        &mut self,
+        operation: &'static str,
+        idempotent: bool,
+        request: String,
+    ) -> Record {
+        let sent = BootClock.now();
+        let (end, through) = self.attempt(operation, &request).await;
+        let waited = BootClock.now().since(sent);
+        let record = Record { request, idempotent, end, sent, waited, through };
+        self.settings.records.add(record.clone());
+        record
+    }
+
+    /// Tries the entry VMs of the look-up in turn, all under one ticket and one key.
+    async fn attempt(&mut self, operation: &'static str, request: &str) -> (End, Vec<SocketAddr>) {
+        let mut through = Vec::new();
+        let Some(answer) = self.lookup(operation).await else {
+            return (End::Broken, through);
+        };
+        let mut end = End::Broken;
+        for entry in answer.entries.iter().take(self.settings.tries) {
+            through.push(entry.address);
+            let sent = self.send(entry.address, operation, request, &answer).await;
+            let Ok(response) = sent else {
+                // Another entry VM may know what became of the request.
+                self.cache.remove(operation);
+                continue;
+            };
+            end = judge(response, request).await;
+            if end != End::Answered {
+                self.cache.remove(operation);
+            }
+            break;
+        }
+        (end, through)
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        operation: &str,
+        request: &str,
+        answer: &LookupAnswer,
+    ) -> reqwest::Result<Response> {
+        let url = format!("http://{address}/v1/call/roster/{operation}");
+        let mut call = self
+            .client
+            .post(url)
+            .header(REQUEST, request)
+            .header(header::BLOCK, &self.settings.block)
+            .body(format!("body of {request}"));
+        if let Some(ticket) = &answer.ticket {
+            call = call.header(header::TICKET, ticket).header(header::IDEMPOTENCY_KEY, request);
+        }
+        call.send().await
+    }
+
+    /// The answer to a look-up, from the cache as long as that is allowed.
+    async fn lookup(&mut self, operation: &'static str) -> Option<LookupAnswer> {
+        let now = BootClock.now();
+        if let Some((answer, until)) = self.cache.get(operation)
+            && now < *until
+        {
+            return Some(answer.clone());
+        }
+        let known = self.cache.remove(operation).map(|(answer, _)| answer.entries);
+        let mut addresses: Vec<SocketAddr> =
+            known.into_iter().flatten().map(|it| it.address).collect();
+        addresses.extend(&self.settings.seeds);
+        for address in addresses {
+            let Some(answer) = self.ask(address, operation).await else {
+                continue;
+            };
+            let until = now.after(answer.ttl);
+            self.cache.insert(operation, (answer.clone(), until));
+            return Some(answer);
+        }
+        None
+    }
+
+    async fn ask(&self, address: SocketAddr, operation: &str) -> Option<LookupAnswer> {
+        let url = format!("http://{address}/v1/lookup/roster/{operation}");
+        let query = [("block", &self.settings.block)];
+        let response = self.client.get(url).query(&query).send().await.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        self.settings.records.add_lookup();
+        response.json().await.ok()
+    }
+}
+
+/// Tells the whole answer to `request` from everything else.
+async fn judge(response: Response, request: &str) -> End {
+    let told = response.headers().contains_key(header::VERDICT);
+    let named = response.headers().get(REQUEST).and_then(|it| it.to_str().ok());
+    let named = named.map(str::to_owned);
+    let Ok(body) = response.bytes().await else {
+        return End::Broken;
+    };
+    if told {
+        return match serde_json::from_slice::<Notice>(&body) {
+            Ok(notice) => End::Told(notice.verdict, notice.reason),
+            Err(_) => End::Wrong,
+        };
+    }
+    let whole = body.starts_with(format!("{request} ran at ").as_bytes());
+    let whole = whole && body.contains(&b'\n');
+    if whole && named.as_deref() == Some(request) { End::Answered } else { End::Wrong }
+}
--- /dev/null
+++ b/examples/local/load.rs
@@ -0,0 +1,70 @@
+//! Callers that ask and book until they are told to stop.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use th_testing::{Caller, CallerSettings, Deployment, Records};
+use tokio::{task::JoinHandle, time::sleep};
+
+/// Callers at once.
+const CALLERS: u32 = 24;
+/// Time between a caller's requests.
+const PAUSE: Duration = Duration::from_millis(15);
+/// One request in so many is a booking.
+const BOOK_EVERY: u32 = 3;
+
+/// Load that runs in the background.
+pub(crate) struct Load {
+    records: Records,
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Starts the callers.
+    pub(crate) fn start(deployment: &Deployment) -> Load {
+        let records = Records::default();
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut callers = Vec::new();
+        for i in 0..CALLERS {
+            let caller = Caller::new(CallerSettings {
+                name: format!("caller-{i}"),
+                block: format!("10.0.{i}.0/24"),
+                seeds: deployment.callers(),
+                records: records.clone(),
+                ..CallerSettings::default()
+            });
+            callers.push(tokio::spawn(run(caller, Arc::clone(&stop))));
+        }
+        Load { records, stop, callers }
+    }
+
+    /// Lets each caller end its request, and gives what they were told.
+    pub(crate) async fn stop(self) -> Records {
+        self.stop.store(true, Ordering::SeqCst);
+        for caller in self.callers {
+            if let Err(error) = caller.await {
+                eprintln!("a caller failed: {error}");
+            }
+        }
+        self.records
+    }
+}
+
+async fn run(mut caller: Caller, stop: Arc<AtomicBool>) {
+    let mut count = 0;
+    while !stop.load(Ordering::SeqCst) {
+        count += 1;
+        if count % BOOK_EVERY == 0 {
+            caller.call("book", false).await;
+        } else {
+            caller.call("check", true).await;
+        }
+        sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/examples/local/summary.rs
@@ -0,0 +1,144 @@
+//! The figures of a run, and what of them breaks a promise.
+
+use eyre::Result;
+use serde::Serialize;
+use th_operator::EntryClient;
+use th_testing::{Deployment, End, Records};
+
+use crate::act::{Acts, IN_FORCE};
+
+/// A leaving backend server gets no new work after this time, in seconds.
+const NO_NEW_WORK_S: f64 = 5.0;
+
+/// The figures of a run.
+#[derive(Debug, Serialize)]
+pub(crate) struct Summary {
+    requests: u64,
+    answered: u64,
+    lost: u64,
+    doubled: u64,
+    wrong_answers: u64,
+    false_not_run: u64,
+    cut_in_flight: u64,
+    unknown: u64,
+    refused: u64,
+    broken: u64,
+    overruns: u64,
+    p50_ms: u64,
+    p99_ms: u64,
+    min_headroom: f64,
+    drain_s: f64,
+    drain_new_work_s: f64,
+    bundle_in_force_s: f64,
+    store_writes_s: f64,
+    store_reads_s: f64,
+    lookups: u64,
+}
+
+impl Summary {
+    /// Counts from the ledger and the callers' records, not from what the entry processes say.
+    pub(crate) async fn new(
+        deployment: &Deployment,
+        records: &Records,
+        acts: &Acts,
+    ) -> Result<Summary> {
+        let audit = records.audit(&deployment.ledger);
+        let seconds = deployment.now().since(acts.began).0 as f64 / 1_000.0;
+        let taken = deployment.platform.taken();
+        let (min_headroom, drain_s) = ask_entries(deployment).await?;
+        Ok(Summary {
+            requests: audit.requests,
+            answered: audit.answered,
+            lost: audit.lost,
+            doubled: audit.doubled,
+            wrong_answers: audit.wrong,
+            false_not_run: audit.false_not_run,
+            cut_in_flight: u64::from(acts.cut) + cut_by_stop(records, acts),
+            unknown: audit.unknown,
+            refused: audit.refused,
+            broken: audit.broken,
+            overruns: deployment.ledger.overruns(),
+            p50_ms: records.quantile(0.5).0,
+            p99_ms: records.quantile(0.99).0,
+            min_headroom,
+            drain_s,
+            drain_new_work_s: last_new_work(deployment, acts),
+            bundle_in_force_s: acts.in_force.iter().copied().fold(0.0, f64::max),
+            store_writes_s: taken.writes as f64 / seconds,
+            store_reads_s: taken.reads as f64 / seconds,
+            lookups: records.lookups(),
+        })
+    }
+
+    /// What must hold and does not.
+    pub(crate) fn broken(&self) -> Vec<String> {
+        let mut broken = Vec::new();
+        let zeros = [
+            ("lost", self.lost),
+            ("doubled", self.doubled),
+            ("wrong_answers", self.wrong_answers),
+            ("false_not_run", self.false_not_run),
+            ("cut_in_flight", self.cut_in_flight),
+            ("overruns", self.overruns),
+        ];
+        for (name, count) in zeros {
+            if count != 0 {
+                broken.push(format!("{name} is {count}"));
+            }
+        }
+        if NO_NEW_WORK_S < self.drain_new_work_s {
+            broken.push(format!("new work {} s after the drain", self.drain_new_work_s));
+        }
+        if IN_FORCE.0 as f64 / 1_000.0 < self.bundle_in_force_s {
+            broken.push(format!("a bundle in force after {} s", self.bundle_in_force_s));
+        }
+        if self.answered == 0 {
+            broken.push("nothing was answered".to_owned());
+        }
+        broken
+    }
+}
+
+/// Requests whose connection to the entry VM that was stopped as planned broke.
+fn cut_by_stop(records: &Records, acts: &Acts) -> u64 {
+    let mut cut = 0;
+    for record in records.all() {
+        let Some((last, before)) = record.through.split_last() else {
+            continue;
+        };
+        // An idempotent request that went on through another entry VM lost nothing.
+        let broke = record.end == End::Broken && *last == acts.stopped;
+        let unknown = !record.idempotent
+            && before.contains(&acts.stopped)
+            && !matches!(record.end, End::Answered);
+        cut += u64::from(broke || unknown);
+    }
+    cut
+}
+
+/// Seconds from the roll that drains a server until it last got new work.
+fn last_new_work(deployment: &Deployment, acts: &Acts) -> f64 {
+    let (backend, rolled) = &acts.drained;
+    let mut last = 0;
+    for run in deployment.ledger.runs() {
+        if run.server == backend.as_str() {
+            last = last.max(run.began.since(*rolled).0);
+        }
+    }
+    last as f64 / 1_000.0
+}
+
+/// The lowest headroom and the longest drain that any entry process has seen.
+async fn ask_entries(deployment: &Deployment) -> Result<(f64, f64)> {
+    let (mut headroom, mut drain) = (1.0_f64, 0.0_f64);
+    for address in deployment.callers() {
+        let answer = EntryClient::new(&address.to_string()).burn().await?;
+        for it in &answer.headroom {
+            headroom = headroom.min(f64::from(it.low.0) / 1_000.0);
+        }
+        for it in &answer.drains {
+            drain = drain.max(it.took.0 as f64 / 1_000.0);
+        }
+    }
+    Ok((headroom, drain))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,11 @@
 //! The entry process: one on each entry VM.
 
-use std::{fs, path::PathBuf, process::ExitCode, sync::Arc};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    sync::Arc,
+};
 
 use argh::FromArgs;
 use eyre::{Result, WrapErr};
@@ -49,7 +54,7 @@
     }
 }
 
-fn read(path: &PathBuf) -> Result<Settings, ExitCode> {
+fn read(path: &Path) -> Result<Settings, ExitCode> {
     let text = fs::read_to_string(path).map_err(|error| {
         eprintln!("error: reading {}: {error}", path.display());
         ExitCode::from(EXIT_USAGE)
@@ -60,7 +65,7 @@
     })
 }
 
-fn print_faults(path: &PathBuf, faults: &[SettingsFault]) {
+fn print_faults(path: &Path, faults: &[SettingsFault]) {
     for fault in faults {
         eprintln!("{}: {fault}", path.display());
     }
