--- a/crates/th-steer/examples/route_measure.rs
+++ b/crates/th-steer/examples/route_measure.rs
@@ -8,7 +8,7 @@
 use std::{hint::black_box, time::Instant};
 
 use serde::Serialize;
-use th_protocol::Time;
+use th_protocol::{Bundle, Time};
 use th_steer::{
     explain,
     route::{ClassIx, Effects, Inputs, Map, RegionIx, ServiceIx, Settings, Tables, lookup},
@@ -35,6 +35,8 @@
     table_bytes: f64,
     /// Bytes that the map, the fleet, the weights and so on say they hold.
     said_bytes: f64,
+    /// Bytes that the parsed bundle holds, which is not part of the tables.
+    bundle_bytes: f64,
     /// Bytes that the journal of reasons holds.
     journal_bytes: f64,
     /// Nanoseconds for one look-up; the fastest and the middle of the rounds.
@@ -84,7 +86,8 @@
 }
 
 fn measure(size: &Size) -> Figures {
-    let bundle = world::bundle(size);
+    let mut bundle = Bundle::default();
+    let parsed = allocation_counter::measure(|| bundle = world::bundle(size));
     let settings = Settings::default();
     let build = seconds(|| {
         let map = Map::new(&bundle, None);
@@ -126,6 +129,7 @@
         build_ms: build * 1e3,
         table_bytes: memory.bytes_current as f64,
         said_bytes: said as f64,
+        bundle_bytes: parsed.bytes_current as f64,
         journal_bytes: explain::Journal::new(&explain::Settings::default()).bytes() as f64,
         lookup_least_ns: lookups[0],
         lookup_ns: lookups[ROUNDS / 2],
@@ -222,6 +226,7 @@
     vec![
         of("build_ms", "block", blocks, |it| it.build_ms),
         of("table_bytes", "class x site", cells, |it| it.table_bytes),
+        of("bundle_bytes", "block", blocks, |it| it.bundle_bytes),
         of("lookup_ns", "block", blocks, |it| it.lookup_ns),
         of("tick_ms", "class x site", cells, |it| it.tick_ms),
     ]
--- a/crates/th-steer/src/route/map.rs
+++ b/crates/th-steer/src/route/map.rs
@@ -183,6 +183,11 @@
         &self.order[class.row() * self.regions.len()..][..self.regions.len()]
     }
 
+    /// Regions by rising delay from the class.
+    pub fn nearest(&self, class: ClassIx) -> Vec<RegionIx> {
+        self.order(class).iter().map(|&it| RegionIx(it.into())).collect()
+    }
+
     /// Blocks of the class.
     pub(crate) fn population(&self, class: ClassIx) -> u32 {
         self.population[class.row()]
--- a/crates/th-steer/tests/route.rs
+++ b/crates/th-steer/tests/route.rs
@@ -363,3 +363,20 @@
         assert_eq!(load <= limit * 1.05, holds, "{policy:?}: {load} of {limit}");
     }
 }
+
+#[rstest]
+fn unknown_blocks_sit_where_the_entry_vm_is() {
+    let mut bundle = world::bundle(&small());
+    for (id, to, delay) in [("near", "r02", 5), ("far", "r00", 50)] {
+        let (from, to) = ("r01".parse().unwrap(), to.parse().unwrap());
+        let (cap, delay) = (th_protocol::Mbit(1), Millis(delay));
+        let link = th_protocol::Link { from, to, cap, delay, floors: BTreeMap::new() };
+        bundle.links.insert(id.parse().unwrap(), link);
+    }
+    let map = Map::new(&bundle, Some(&"z01".parse().unwrap()));
+    let stranger = map.place(Ipv4Addr::new(240, 0, 0, 9));
+    assert_eq!((stranger.known, stranger.class), (false, ClassIx(3)));
+    assert_eq!(map.nearest(stranger.class), [1, 2, 0].map(RegionIx));
+    assert_eq!(stranger, map.place(Ipv4Addr::new(240, 0, 0, 200)), "one /24 stays together");
+    assert_ne!(stranger.key, map.place(Ipv4Addr::new(240, 0, 1, 9)).key);
+}
