Give the reason of an answer as a record

The rule (nearest, spill, static plan, diverted) and the limit that bound, with the trust, demand, headroom, effects and weight that it was taken on.

--- a/crates/th-steer/src/route/demand.rs
+++ b/crates/th-steer/src/route/demand.rs
@@ -78,6 +78,12 @@
         rate * self.holds[service.row()] / 1000.0
     }
 
+    /// Slots that all classes of the service keep busy.
+    pub fn total(&self, service: ServiceIx) -> f32 {
+        let rates = &self.rates[service.row() * self.classes..][..self.classes];
+        rates.iter().sum::<f32>() * self.holds[service.row()] / 1000.0
+    }
+
     /// The age of the service's estimate.
     pub fn age(&self, service: ServiceIx, now: Time) -> Option<Millis> {
         self.seen[service.row()].map(|it| now.since(it))
--- a/crates/th-steer/src/route/planner.rs
+++ b/crates/th-steer/src/route/planner.rs
@@ -41,6 +41,8 @@
     expected: Vec<f32>,
     /// Changes of load that are too small to be recorded yet.
     residue: Vec<f32>,
+    /// Trust in the observations at the last tick, per service.
+    trust: Vec<f32>,
     slots: Vec<f32>,
     planned: Vec<f32>,
     scratch: Scratch,
@@ -61,6 +63,7 @@
             in_force: weights,
             expected: vec![0.0; services * regions],
             residue: vec![0.0; services * regions],
+            trust: vec![0.0; services],
             slots: Vec::new(),
             planned: Vec::new(),
             scratch: Scratch::default(),
@@ -105,6 +108,7 @@
         }
         let seen = inputs.demand.age(service, now).map_or(0.0, |it| trust(it, &self.settings));
         let believed = if known { seen.min(believed) } else { 0.0 };
+        self.trust[service.row()] = believed;
         let rows = self.desired.rows_mut(service);
         let demand = &self.slots;
         let live = Fill { map, demand, limits: &room, room: &room };
@@ -157,6 +161,11 @@
         Expected { slots, tolerance }
     }
 
+    /// The trust in the observations at the last tick, from 0 (the static plan) to 1.
+    pub fn trust(&self, service: ServiceIx) -> f32 {
+        self.trust[service.row()]
+    }
+
     /// The weights that the last tick would like to have.
     pub fn desired(&self) -> &Weights {
         &self.desired
--- /dev/null
+++ b/crates/th-steer/src/route/reason.rs
@@ -0,0 +1,65 @@
+//! Why a look-up was answered as it was.
+
+use th_protocol::{Millis, Time};
+
+use super::{Answer, Effects, Inputs, Planner, RegionIx, ServiceIx};
+use crate::explain::{self, Limit, Outcome, Quantity, Record, Rule};
+
+/// The reason of an answer, from the tables that it was given from.
+///
+/// Build it only if the journal wants it. The request and the attempt are left open.
+pub fn reason(
+    inputs: &Inputs,
+    planner: &Planner,
+    effects: &Effects,
+    service: ServiceIx,
+    answer: &Answer,
+    now: Time,
+) -> Record {
+    let (rule, limit) = rule(inputs, planner, service, answer);
+    let refused = answer.picks.is_empty();
+    let mut record = Record {
+        time: now,
+        service: inputs.map.services()[service.row()].clone(),
+        request: None,
+        attempt: None,
+        inputs: explain::Inputs::default(),
+        limit,
+        rule,
+        outcome: if refused { Outcome::Refused } else { Outcome::Accepted },
+    };
+    let list = &mut record.inputs;
+    let demand = inputs.demand.age(service, now).unwrap_or(Millis(now.0));
+    list.push(Quantity::Trust, planner.trust(service).into(), Millis::ZERO);
+    list.push(Quantity::Demand, inputs.demand.total(service).into(), demand);
+    let Some(region) = answer.region else { return record };
+    let measured = inputs.loads.age(service, region, now).unwrap_or(Millis(now.0));
+    let expected = planner.expected(inputs.map, service, region).slots;
+    let busy = expected + inputs.loads.background(service, region);
+    let headroom = inputs.map.limit(service, region) - busy;
+    let weight = planner.in_force().row(service, answer.place.class)[region.row()];
+    list.push(Quantity::Headroom, headroom.into(), measured);
+    list.push(Quantity::Pending, effects.pending(service, region).into(), Millis::ZERO);
+    list.push(Quantity::Weight, weight.into(), Millis::ZERO);
+    record
+}
+
+fn rule(inputs: &Inputs, planner: &Planner, service: ServiceIx, answer: &Answer) -> (Rule, Limit) {
+    if answer.diverted || answer.picks.is_empty() {
+        return (Rule::Divert, Limit::Usable);
+    }
+    if planner.trust(service) <= 0.0 {
+        return (Rule::StaticPlan, Limit::None);
+    }
+    for &region in inputs.map.order(answer.place.class) {
+        let region = RegionIx(region.into());
+        if inputs.map.planned(service, region) <= 0.0 {
+            continue;
+        }
+        if Some(region) == answer.region {
+            return (Rule::Nearest, Limit::None);
+        }
+        break;
+    }
+    (Rule::Spill, Limit::RegionCap)
+}
--- a/crates/th-steer/tests/route_settle.rs
+++ b/crates/th-steer/tests/route_settle.rs
@@ -8,8 +8,10 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use th_protocol::{Millis, Permille, Time};
+use th_steer::explain::{Limit, Rule};
 use th_steer::route::{
-    Carry, ClassIx, Effects, Expected, Inputs, Loads, RegionIx, Sample, ServiceIx, Settings, lookup,
+    Carry, ClassIx, Effects, Expected, Inputs, Loads, RegionIx, Sample, ServiceIx, Settings,
+    Tables, VmIx, VmState, lookup, reason,
 };
 use world::{Size, World};
 
@@ -193,7 +195,7 @@
     planner.commit(SERVICE, Time(5_000), &inputs, &mut effects);
     assert!(0.0 < effects.pending(SERVICE, RegionIx(2)));
     let weights = planner.in_force();
-    let tables = th_steer::route::Tables { map, fleet, weights, settings };
+    let tables = Tables { map, fleet, weights, settings };
     let answer = lookup(&tables, SERVICE, world::address(0), Time(5_000));
     assert!(answer.ttl <= settings.shift_ttl, "{}", answer.ttl);
     assert_eq!(answer.region, Some(RegionIx(2)));
@@ -230,3 +232,52 @@
     let row = new.planner.in_force().row(SERVICE, ClassIx(0));
     assert!((row[0] - 0.2 / 0.7).abs() < 1e-6 && row.len() == 2, "{row:?}");
 }
+
+#[rstest]
+fn answers_can_be_explained() {
+    let size = Size { regions: 3, zones: 6, sites: 6, vms: 12, blocks: 300, classes: 3 };
+    let mut world = world::world(&world::bundle(&size), size.vms, Settings::default());
+    let mut effects = Effects::new(1, REGIONS, Millis(10_000));
+    let mut rules = |world: &mut World, now: Time| {
+        let World { map, fleet, demand, loads, planner, settings } = world;
+        let inputs = Inputs { map, fleet, demand, loads };
+        planner.tick(now, &inputs);
+        planner.step(SERVICE, Permille::WHOLE);
+        planner.commit(SERVICE, now, &inputs, &mut effects);
+        let weights = planner.in_force();
+        let tables = Tables { map, fleet, weights, settings };
+        let mut rules = Vec::new();
+        for block in (0..300).step_by(3) {
+            let answer = lookup(&tables, SERVICE, world::address(block), now);
+            let record = reason(&inputs, planner, &effects, SERVICE, &answer, now);
+            assert_eq!(record.inputs.as_slice().len(), 5);
+            if !rules.contains(&record.rule) {
+                rules.push(record.rule);
+            }
+        }
+        rules.sort_by_key(|it| *it as u8);
+        rules
+    };
+    assert_eq!(rules(&mut world, Time(0)), [Rule::StaticPlan]);
+    world.demand.count(SERVICE, ClassIx(0), 30_000); // 300 slots for a limit of 180
+    world.demand.close(Time(5_000));
+    for region in (0..3).map(RegionIx) {
+        let sample = Sample { busy: 0.0, at: Time(5_000) };
+        let mut none = Effects::new(1, REGIONS, Millis(10_000));
+        world.loads.observe(SERVICE, region, sample, Expected::default(), &mut none);
+    }
+    assert_eq!(rules(&mut world, Time(5_000)), [Rule::Nearest, Rule::Spill]);
+    for vm in (0..12).step_by(3).map(VmIx) {
+        world.fleet.observe(vm, VmState::Dead, Time(6_000));
+    }
+    // The weights in force still name the region that was lost.
+    world.fleet.refresh(&world.map, &world.settings, Time(6_000));
+    let World { map, fleet, demand, loads, planner, settings } = &world;
+    let tables = Tables { map, fleet, weights: planner.in_force(), settings };
+    let lost = (0..300).map(|it| lookup(&tables, SERVICE, world::address(it), Time(6_000)));
+    let answer = { lost }.find(|it| it.region == Some(RegionIx(0))).unwrap();
+    let inputs = Inputs { map, fleet, demand, loads };
+    let none = Effects::new(1, REGIONS, Millis(10_000));
+    let record = reason(&inputs, planner, &none, SERVICE, &answer, Time(6_000));
+    assert_eq!((record.rule, record.limit), (Rule::Divert, Limit::Usable));
+}
