Measure membership and shuffle the order of heartbeats

Cause: in the first run every VM sent its heartbeats in the same order, and each incarnation learnt for a VM that the platform's list had named was passed on as news, which crowded out suspicions. Conclusion: a VM takes a peer's table once at its start, without passing it on.

--- a/crates/th-steer/src/backend/table.rs
+++ b/crates/th-steer/src/backend/table.rs
@@ -28,6 +28,7 @@
     pool: Pool,
     probed: Option<Time>,
     listed: bool,
+    announced: bool,
 }
 
 #[derive(Debug)]
@@ -102,6 +103,7 @@
                 pool: Pool::new(self.settings.pool.clone()),
                 probed: None,
                 listed: false,
+                announced: false,
             });
             if row.address != backend.address {
                 row.address = backend.address;
@@ -243,6 +245,17 @@
         notices
     }
 
+    /// Whether evidence on another server came since the last call, to be announced at once.
+    pub fn take_news(&mut self) -> bool {
+        let mut news = false;
+        for row in self.rows.values_mut() {
+            let leaving = row.drain.leaving();
+            news |= leaving && !row.announced;
+            row.announced = leaving;
+        }
+        news
+    }
+
     /// Takes the result of a probe of a server's health endpoint.
     pub fn on_probe(&mut self, backend: &BackendId, good: bool, now: Time) {
         let Some(row) = self.rows.get_mut(backend) else { return };
--- a/crates/th-steer/src/member/action.rs
+++ b/crates/th-steer/src/member/action.rs
@@ -52,3 +52,14 @@
     /// Backend servers that leave.
     pub leaving: Vec<LeavingNotice>,
 }
+
+/// What a VM's own checks found since it started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct MemberCounts {
+    /// VMs that neither it nor the peers it asked could reach.
+    pub suspected: u64,
+    /// Suspicions that were not refuted in time.
+    pub buried: u64,
+    /// Records of this VM itself that it refuted.
+    pub refuted: u64,
+}
--- a/crates/th-steer/src/member/mod.rs
+++ b/crates/th-steer/src/member/mod.rs
@@ -9,7 +9,7 @@
 mod table;
 mod watcher;
 
-pub use action::{Content, MemberAction, Seed};
+pub use action::{Content, MemberAction, MemberCounts, Seed};
 pub use headroom::Headroom;
 pub use protocol::Members;
 pub use settings::MemberSettings;
--- a/crates/th-steer/src/member/protocol.rs
+++ b/crates/th-steer/src/member/protocol.rs
@@ -4,10 +4,14 @@
 
 use rand::Rng;
 use th_protocol::{
-    CheckAnswer, Heartbeat, Incarnation, IndirectCheck, MemberState, Millis, PeerRecord, Time, VmId,
+    CheckAnswer, Heartbeat, Incarnation, IndirectCheck, MemberState, Millis, PeerRecord, Time,
+    VmId, ZoneId,
 };
 
-use super::{Content, MemberAction, MemberSettings, Seed, rumor::Rumors, table::Table};
+use super::{
+    Content, MemberAction, MemberCounts, MemberSettings, Seed, rumor::Rumors, table::Merge,
+    table::Table,
+};
 
 /// A heartbeat that was not answered yet.
 #[derive(Debug)]
@@ -32,6 +36,7 @@
     revisited: Time,
     ticked: Time,
     replaced: Option<Incarnation>,
+    counts: MemberCounts,
 }
 
 impl Members {
@@ -48,6 +53,7 @@
             revisited: now,
             ticked: now,
             replaced: None,
+            counts: MemberCounts::default(),
         }
     }
 
@@ -77,6 +83,18 @@
         self.table.seed(&self.me.vm, seeds, now);
     }
 
+    /// Takes all records of a peer, as a VM does once after its start. They are no news, so that
+    /// VMs that start together do not pass on each other's tables.
+    pub fn on_records(&mut self, records: &[PeerRecord], now: Time) {
+        for record in records {
+            if record.vm == self.me.vm {
+                self.refute(record);
+                continue;
+            }
+            self.table.merge(record, now);
+        }
+    }
+
     /// Sets what heartbeats carry besides membership.
     pub fn publish(&mut self, content: Content) {
         self.content = content;
@@ -92,17 +110,30 @@
         self.spread(&self.me.vm.clone());
     }
 
-    /// Heartbeats to random VMs at once, for news that should not wait for the next round.
-    pub fn announce(&mut self, count: usize, rng: &mut impl Rng) -> Vec<MemberAction> {
+    /// Heartbeats to random live VMs at once, of `zone` where one is given, for news that should
+    /// not wait for the next round.
+    pub fn announce(
+        &mut self,
+        count: usize,
+        zone: Option<&ZoneId>,
+        rng: &mut impl Rng,
+    ) -> Vec<MemberAction> {
         let mut actions = Vec::new();
         for _ in 0..count {
-            let live = |record: &PeerRecord| record.state <= MemberState::Leaving;
-            let Some(target) = self.table.random(live, rng) else { break };
+            let fits = |record: &PeerRecord| {
+                record.state <= MemberState::Leaving && zone.is_none_or(|it| *it == record.zone)
+            };
+            let Some(target) = self.table.random(fits, rng) else { break };
             actions.push(self.heartbeat_to(&target));
         }
         actions
     }
 
+    /// What this VM's own checks found so far.
+    pub fn counts(&self) -> MemberCounts {
+        self.counts
+    }
+
     /// Runs what is due: rounds of heartbeats, checks of silent VMs, suspicions that end.
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<MemberAction> {
         if self.settings.pause <= now.since(self.ticked) {
@@ -149,15 +180,27 @@
         self.merge(record, now);
     }
 
+    /// Sends to VMs of the whole fleet in turn, and to random ones of the own data centre, among
+    /// which news of its backend servers must spread.
     fn send_round(&mut self, now: Time, rng: &mut impl Rng, actions: &mut Vec<MemberAction>) {
-        for _ in 0..self.settings.fanout {
+        for _ in 0..self.settings.fleet {
             let Some(target) = self.table.next_target(rng) else { return };
-            if self.pending.contains_key(&target.vm) {
-                continue;
-            }
-            self.pending.insert(target.vm.clone(), Pending { sent: now, checked: false });
-            actions.push(self.heartbeat_to(&target));
+            self.check(&target, now, actions);
+        }
+        for _ in 0..self.settings.local {
+            let zone = &self.me.zone;
+            let fits = |it: &PeerRecord| it.state != MemberState::Dead && it.zone == *zone;
+            let Some(target) = self.table.random(fits, rng) else { return };
+            self.check(&target, now, actions);
+        }
+    }
+
+    fn check(&mut self, target: &PeerRecord, now: Time, actions: &mut Vec<MemberAction>) {
+        if self.pending.contains_key(&target.vm) {
+            return;
         }
+        self.pending.insert(target.vm.clone(), Pending { sent: now, checked: false });
+        actions.push(self.heartbeat_to(target));
     }
 
     /// Asks peers to check the VMs that did not answer, and suspects those that nobody reached.
@@ -176,6 +219,7 @@
         for vm in silent {
             self.pending.remove(&vm);
             if self.table.set(&vm, MemberState::Suspect, now) {
+                self.counts.suspected += 1;
                 self.spread(&vm);
             }
         }
@@ -208,6 +252,7 @@
         }
         for vm in dead {
             self.table.set(&vm, MemberState::Dead, now);
+            self.counts.buried += 1;
             self.spread(&vm);
         }
         let tombstone = self.settings.tombstone;
@@ -264,8 +309,9 @@
             self.refute(record);
             return;
         }
-        if self.table.merge(record, now) {
-            self.spread(&record.vm);
+        match self.table.merge(record, now) {
+            Merge::Changed => self.spread(&record.vm),
+            Merge::Filled | Merge::Ignored => {}
         }
     }
 
@@ -280,6 +326,7 @@
             return;
         }
         self.me.beat = record.beat.saturating_add(1);
+        self.counts.refuted += 1;
         self.spread(&record.vm);
     }
 
--- a/crates/th-steer/src/member/settings.rs
+++ b/crates/th-steer/src/member/settings.rs
@@ -7,8 +7,10 @@
 pub struct MemberSettings {
     /// Time between rounds of heartbeats.
     pub period: Millis,
-    /// Heartbeats in each round.
-    pub fanout: usize,
+    /// Heartbeats in each round to VMs of the whole fleet, in turn.
+    pub fleet: usize,
+    /// Heartbeats in each round to random VMs of the own data centre.
+    pub local: usize,
     /// Time until a heartbeat or an indirect check counts as unanswered.
     pub timeout: Millis,
     /// Peers that are asked for an indirect check.
@@ -31,7 +33,8 @@
     fn default() -> MemberSettings {
         MemberSettings {
             period: Millis(1_000),
-            fanout: 2,
+            fleet: 1,
+            local: 1,
             timeout: Millis(500),
             checks: 3,
             suspicion: Millis(5_000),
--- a/crates/th-steer/src/member/table.rs
+++ b/crates/th-steer/src/member/table.rs
@@ -16,6 +16,17 @@
     pub(crate) listed: bool,
 }
 
+/// What a record changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Merge {
+    /// Nothing: what is known is as new.
+    Ignored,
+    /// It tells the incarnation of a live VM that only the platform's list had named.
+    Filled,
+    /// A VM is new, or its state or incarnation changed.
+    Changed,
+}
+
 /// The records of all known entry VMs but this one.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
@@ -23,6 +34,7 @@
     order: Vec<VmId>,
     target: usize,
     filler: usize,
+    shuffled: bool,
 }
 
 impl Table {
@@ -38,22 +50,24 @@
         self.rows.len()
     }
 
-    /// Takes a record if it replaces the one that is known; true where it did. A dead VM that is
-    /// not known stays unknown.
-    pub(crate) fn merge(&mut self, record: &PeerRecord, now: Time) -> bool {
+    /// Takes a record if it replaces the one that is known. A dead VM that is not known stays
+    /// unknown.
+    pub(crate) fn merge(&mut self, record: &PeerRecord, now: Time) -> Merge {
         let Some(row) = self.rows.get_mut(&record.vm) else {
             if record.state == MemberState::Dead {
-                return false;
+                return Merge::Ignored;
             }
             self.insert(record.clone(), false, now);
-            return true;
+            return Merge::Changed;
         };
         if record.rank() <= row.record.rank() {
-            return false;
+            return Merge::Ignored;
         }
+        let seeded = row.record.incarnation == Incarnation::ZERO;
+        let same = row.record.state == record.state;
         row.record = record.clone();
         row.since = now;
-        true
+        if seeded && same { Merge::Filled } else { Merge::Changed }
     }
 
     /// Changes the state of a VM; true where it did change.
@@ -114,9 +128,10 @@
     /// The next VM in turn that is not dead.
     pub(crate) fn next_target(&mut self, rng: &mut impl Rng) -> Option<PeerRecord> {
         for _ in 0..self.order.len() {
-            if self.order.len() <= self.target {
+            if self.order.len() <= self.target || !self.shuffled {
                 self.target = 0;
                 self.order.shuffle(rng);
+                self.shuffled = true;
             }
             let row = self.rows.get(&self.order[self.target]);
             self.target += 1;
