Model the drain and the spread of bundles

The models run the decision crate's own Drain and judge. Eight broken variants are rejected, each with its shortest trace printed. Found by reading while the drain's model was written: evidence heard before a partition longer than 20 s was not passed on after it. Evidence now travels by the time that it was last seen at its source. Tests of membership and of the spread's state machine come with it.

--- /dev/null
+++ b/crates/th-model/src/drain.rs
@@ -0,0 +1,210 @@
+//! A leaving backend server and two entry VMs that learn of it in any order.
+//!
+//! The server leaves from the start. Each entry VM runs the decision crate's own `Drain`. One tick
+//! is the bound after which no entry VM that can hear of the evidence may send new work.
+
+use th_protocol::{Millis, Time, Version};
+use th_steer::backend::Drain;
+
+use crate::Model;
+
+/// Length of a tick: the bound on new work after the first evidence.
+const TICK: Millis = Millis(5_000);
+/// The time of tick 0.
+const START: Time = Time(100_000);
+/// Ticks for which a load report may still say that the server stays.
+const LAG: u8 = 5;
+const ENTRIES: usize = 2;
+
+/// Which rules apply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DrainVariant {
+    /// The rules of the decision crate.
+    Production,
+    /// Broken: a list that has the server as live again revives it.
+    ListRevives,
+    /// Broken: evidence is not passed on to the other entry VM.
+    NoSpread,
+    /// Broken: any report without a mark revives, however early it was asked for.
+    ReportRevives,
+}
+
+/// The model and its bounds.
+#[derive(Debug, Clone, Copy)]
+pub struct DrainModel {
+    /// Which rules apply.
+    pub variant: DrainVariant,
+    /// Ticks that are explored.
+    pub ticks: u8,
+    /// Pieces of news in a run.
+    pub news: u8,
+}
+
+impl Default for DrainModel {
+    fn default() -> DrainModel {
+        DrainModel { variant: DrainVariant::Production, ticks: 8, news: 4 }
+    }
+}
+
+/// One moment.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct DrainState {
+    tick: u8,
+    news: u8,
+    cut: bool,
+    drains: [Drain; ENTRIES],
+    /// The tick of the first evidence that an entry VM had, or could hear of.
+    known: [Option<u8>; ENTRIES],
+}
+
+/// One step; each number is an entry VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DrainAction {
+    /// Five seconds pass; entry VMs that are not cut off exchange their evidence.
+    Tick,
+    /// The link between the entry VMs is cut, or heals.
+    Link,
+    /// Bundle 2 arrives, which marks the server as leaving.
+    Bundle(usize),
+    /// Bundle 1 arrives once more, which does not.
+    OldBundle(usize),
+    /// The platform's list has the server as leaving or gone.
+    ListGone(usize),
+    /// A stale list has it as live.
+    ListLive(usize),
+    /// The server says that it leaves.
+    OwnWord(usize),
+    /// A lagging report says that it stays.
+    OldReport(usize),
+}
+
+fn at(tick: u8) -> Time {
+    START.after(Millis(TICK.0 * u64::from(tick)))
+}
+
+impl DrainModel {
+    fn news_for(&self, i: usize, state: &DrainState) -> Vec<DrainAction> {
+        let mut actions = vec![
+            DrainAction::Bundle(i),
+            DrainAction::OldBundle(i),
+            DrainAction::ListGone(i),
+            DrainAction::ListLive(i),
+            DrainAction::OwnWord(i),
+        ];
+        if state.tick < LAG {
+            actions.push(DrainAction::OldReport(i));
+        }
+        actions
+    }
+
+    fn apply(&self, state: &DrainState, action: DrainAction) -> DrainState {
+        let mut next = state.clone();
+        let now = at(state.tick);
+        match action {
+            DrainAction::Tick => {
+                if !next.cut {
+                    self.exchange(&mut next);
+                }
+                next.tick += 1;
+                return next;
+            }
+            DrainAction::Link => next.cut = !next.cut,
+            DrainAction::Bundle(i) => next.drains[i].on_bundle(Version(2), true, now),
+            DrainAction::OldBundle(i) => next.drains[i].on_bundle(Version(1), false, now),
+            DrainAction::ListGone(i) => next.drains[i].on_list(false, now),
+            DrainAction::ListLive(i) => {
+                next.drains[i].on_list(true, now);
+                if self.variant == DrainVariant::ListRevives {
+                    next.drains[i] = Drain::default();
+                }
+            }
+            DrainAction::OwnWord(i) => next.drains[i].on_own(true, now, now),
+            DrainAction::OldReport(i) => {
+                let late = self.variant == DrainVariant::ReportRevives;
+                let asked = if late { now.after(Millis(3_600_000)) } else { now };
+                next.drains[i].on_own(false, asked, now);
+            }
+        }
+        next.news += 1;
+        for i in 0..ENTRIES {
+            if next.drains[i].leaving() && next.known[i].is_none() {
+                next.known[i] = Some(next.tick);
+            }
+        }
+        next
+    }
+
+    /// What the two entry VMs tell each other within a tick: evidence, and the bundle.
+    fn exchange(&self, state: &mut DrainState) {
+        let now = at(state.tick);
+        let before = state.drains.clone();
+        for (i, drain) in state.drains.iter_mut().enumerate() {
+            let other = &before[1 - i];
+            let notices = other.notices(now);
+            if !notices.is_empty() || other.marked_by_bundle() {
+                state.known[i].get_or_insert(state.tick);
+            }
+            if self.variant == DrainVariant::NoSpread {
+                continue;
+            }
+            for (source, seen) in notices {
+                drain.on_notice(source, now.since(seen), now);
+            }
+            if other.marked_by_bundle() {
+                drain.on_bundle(Version(2), true, now);
+            }
+        }
+    }
+}
+
+impl Model for DrainModel {
+    type State = DrainState;
+    type Action = DrainAction;
+
+    fn start(&self) -> DrainState {
+        let mut drain = Drain::default();
+        drain.on_bundle(Version(1), false, START);
+        drain.on_list(true, START);
+        DrainState {
+            tick: 0,
+            news: 0,
+            cut: false,
+            drains: [drain.clone(), drain],
+            known: [None; ENTRIES],
+        }
+    }
+
+    fn steps(&self, state: &DrainState) -> Vec<(DrainAction, DrainState)> {
+        let mut actions = Vec::new();
+        if state.tick < self.ticks {
+            actions.push(DrainAction::Tick);
+        }
+        if state.news < self.news {
+            actions.push(DrainAction::Link);
+            for i in 0..ENTRIES {
+                actions.extend(self.news_for(i, state));
+            }
+        }
+        let mut steps = Vec::new();
+        for action in actions {
+            let next = self.apply(state, action);
+            if next != *state {
+                steps.push((action, next));
+            }
+        }
+        steps
+    }
+
+    fn broken(&self, state: &DrainState) -> Option<&'static str> {
+        for (drain, known) in state.drains.iter().zip(state.known) {
+            let Some(known) = known else { continue };
+            if known < state.tick && !drain.leaving() {
+                return Some("a leaving server gets no new work after the bound");
+            }
+            if known == state.tick && !drain.leaving() {
+                return Some("stale news does not revive a leaving server");
+            }
+        }
+        None
+    }
+}
--- a/crates/th-model/src/lib.rs
+++ b/crates/th-model/src/lib.rs
@@ -1,5 +1,9 @@
 //! Models of the core protocols, explored exhaustively.
 
+mod drain;
 mod explore;
+mod spread;
 
+pub use drain::{DrainAction, DrainModel, DrainState, DrainVariant};
 pub use explore::{Model, Outcome, explore};
+pub use spread::{Roll, SpreadModel, SpreadMove, SpreadPlace, SpreadVariant};
--- /dev/null
+++ b/crates/th-model/tests/drain.rs
@@ -0,0 +1,25 @@
+//! The drain holds in every state, and the checker rejects broken variants of it.
+
+use rstest::rstest;
+use th_model::{DrainAction, DrainModel, DrainVariant, Outcome, explore};
+
+#[test]
+fn production_rules_hold() {
+    let outcome = explore(&DrainModel::default());
+    let Outcome::Holds { states } = outcome else { panic!("{outcome:?}") };
+    println!("drain: {states} states");
+    assert!(1_000 < states);
+}
+
+#[rstest]
+#[case(DrainVariant::ListRevives, "stale news does not revive a leaving server")]
+#[case(DrainVariant::ReportRevives, "stale news does not revive a leaving server")]
+#[case(DrainVariant::NoSpread, "a leaving server gets no new work after the bound")]
+fn broken_variants_are_rejected(#[case] variant: DrainVariant, #[case] expected: &str) {
+    let outcome = explore(&DrainModel { variant, ..DrainModel::default() });
+    let Outcome::Broken { invariant, trace } = outcome else { panic!("{variant:?} was not found") };
+    println!("drain, {variant:?}: {trace:?}");
+    assert_eq!(invariant, expected);
+    assert_eq!(trace.len(), 2, "{trace:?}");
+    assert_ne!(trace[0], DrainAction::Tick);
+}
--- /dev/null
+++ b/crates/th-model/tests/spread.rs
@@ -0,0 +1,76 @@
+//! Rolls and their spread hold in every state, broken variants are rejected, and the decision
+//! crate's state machine follows the model's rule.
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use th_model::{Outcome, SpreadModel, SpreadVariant, explore};
+use th_protocol::{BundleHead, ContentHash, Millis, Time, Version};
+use th_steer::member::{
+    Fetched, ManifestInfo, Meaning, Source, Spread, SpreadAction, SpreadSettings, judge,
+};
+
+#[test]
+fn production_rules_hold() {
+    let outcome = explore(&SpreadModel::default());
+    let Outcome::Holds { states } = outcome else { panic!("{outcome:?}") };
+    println!("spread: {states} states");
+    assert!(1_000 < states);
+}
+
+#[rstest]
+#[case(SpreadVariant::NoCas, "a version has one content")]
+#[case(SpreadVariant::LostIsFailed, "a roll that took effect is not reported as failed")]
+#[case(SpreadVariant::ReadIsFinal, "a roll that took effect is not reported as failed")]
+#[case(SpreadVariant::TakesAny, "an entry VM never goes back while it runs")]
+#[case(SpreadVariant::NoGossip, "after healing all entry VMs reach the highest version")]
+fn broken_variants_are_rejected(#[case] variant: SpreadVariant, #[case] expected: &str) {
+    let outcome = explore(&SpreadModel { variant, ..SpreadModel::default() });
+    let Outcome::Broken { invariant, trace } = outcome else { panic!("{variant:?} was not found") };
+    println!("spread, {variant:?}: {trace:?}");
+    assert_eq!(invariant, expected);
+}
+
+fn head(version: u64, content: u8) -> BundleHead {
+    BundleHead { version: Version(version), digest: ContentHash([content; 32]) }
+}
+
+proptest! {
+    /// Fed with heads one at a time and served at once, the state machine holds what `judge`
+    /// would take, and it never goes back.
+    #[test]
+    fn the_state_machine_follows_the_rule(
+        seed: u64,
+        heads in prop::collection::vec((0u64..6, 0u8..3), 1..40),
+    ) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let settings = SpreadSettings { jitter: Millis(0), ..SpreadSettings::default() };
+        let mut spread = Spread::new(settings, Time(0), &mut rng);
+        let (mut model, mut now) = (None, Time(0));
+        let peer = Source::Peer("entry-1".parse().unwrap());
+        for (version, content) in heads {
+            let seen = head(version, content);
+            spread.on_head(peer.clone(), seen);
+            if judge(model, seen) == Meaning::Newer {
+                model = Some(seen);
+            }
+            for _ in 0..4 {
+                now = now.after(Millis(10));
+                for action in spread.tick(false, now, &mut rng) {
+                    match action {
+                        SpreadAction::FetchManifest { head, from } => {
+                            let info = ManifestInfo { head, parts: vec![head.digest] };
+                            spread.on_manifest(head, &from, Fetched::Good(info), now, &mut rng);
+                        }
+                        SpreadAction::FetchPart { hash, from } => {
+                            spread.on_part(hash, &from, Fetched::Good(()), now, &mut rng);
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            prop_assert_eq!(spread.head(), model);
+        }
+    }
+}
--- a/crates/th-protocol/src/peer.rs
+++ b/crates/th-protocol/src/peer.rs
@@ -125,7 +125,7 @@
     pub backend: BackendId,
     /// The kind of evidence.
     pub source: LeavingSource,
-    /// Time since it was first seen anywhere.
+    /// Time since it was last seen at its source.
     pub age: Millis,
 }
 
--- a/crates/th-steer/examples/member_measure.rs
+++ b/crates/th-steer/examples/member_measure.rs
@@ -1,7 +1,8 @@
 //! Runs membership and the spread of bundles in virtual time at four sizes of fleet and prints
 //! bytes, times and processor time per node. Real messages are encoded to count their bytes.
 //!
-//! `cargo run --release -p th-steer --example member_measure -- [--json] [--holders N]`
+//! `cargo run --release -p th-steer --example member_measure -- [--json] [--nodes N]
+//! [--holders N]`: one size only; only each Nth VM serves bundles to others
 
 use std::{
     cmp::Reverse,
@@ -508,13 +509,18 @@
     ((y - slope * x) / n, slope)
 }
 
+fn number(args: &[String], name: &str) -> Option<usize> {
+    let place = args.iter().position(|arg| arg == name)?;
+    args.get(place + 1)?.parse().ok()
+}
+
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let json = args.iter().any(|arg| arg == "--json");
-    let place = args.iter().position(|arg| arg == "--holders");
-    let holders = place.and_then(|i| args.get(i + 1)).and_then(|text| text.parse().ok());
+    let holders = number(&args, "--holders");
+    let sizes = number(&args, "--nodes").map_or(SIZES.to_vec(), |count| vec![count]);
     let (mut bytes, mut cpu) = (Vec::new(), Vec::new());
-    for count in SIZES {
+    for count in sizes.iter().copied() {
         let figures = measure(count, holders);
         bytes.push((count as f64, figures.payload_bytes_per_node_s));
         cpu.push((count as f64, figures.cpu_us_per_node_s + figures.codec_us_per_node_s));
@@ -524,6 +530,9 @@
             println!("{figures:#?}");
         }
     }
+    if sizes.len() < 2 {
+        return;
+    }
     let (bytes, cpu) = (fit(&bytes), fit(&cpu));
     let line = serde_json::json!({
         "fit_bytes_per_node_s": { "intercept": bytes.0, "slope_per_node": bytes.1 },
--- a/crates/th-steer/src/backend/drain.rs
+++ b/crates/th-steer/src/backend/drain.rs
@@ -12,7 +12,7 @@
 struct Mark {
     /// When it was first seen, here or at a peer.
     first: Time,
-    /// When it was last seen here.
+    /// When it was last seen, here or at a peer.
     last: Time,
 }
 
@@ -39,6 +39,11 @@
         self.bundle.is_some() || self.list.is_some() || self.own.is_some()
     }
 
+    /// Whether the bundle marks it as leaving.
+    pub fn marked_by_bundle(&self) -> bool {
+        self.bundle.is_some()
+    }
+
     /// When the first evidence was seen.
     pub fn since(&self) -> Option<Time> {
         self.since
@@ -56,7 +61,7 @@
         }
         if leaving {
             self.version = version;
-            self.mark(LeavingSource::Bundle, now, now);
+            self.mark(LeavingSource::Bundle, now);
             return;
         }
         if version == self.version && self.bundle.is_some() {
@@ -71,14 +76,14 @@
     pub fn on_list(&mut self, live: bool, now: Time) {
         self.listed = live;
         if !live {
-            self.mark(LeavingSource::VmList, now, now);
+            self.mark(LeavingSource::VmList, now);
         }
     }
 
     /// Takes the server's own word, given in answer to a request that was sent at `asked`.
     pub fn on_own(&mut self, leaving: bool, asked: Time, now: Time) {
         if leaving {
-            self.mark(LeavingSource::Own, now, now);
+            self.mark(LeavingSource::Own, now);
             return;
         }
         if self.own.is_some_and(|mark| mark.last.after(RETURN_DELAY) <= asked) {
@@ -90,7 +95,7 @@
         self.settle();
     }
 
-    /// Takes evidence that a peer passed on, first seen `age` ago. The bundle's own mark does not
+    /// Takes evidence that a peer passed on, last seen at its source `age` ago. The bundle's own mark does not
     /// travel this way, since the bundle does.
     pub fn on_notice(&mut self, source: LeavingSource, age: Millis, now: Time) {
         if source == LeavingSource::Bundle || SPREAD_SPAN < age {
@@ -99,16 +104,17 @@
         if source == LeavingSource::VmList && self.list.is_none() {
             self.listed = false;
         }
-        self.mark(source, now.before(age), now);
+        self.mark(source, now.before(age));
     }
 
-    /// Evidence that is fresh enough to pass on to peers, each with the time it was first seen.
+    /// Evidence that is fresh enough to pass on to peers, each with the time it was last seen at
+    /// its source. Passing it on does not make it younger, so that it does not circulate for ever.
     pub fn notices(&self, now: Time) -> Vec<(LeavingSource, Time)> {
         let mut notices = Vec::new();
         for (source, mark) in [(LeavingSource::VmList, self.list), (LeavingSource::Own, self.own)] {
             let Some(mark) = mark else { continue };
-            if now.since(mark.first) <= SPREAD_SPAN {
-                notices.push((source, mark.first));
+            if now.since(mark.last) <= SPREAD_SPAN {
+                notices.push((source, mark.last));
             }
         }
         notices
@@ -121,15 +127,15 @@
         }
     }
 
-    fn mark(&mut self, source: LeavingSource, first: Time, now: Time) {
+    fn mark(&mut self, source: LeavingSource, seen: Time) {
         let slot = match source {
             LeavingSource::Bundle => &mut self.bundle,
             LeavingSource::VmList => &mut self.list,
             LeavingSource::Own => &mut self.own,
         };
-        let first = slot.map_or(first, |old| old.first.min(first));
-        *slot = Some(Mark { first, last: now });
-        self.since = Some(self.since.map_or(first, |old| old.min(first)));
+        let old = slot.unwrap_or(Mark { first: seen, last: seen });
+        *slot = Some(Mark { first: old.first.min(seen), last: old.last.max(seen) });
+        self.since = Some(self.since.map_or(seen, |old| old.min(seen)));
     }
 
     fn settle(&mut self) {
--- a/crates/th-steer/src/backend/table.rs
+++ b/crates/th-steer/src/backend/table.rs
@@ -304,7 +304,7 @@
         Slots(self.rows.get(backend).map_or(0, |row| row.busy))
     }
 
-    /// Each server and the source of evidence that it leaves, if it does.
+    /// Each server and whether it leaves.
     pub fn states(&self) -> impl Iterator<Item = (&BackendId, bool)> {
         self.rows.iter().map(|(id, row)| (id, row.drain.leaving()))
     }
--- /dev/null
+++ b/crates/th-steer/tests/member.rs
@@ -0,0 +1,238 @@
+//! Membership: suspicion, refutation, death, partitions, pauses and replaced VMs.
+
+use std::collections::BTreeMap;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use th_protocol::{
+    CheckAnswer, HeadroomDigest, Incarnation, MemberState, Millis, PeerRecord, Permille, Time, VmId,
+};
+use th_steer::member::{Headroom, MemberAction, MemberSettings, Members, Seed, watchers};
+
+const STEP: Millis = Millis(100);
+
+fn record(i: usize) -> PeerRecord {
+    PeerRecord {
+        vm: format!("entry-{i}").parse().unwrap(),
+        zone: format!("zone-{}", i % 3).parse().unwrap(),
+        address: format!("10.0.0.{i}:7000").parse().unwrap(),
+        incarnation: Incarnation(100),
+        beat: 0,
+        state: MemberState::Live,
+    }
+}
+
+fn vm(i: usize) -> VmId {
+    record(i).vm
+}
+
+fn seeds(count: usize) -> Vec<Seed> {
+    let mut seeds = Vec::new();
+    for i in 0..count {
+        let PeerRecord { vm, zone, address, state, .. } = record(i);
+        seeds.push(Seed { vm, zone, address, state });
+    }
+    seeds
+}
+
+/// Entry VMs whose messages arrive at once, or not at all.
+struct Fleet {
+    now: Time,
+    members: Vec<Members>,
+    paused: Vec<bool>,
+    /// Pairs of VMs with no way between them.
+    cut: Box<dyn Fn(usize, usize) -> bool>,
+    rng: ChaCha8Rng,
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Fleet {
+        let mut members = Vec::new();
+        for i in 0..count {
+            let mut member = Members::new(MemberSettings::default(), record(i), Time(0));
+            member.on_list(&seeds(count), Time(0));
+            members.push(member);
+        }
+        Fleet {
+            now: Time(0),
+            members,
+            paused: vec![false; count],
+            cut: Box::new(|_, _| false),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    fn linked(&self, i: usize, j: usize) -> bool {
+        !self.paused[i] && !self.paused[j] && !(self.cut)(i, j)
+    }
+
+    fn run(&mut self, span: Millis) {
+        let index: BTreeMap<VmId, usize> = (0..self.members.len()).map(|i| (vm(i), i)).collect();
+        let end = self.now.after(span);
+        while self.now < end {
+            self.now = self.now.after(STEP);
+            for i in 0..self.members.len() {
+                if self.paused[i] {
+                    continue;
+                }
+                let actions = self.members[i].tick(self.now, &mut self.rng);
+                for action in actions {
+                    self.perform(i, action, &index);
+                }
+            }
+        }
+    }
+
+    fn perform(&mut self, i: usize, action: MemberAction, index: &BTreeMap<VmId, usize>) {
+        let now = self.now;
+        match action {
+            MemberAction::Heartbeat { to, message, .. } => {
+                let j = index[&to];
+                if self.linked(i, j) {
+                    let answer = self.members[j].on_heartbeat(&message, now);
+                    self.members[i].on_answer(&answer, now);
+                }
+            }
+            MemberAction::Check { via, message, .. } => {
+                let (j, target) = (index[&via], index[&message.target.vm]);
+                if self.linked(i, j) && self.linked(j, target) {
+                    let heartbeat = self.members[j].on_check(&message);
+                    let answer = self.members[target].on_heartbeat(&heartbeat, now);
+                    let answer = CheckAnswer { record: Some(answer.from) };
+                    self.members[i].on_check_answer(&answer, now);
+                }
+            }
+        }
+    }
+
+    fn state(&self, at: usize, of: usize) -> MemberState {
+        self.members[at].record(&vm(of)).map_or(MemberState::Dead, |record| record.state)
+    }
+
+    /// Whether all others hold that state of `of`.
+    fn all_see(&self, of: usize, state: MemberState) -> bool {
+        (0..self.members.len()).all(|i| i == of || self.paused[i] || self.state(i, of) == state)
+    }
+}
+
+#[rstest]
+fn a_dead_vm_is_taken_for_dead_by_all(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::new(12, seed);
+    fleet.run(Millis(5_000));
+    fleet.paused[4] = true;
+    fleet.run(Millis(20_000));
+    assert!(fleet.all_see(4, MemberState::Dead), "seed {seed}");
+    for i in 0..12 {
+        assert!(i == 4 || fleet.all_see(i, MemberState::Live), "seed {seed}, VM {i}");
+    }
+}
+
+#[rstest]
+fn a_paused_vm_refutes_and_does_not_suspect_the_others(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::new(12, seed);
+    fleet.run(Millis(5_000));
+    fleet.paused[4] = true;
+    fleet.run(Millis(20_000));
+    fleet.paused[4] = false;
+    fleet.run(Millis(20_000));
+    for i in 0..12 {
+        assert!(fleet.all_see(i, MemberState::Live), "seed {seed}, VM {i}");
+    }
+    assert_eq!(fleet.members[4].counts().suspected, 0);
+    assert!(0 < fleet.members[4].counts().refuted);
+}
+
+#[rstest]
+fn a_lost_link_between_two_vms_kills_neither(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::new(12, seed);
+    fleet.cut = Box::new(|i, j| (i.min(j), i.max(j)) == (2, 7));
+    fleet.run(Millis(30_000));
+    for i in 0..12 {
+        assert!(fleet.all_see(i, MemberState::Live), "seed {seed}, VM {i}");
+    }
+}
+
+#[rstest]
+fn both_sides_of_a_partition_find_each_other_again(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::new(12, seed);
+    fleet.run(Millis(5_000));
+    fleet.cut = Box::new(|i, j| (i < 4) != (j < 4));
+    fleet.run(Millis(30_000));
+    assert_eq!(fleet.state(0, 8), MemberState::Dead);
+    assert_eq!(fleet.state(0, 3), MemberState::Live);
+    fleet.cut = Box::new(|_, _| false);
+    fleet.run(Millis(60_000));
+    for i in 0..12 {
+        assert!(fleet.all_see(i, MemberState::Live), "seed {seed}, VM {i}");
+    }
+}
+
+#[test]
+fn leaving_is_announced_and_a_stale_record_does_not_take_it_back() {
+    let mut fleet = Fleet::new(12, 5);
+    fleet.run(Millis(5_000));
+    fleet.members[3].leave();
+    fleet.run(Millis(10_000));
+    assert!(fleet.all_see(3, MemberState::Leaving));
+    fleet.members[0].on_records(&[record(3)], fleet.now);
+    assert_eq!(fleet.state(0, 3), MemberState::Leaving);
+}
+
+#[test]
+fn the_lagging_list_neither_revives_nor_removes_what_answers() {
+    let mut fleet = Fleet::new(6, 6);
+    fleet.run(Millis(5_000));
+    fleet.paused[4] = true;
+    fleet.run(Millis(20_000));
+    let now = fleet.now;
+    fleet.members[0].on_list(&seeds(6), now);
+    assert_eq!(fleet.state(0, 4), MemberState::Dead);
+    // The list now lacks the dead VM 4 and the live VM 5.
+    fleet.members[0].on_list(&seeds(4), now);
+    assert!(fleet.members[0].record(&vm(4)).is_none());
+    assert_eq!(fleet.state(0, 5), MemberState::Live);
+}
+
+#[test]
+fn a_vm_learns_that_it_was_replaced() {
+    let mut member = Members::new(MemberSettings::default(), record(0), Time(0));
+    let later = PeerRecord { incarnation: Incarnation(101), ..record(0) };
+    member.on_records(&[later], Time(0));
+    assert_eq!(member.replaced(), Some(Incarnation(101)));
+    assert_eq!(member.me().beat, 0);
+}
+
+#[test]
+fn watchers_are_few_live_and_the_same_for_all() {
+    let mut records: Vec<PeerRecord> = (0..30).map(record).collect();
+    let zone = record(0).zone;
+    let chosen = watchers(records.iter(), &zone, 2);
+    assert_eq!(chosen.len(), 2);
+    records.reverse();
+    assert_eq!(watchers(records.iter(), &zone, 2), chosen);
+    for record in &mut records {
+        if record.vm == chosen[0] {
+            record.state = MemberState::Suspect;
+        }
+    }
+    let next = watchers(records.iter(), &zone, 2);
+    assert_eq!(next[0], chosen[1]);
+    assert!(!next.contains(&chosen[0]));
+}
+
+#[test]
+fn the_youngest_headroom_stands() {
+    let mut headroom = Headroom::default();
+    let digest = |free, age| HeadroomDigest {
+        region: "north".parse().unwrap(),
+        zone: "zone-1".parse().unwrap(),
+        free: Permille(free),
+        age: Millis(age),
+    };
+    headroom.take(&digest(500, 100), Time(10_000));
+    headroom.take(&digest(900, 4_000), Time(12_000));
+    assert_eq!(headroom.digests(Time(12_000)).next(), Some(digest(500, 2_100)));
+    headroom.expire(Millis(2_000), Time(12_000));
+    assert_eq!(headroom.digests(Time(12_000)).count(), 0);
+}
--- /dev/null
+++ b/crates/th-steer/tests/spread.rs
@@ -0,0 +1,182 @@
+//! The spread of bundles: monotonic, by difference, from whoever has it, and within a budget.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use th_protocol::{BundleHead, Bytes, ContentHash, Millis, Time, Version};
+use th_steer::member::{
+    Budget, Fetched, ManifestInfo, NotReady, RefusedHead, Source, Spread, SpreadAction,
+    SpreadSettings,
+};
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(11)
+}
+
+fn head(version: u64, content: u8) -> BundleHead {
+    BundleHead { version: Version(version), digest: ContentHash([content; 32]) }
+}
+
+fn peer(i: usize) -> Source {
+    Source::Peer(format!("entry-{i}").parse().unwrap())
+}
+
+fn part(i: u8) -> ContentHash {
+    ContentHash([i; 32])
+}
+
+fn start(rng: &mut ChaCha8Rng) -> Spread {
+    let settings = SpreadSettings { jitter: Millis(0), ..SpreadSettings::default() };
+    Spread::new(settings, Time(0), rng)
+}
+
+/// Fetches all that is asked for; gives the parts that were fetched.
+fn serve(spread: &mut Spread, parts: &[u8], now: Time, rng: &mut ChaCha8Rng) -> Vec<ContentHash> {
+    let mut fetched = Vec::new();
+    for _ in 0..8 {
+        for action in spread.tick(false, now, rng) {
+            match action {
+                SpreadAction::FetchManifest { head, from } => {
+                    let parts = parts.iter().map(|i| part(*i)).collect();
+                    let good = Fetched::Good(ManifestInfo { head, parts });
+                    spread.on_manifest(head, &from, good, now, rng);
+                }
+                SpreadAction::FetchPart { hash, from } => {
+                    fetched.push(hash);
+                    spread.on_part(hash, &from, Fetched::Good(()), now, rng);
+                }
+                _ => {}
+            }
+        }
+    }
+    fetched
+}
+
+fn holding(version: u64, rng: &mut ChaCha8Rng) -> Spread {
+    let mut spread = start(rng);
+    spread.on_head(peer(1), head(version, version as u8));
+    serve(&mut spread, &[1, 2, 3], Time(0), rng);
+    assert_eq!(spread.ready(), Ok(head(version, version as u8)));
+    spread
+}
+
+#[test]
+fn only_changed_parts_travel() {
+    let mut rng = rng();
+    let mut spread = holding(4, &mut rng);
+    spread.on_head(peer(1), head(5, 5));
+    assert_eq!(serve(&mut spread, &[1, 2, 9], Time(10), &mut rng), [part(9)]);
+    assert_eq!(spread.head(), Some(head(5, 5)));
+}
+
+#[rstest]
+#[case::older(head(3, 3), None)]
+#[case::same(head(4, 4), None)]
+#[case::conflict(head(4, 7), Some(RefusedHead::Conflict(head(4, 7))))]
+fn what_is_not_newer_is_not_fetched(
+    #[case] seen: BundleHead,
+    #[case] refused: Option<RefusedHead>,
+) {
+    let mut rng = rng();
+    let mut spread = holding(4, &mut rng);
+    spread.on_head(Source::Store, seen);
+    assert!(spread.tick(false, Time(10), &mut rng).is_empty());
+    assert_eq!(spread.head(), Some(head(4, 4)));
+    assert_eq!(spread.refused().last().copied(), refused);
+}
+
+#[test]
+fn an_unsigned_bundle_is_refused_once_and_a_lower_good_one_taken() {
+    let mut rng = rng();
+    let mut spread = holding(4, &mut rng);
+    spread.on_head(peer(1), head(5, 5));
+    spread.on_head(peer(2), head(9, 9));
+    let asked = spread.tick(false, Time(10), &mut rng);
+    assert_eq!(asked, [SpreadAction::FetchManifest { head: head(9, 9), from: peer(2) }]);
+    spread.on_manifest(head(9, 9), &peer(2), Fetched::Unsigned, Time(10), &mut rng);
+    spread.on_head(peer(3), head(9, 9));
+    serve(&mut spread, &[1, 2, 4], Time(20), &mut rng);
+    assert_eq!(spread.head(), Some(head(5, 5)));
+    assert_eq!(spread.refused(), [RefusedHead::Unsigned(head(9, 9))]);
+}
+
+#[rstest]
+#[case::missing(Fetched::Missing, 10)]
+#[case::corrupt(Fetched::Corrupt, 10)]
+#[case::busy(Fetched::Busy, 600)]
+fn a_source_that_does_not_serve_is_replaced(#[case] end: Fetched<ManifestInfo>, #[case] wait: u64) {
+    let mut rng = rng();
+    let mut spread = holding(4, &mut rng);
+    spread.on_head(peer(1), head(5, 5));
+    spread.on_head(peer(2), head(5, 5));
+    let first = spread.tick(false, Time(10), &mut rng);
+    let [SpreadAction::FetchManifest { from, .. }] = &first[..] else { panic!("{first:?}") };
+    spread.on_manifest(head(5, 5), from, end, Time(10), &mut rng);
+    let second = spread.tick(false, Time(10 + wait), &mut rng);
+    let [SpreadAction::FetchManifest { from: other, .. }] = &second[..] else {
+        panic!("{second:?}")
+    };
+    assert_ne!(from, other);
+}
+
+#[test]
+fn a_fetch_without_an_answer_goes_to_another_source() {
+    let mut rng = rng();
+    let mut spread = holding(4, &mut rng);
+    spread.on_head(peer(1), head(5, 5));
+    spread.on_head(peer(2), head(5, 5));
+    assert_eq!(spread.tick(false, Time(10), &mut rng).len(), 1);
+    assert!(spread.tick(false, Time(1_009), &mut rng).is_empty());
+    assert_eq!(spread.tick(false, Time(1_010), &mut rng).len(), 1);
+}
+
+#[test]
+fn a_vm_with_nothing_says_why_and_takes_the_highest() {
+    let mut rng = rng();
+    let mut spread = start(&mut rng);
+    assert_eq!(spread.ready(), Err(NotReady::NoHead));
+    assert_eq!(spread.tick(false, Time(0), &mut rng), [SpreadAction::ReadHead]);
+    spread.on_head(peer(1), head(7, 7));
+    spread.on_head(Source::Store, head(6, 6));
+    assert_eq!(spread.ready(), Err(NotReady::NoManifest(head(7, 7))));
+    let asked = spread.tick(false, Time(10), &mut rng);
+    assert_eq!(asked, [SpreadAction::FetchManifest { head: head(7, 7), from: peer(1) }]);
+    let good = Fetched::Good(ManifestInfo { head: head(7, 7), parts: vec![part(1)] });
+    spread.on_manifest(head(7, 7), &peer(1), good, Time(10), &mut rng);
+    assert_eq!(spread.ready(), Err(NotReady::NoParts { head: head(7, 7), missing: 1 }));
+    serve(&mut spread, &[1], Time(20), &mut rng);
+    assert_eq!(spread.ready(), Ok(head(7, 7)));
+}
+
+#[test]
+fn vms_that_start_together_do_not_ask_together() {
+    let mut rng = rng();
+    let mut most = 0;
+    let mut fleet = Vec::new();
+    for _ in 0..2_500 {
+        fleet.push(Spread::new(SpreadSettings::default(), Time(0), &mut rng));
+    }
+    for now in (0..2_000).step_by(50) {
+        let mut reads = 0;
+        for spread in &mut fleet {
+            reads += spread.tick(false, Time(now), &mut rng).len();
+        }
+        most = most.max(reads);
+    }
+    // The store takes two thousand reads a second: a hundred in 50 ms, and twice that in bursts.
+    assert!(most <= 200, "{most} reads in 50 ms");
+}
+
+#[test]
+fn a_budget_serves_its_rate_and_no_more() {
+    let mut rng = rng();
+    let mut budget = Budget::new(Bytes(10_000), Bytes(5_000), Time(0), &mut rng);
+    let mut served = 0;
+    for now in (0..60_000).step_by(10) {
+        if budget.take(Bytes(1_000), Time(now)) {
+            served += 1_000;
+        }
+    }
+    assert!(served <= 60 * 10_000 + 5_000, "{served}");
+    assert!(60 * 9_000 <= served, "{served}");
+}
