Catch four more faults put into the decisions by hand

Ten faults were put one at a time into the table of backend servers, the drain, the connections, membership and the spread. Not caught: a report that revives a server that the list has as gone, reports that outvote own outcomes, and the two rules for a paused process.

--- a/crates/th-steer/tests/backend.rs
+++ b/crates/th-steer/tests/backend.rs
@@ -147,7 +147,7 @@
     let (slow, fast) = (id(0), id(1));
     for _ in 0..20 {
         let choice = table.choose(&service(), true, WARM, &mut rng).unwrap();
-        let latency = if choice.backend == slow { Millis(400) } else { Millis(20) };
+        let latency = if choice.backend == slow { Millis(30) } else { Millis(20) };
         table.finish(choice.attempt, Outcome::Answered, latency, WARM);
     }
     let idle = LoadReport { busy: Slots(0), slots: SLOTS, leaving: false };
--- a/crates/th-steer/tests/drain.rs
+++ b/crates/th-steer/tests/drain.rs
@@ -74,6 +74,16 @@
     assert!(!drain.leaving());
 }
 
+#[test]
+fn a_report_does_not_revive_while_the_list_has_the_server_as_gone() {
+    let mut drain = Drain::default();
+    drain.on_list(true, NOW);
+    drain.on_list(false, NOW);
+    let asked = later(Millis(3_600_000));
+    drain.on_own(false, asked, asked);
+    assert!(drain.leaving());
+}
+
 #[rstest]
 #[case::too_soon(RETURN_DELAY.0 - 1, true)]
 #[case::later(RETURN_DELAY.0, false)]
--- a/crates/th-steer/tests/member.rs
+++ b/crates/th-steer/tests/member.rs
@@ -203,6 +203,20 @@
     assert_eq!(member.me().beat, 0);
 }
 
+#[test]
+fn a_pause_is_not_taken_for_the_silence_of_others() {
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    let mut member = Members::new(MemberSettings::default(), record(0), Time(0));
+    member.on_list(&seeds(4), Time(0));
+    let suspect = PeerRecord { state: MemberState::Suspect, ..record(1) };
+    member.on_records(&[suspect], Time(1_000));
+    assert!(!member.tick(Time(1_000), &mut rng).is_empty());
+    let actions = member.tick(Time(61_000), &mut rng);
+    assert!(!actions.iter().any(|action| matches!(action, MemberAction::Check { .. })));
+    assert_eq!(member.counts().suspected, 0);
+    assert_eq!(member.record(&vm(1)).unwrap().state, MemberState::Suspect);
+}
+
 #[test]
 fn watchers_are_few_live_and_the_same_for_all() {
     let mut records: Vec<PeerRecord> = (0..30).map(record).collect();
