--- a/crates/th-model/src/lib.rs
+++ b/crates/th-model/src/lib.rs
@@ -1,7 +1,11 @@
 //! Models of the core protocols, explored exhaustively.
 
+mod drain;
 mod explore;
+mod spread;
 mod ticket;
 
+pub use drain::{DrainAction, DrainModel, DrainState, DrainVariant};
 pub use explore::{Model, Outcome, explore};
+pub use spread::{Roll, SpreadModel, SpreadMove, SpreadPlace, SpreadVariant};
 pub use ticket::{TicketAction, TicketFault, TicketModel, TicketState};
