--- a/crates/th-operator/src/client.rs
+++ b/crates/th-operator/src/client.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use futures_util::{StreamExt, stream};
-use reqwest::Client;
+use reqwest::{Client, Url};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use th_protocol::{Block, LookupAnswer, Millis, Notice, OperationId, ServiceId, Status};
@@ -81,17 +81,17 @@
 
     /// What the entry VM says of itself.
     pub async fn status(&self) -> Result<Status> {
-        self.get("/v1/status", &[]).await
+        self.get(&["v1", "status"], None).await
     }
 
     /// Its counts.
     pub async fn burn(&self) -> Result<BurnAnswer> {
-        self.get("/v1/burn", &[]).await
+        self.get(&["v1", "burn"], None).await
     }
 
     /// Its latest decisions on a service, or on one request.
     pub async fn explain(&self, what: &str) -> Result<Vec<Value>> {
-        self.get(&format!("/v1/explain/{what}"), &[]).await
+        self.get(&["v1", "explain", what], None).await
     }
 
     /// Which entry VMs a caller should use.
@@ -101,17 +101,24 @@
         operation: &OperationId,
         block: Option<Block>,
     ) -> Result<LookupAnswer> {
-        let block = block.map(|it| it.to_string());
-        let query: Vec<_> = block.iter().map(|it| ("block", it.as_str())).collect();
-        self.get(&format!("/v1/lookup/{service}/{operation}"), &query).await
+        let path = ["v1", "lookup", service.as_str(), operation.as_str()];
+        self.get(&path, block).await
     }
 
-    async fn get<T: DeserializeOwned>(&self, path: &str, query: &[(&str, &str)]) -> Result<T> {
+    async fn get<T: DeserializeOwned>(&self, path: &[&str], block: Option<Block>) -> Result<T> {
         let error =
-            |failure| ClientError { step: path.to_owned(), peer: self.address.clone(), failure };
+            |failure| ClientError { step: path.join("/"), peer: self.address.clone(), failure };
         let unreachable = |e: reqwest::Error| error(Failure::Unreachable(describe(&e)));
-        let url = format!("http://{}{path}", self.address);
-        let answer = self.client.get(url).query(query).send().await.map_err(unreachable)?;
+        let mut url = Url::parse(&format!("http://{}", self.address))
+            .map_err(|e| error(Failure::Unreachable(e.to_string())))?;
+        // Ids of requests are callers' own words, so they are escaped.
+        if let Ok(mut segments) = url.path_segments_mut() {
+            segments.clear().extend(path);
+        }
+        if let Some(block) = block {
+            url.query_pairs_mut().append_pair("block", &block.to_string());
+        }
+        let answer = self.client.get(url).send().await.map_err(unreachable)?;
         let status = answer.status();
         let body = answer.bytes().await.map_err(unreachable)?;
         if status.is_success() {
--- a/crates/th-protocol/examples/bundle_measure.rs
+++ b/crates/th-protocol/examples/bundle_measure.rs
@@ -6,7 +6,8 @@
 
 use th_protocol::{
     Backend, Block, Bundle, Class, Connections, Digest, Millis, Operation, Permille, Region,
-    Service, SignedBundle, Signer, Slots, Split, Target, Version, Zone, assemble, split, update,
+    Service, SignedBundle, Signer, Slots, Split, Target, Version, Zone, assemble, check_bundle,
+    check_rules, split, update,
 };
 
 const REGIONS: u32 = 12;
@@ -37,6 +38,8 @@
     split_ms: f64,
     assemble_ms: f64,
     update_ms: f64,
+    check_bundle_ms: f64,
+    check_rules_ms: f64,
 }
 
 fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(kind: &str, n: u32) -> T {
@@ -130,6 +133,12 @@
     span
 }
 
+fn time<T>(work: impl FnOnce() -> T) -> f64 {
+    let start = Instant::now();
+    std::hint::black_box(work());
+    start.elapsed().as_secs_f64() * 1e3
+}
+
 fn measure(eighths: u32) -> Row {
     let bundle = bundle(eighths);
     let start = Instant::now();
@@ -168,6 +177,8 @@
         split_ms,
         assemble_ms,
         update_ms: time_update(&bundle, &it),
+        check_bundle_ms: time(|| check_bundle(&bundle)),
+        check_rules_ms: time(|| check_rules(&bundle)),
     }
 }
 
--- a/crates/th-protocol/src/bundle/check.rs
+++ b/crates/th-protocol/src/bundle/check.rs
@@ -23,14 +23,22 @@
     if faults.is_empty() { Ok(bundle) } else { Err(faults) }
 }
 
-/// Every fault of sense in a bundle of the right form, by path.
+/// Every fault of sense in a bundle of the right form, by path; oversized parts included.
 pub fn check_bundle(bundle: &Bundle) -> Vec<Fault> {
-    let mut faults = rules::find_faults(bundle);
+    let mut faults = check_rules(bundle);
     faults.extend(large_parts(bundle));
     faults.sort();
     faults
 }
 
+/// As [`check_bundle`], without the sizes of parts: for a bundle made from parts that were
+/// within their size. Cheaper, since nothing is written out.
+pub fn check_rules(bundle: &Bundle) -> Vec<Fault> {
+    let mut faults = rules::find_faults(bundle);
+    faults.sort();
+    faults
+}
+
 fn read_tree(text: &str) -> Result<Map<String, Value>> {
     let mut source = serde_json::Deserializer::from_str(text);
     if let Err(e) = serde_path_to_error::deserialize::<_, Unique>(&mut source) {
--- a/crates/th-protocol/src/bundle/mod.rs
+++ b/crates/th-protocol/src/bundle/mod.rs
@@ -12,7 +12,7 @@
 mod unique;
 mod update;
 
-pub use check::{check, check_bundle};
+pub use check::{check, check_bundle, check_rules};
 pub use digest::{Digest, DigestError};
 pub use fault::Fault;
 pub use manifest::{Manifest, ManifestError, PartName, assemble};
--- a/crates/th-report/src/answer.rs
+++ b/crates/th-report/src/answer.rs
@@ -42,8 +42,9 @@
     pub history: Vec<Point>,
 }
 
-/// The counts of one slot of five minutes.
+/// The counts of one slot of five minutes; in JSON `[ago, good, total]`, since there are many.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, u64, u64)", into = "(u32, u64, u64)")]
 pub struct Point {
     /// How many slots ago; 0 is the current one.
     pub ago: u32,
@@ -51,6 +52,18 @@
     pub count: Count,
 }
 
+impl From<(u32, u64, u64)> for Point {
+    fn from((ago, good, total): (u32, u64, u64)) -> Point {
+        Point { ago, count: Count { good, total } }
+    }
+}
+
+impl From<Point> for (u32, u64, u64) {
+    fn from(point: Point) -> (u32, u64, u64) {
+        (point.ago, point.count.good, point.count.total)
+    }
+}
+
 /// What a headroom is about.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/bin/thctl/entries.rs
+++ b/src/bin/thctl/entries.rs
@@ -81,7 +81,8 @@
     let age = it.age_ms.map_or("-".into(), |it| format!("{}s", it.0 / 1000));
     let state = match (&it.reason, it.stopping, it.ready) {
         (_, true, _) => "stopping".to_owned(),
-        (_, _, true) => "ready".to_owned(),
+        (Some(reason), _, true) => format!("ready; {reason}"),
+        (None, _, true) => "ready".to_owned(),
         (Some(reason), ..) => format!("not ready: {reason}"),
         (None, ..) => "not ready".to_owned(),
     };
--- a/tests/thctl.rs
+++ b/tests/thctl.rs
@@ -337,6 +337,7 @@
         ("/v1/status", status_answer(version)),
         ("/v1/burn", burn_answer()),
         ("/v1/explain/roster", records.to_string()),
+        ("/v1/explain/booking%2F7%3Fa%20b", records.to_string()),
         ("/v1/lookup/roster/book?block=10.1.2.0%2F24", lookup.to_string()),
     ]
     .leak()
@@ -362,9 +363,11 @@
         assert_eq!(code, 5, "{text}");
         assert!(text.contains("FAST BURN") && text.contains("silent: 127.0.0.1:1"), "{text}");
 
-        let (code, text) = thctl(&["explain", "roster", "--entry", &old]);
-        assert_eq!(code, 0);
-        assert!(text.contains("rule=region-cap"), "{text}");
+        for what in ["roster", "booking/7?a b"] {
+            let (code, text) = thctl(&["explain", what, "--entry", &old]);
+            assert_eq!(code, 0, "{text}");
+            assert!(text.contains("rule=region-cap"), "{text}");
+        }
         let args = ["lookup", "roster", "book", "--entry", &old, "--block", "10.1.2.0/24"];
         let (code, text) = thctl(&args);
         assert_eq!(code, 0, "{text}");
