Try thctl against a real entry VM

Cause: the tool was tried against canned answers alone. A test rolls two bundles and asks a real entry VM for status, look-up, explain and burn.

--- a/tests/thctl.rs
+++ b/tests/thctl.rs
@@ -1,11 +1,8 @@
 //! The operators' tool as a user runs it: its output and its exit codes.
 
-use std::{
-    fs,
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    process::Command,
-};
+mod tool;
+
+use std::{fs, net::SocketAddr, path::PathBuf, process::Command};
 
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -18,81 +15,7 @@
     net::TcpListener,
     task::spawn_blocking,
 };
-
-/// A folder of the test's own, removed at its end.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(test: &str) -> Folder {
-        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
-        let _ = fs::remove_dir_all(&path);
-        fs::create_dir_all(&path).unwrap();
-        Folder(path)
-    }
-
-    fn file(&self, name: &str) -> String {
-        self.0.join(name).display().to_string()
-    }
-
-    /// Writes a bundle with the public keys of `operators`.
-    fn bundle(&self, version: u64, operators: &[(&str, &str)]) -> String {
-        let mut it = json!({
-            "version": version,
-            "regions": { "north": { "cap": 40 } },
-            "zones": { "n1": { "region": "north" } },
-            "services": { "roster": {
-                "regions": { "north": { "weight": 1, "cap": 20 } },
-                "operations": { "book": { "idempotent": false, "deadline": 2000, "size": 4000 } },
-                "backends": { "b1": {
-                    "zone": "n1", "address": "10.0.0.1:80", "slots": 4, "connections": 330,
-                } },
-                "shift": { "cap": 200, "window": 10000 },
-                "slo": { "latency": 250, "objective": 990, "headroom": 100, "drain": 30000 },
-            }},
-            "operators": {},
-        });
-        for (name, key) in operators {
-            it["operators"][*name] = (*key).into();
-        }
-        let path = self.file(&format!("bundle-{version}.json"));
-        fs::write(&path, it.to_string()).unwrap();
-        path
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
-    }
-}
-
-/// Exit code and output.
-fn thctl(args: &[&str]) -> (i32, String) {
-    let output = Command::new(env!("CARGO_BIN_EXE_thctl")).args(args).output().unwrap();
-    let text = [output.stdout, output.stderr].concat();
-    (output.status.code().unwrap(), String::from_utf8(text).unwrap())
-}
-
-fn thctl_json(args: &[&str]) -> (i32, Value) {
-    let (code, text) = thctl(&[args, &["--json"]].concat());
-    let value: Value = serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {text}"));
-    assert_eq!(value["exit"], code, "{value}");
-    (code, value)
-}
-
-fn keygen(folder: &Folder, name: &str) -> String {
-    let (code, found) = thctl_json(&["bundle", "keygen", "--out", &folder.file(name)]);
-    assert_eq!(code, 0);
-    found["public"].as_str().unwrap().to_owned()
-}
-
-fn sign(folder: &Folder, bundle: &str, operator: &str) -> String {
-    let (key, out) = (folder.file(operator), format!("{bundle}.{operator}"));
-    let (code, text) =
-        thctl(&["bundle", "sign", bundle, "--key", &key, "--operator", operator, "--out", &out]);
-    assert_eq!(code, 0, "{text}");
-    out
-}
+use tool::{Folder, keygen, sign, thctl, thctl_json};
 
 #[rstest]
 #[case(&["--help"], 0, "bundle roll")]
--- /dev/null
+++ b/tests/thctl_entry.rs
@@ -0,0 +1,85 @@
+//! The operators' tool and a real entry VM understand each other.
+
+mod tool;
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use serde_json::{Value, json};
+use th_entry::{Keys, Limits, Listen, Logs, Pace, Settings, Stop, start};
+use th_testing::{FakePlatform, PlatformServer};
+use tokio::task::spawn_blocking;
+use tool::{Folder, keygen, sign, thctl, thctl_json};
+
+/// Asks for the status until that version is in force.
+fn wait_for(version: u64, entry: &str) -> Value {
+    const TRIES: u32 = 5_000;
+    let mut last = Value::Null;
+    for _ in 0..TRIES {
+        let (_, found) = thctl_json(&["status", "--entry", entry]);
+        last = found["entries"][0]["status"].clone();
+        if last["version"] == version {
+            return last;
+        }
+    }
+    panic!("version {version} did not come into force: {last}");
+}
+
+fn settings(operators: &[(&str, &str)]) -> Settings {
+    let mut keys = Keys { peer: "peer-key-of-this-test".into(), ..Keys::default() };
+    keys.tickets.push([9; 32]);
+    keys.operators = operators
+        .iter()
+        .map(|(name, key)| (name.parse().unwrap(), (*key).to_owned()))
+        .collect::<BTreeMap<_, _>>();
+    Settings {
+        vm: "e1".parse().unwrap(),
+        zone: "n1".parse().unwrap(),
+        listen: Listen::default(),
+        peers: Vec::new(),
+        store: None,
+        keys,
+        limits: Limits::default(),
+        stop: Stop::default(),
+        pace: Pace::default(),
+        logs: Logs::default(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolled_bundle_comes_into_force() {
+    let folder = Folder::new("entry");
+    let ana = keygen(&folder, "ana");
+    let operators = [("ana", ana.as_str())];
+    let fake = FakePlatform::default();
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = PlatformServer::start(fake.clone(), loopback).await.unwrap();
+    let running = start(settings(&operators), Arc::new(fake)).await.unwrap();
+    let (url, entry) = (server.url(), running.callers().to_string());
+    let files = [1, 2].map(|it| sign(&folder, &folder.bundle(it, &operators), "ana"));
+    let work = move || {
+        let (code, found) = thctl_json(&["status", "--entry", &entry]);
+        assert_eq!(code, 1, "{found}");
+        for (version, file) in (1..).zip(&files) {
+            let (code, found) = thctl_json(&["bundle", "roll", file, "--store", &url]);
+            assert_eq!(code, 0, "{found}");
+            let status = wait_for(version, &entry);
+            let (_, shown) = thctl_json(&["bundle", "show", "--store", &url]);
+            assert_eq!(status["digest"], shown["digest"], "{status}");
+        }
+        let (code, text) = thctl(&["status", "--entry", &entry]);
+        assert_eq!(code, 0, "{text}");
+
+        let (code, found) = thctl_json(&["lookup", "roster", "book", "--entry", &entry]);
+        assert_eq!((code, &found["answer"]["version"]), (0, &json!(2)), "{found}");
+        assert!(found["answer"]["ticket"].is_string(), "{found}");
+        let (code, text) = thctl(&["lookup", "roster", "fly", "--entry", &entry]);
+        assert_eq!(code, 1, "{text}");
+        assert!(text.contains("no-operation"), "{text}");
+        let (code, text) = thctl(&["explain", "roster", "--entry", &entry]);
+        assert_eq!(code, 0, "{text}");
+        let (code, found) = thctl_json(&["report", "burn", "--entry", &entry]);
+        assert_eq!((code, &found["report"]["vms"]), (0, &json!(["e1"])), "{found}");
+    };
+    spawn_blocking(work).await.unwrap();
+    running.kill();
+}
