--- a/crates/th-steer/src/limit/holder.rs
+++ b/crates/th-steer/src/limit/holder.rs
@@ -1,6 +1,6 @@
 //! The lease holder of a data centre, which asks the store for grants on behalf of all its VMs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use th_protocol::{Millis, Revision, Time, ZoneId};
 
@@ -66,6 +66,8 @@
     /// When each lease of others was first seen to be gone.
     gone: BTreeMap<Lease, Time>,
     asked: Option<(ZoneId, Lease)>,
+    /// The lease that was looked at last, and when.
+    looked: Option<((ZoneId, Lease), Time)>,
     wrote: Option<Time>,
     refreshed: Time,
     /// Earliest time of the next try to take the lease.
@@ -93,6 +95,7 @@
             grants: BTreeMap::new(),
             gone: BTreeMap::new(),
             asked: None,
+            looked: None,
             wrote: None,
             refreshed: Time::ZERO,
             retry: Time::ZERO,
@@ -132,6 +135,7 @@
             self.gone.retain(|_, since| now < since.after(keep));
             self.grants.values_mut().for_each(GrantState::stale);
         }
+        let mut unsure = BTreeSet::new();
         for (cap, need) in needs {
             let grant = self.grants.entry(cap.clone()).or_default();
             if grant.read_due() {
@@ -139,11 +143,8 @@
                 actions.push(StoreAction::ReadLedger(cap.clone()));
                 continue;
             }
-            if self.asked.is_none() {
-                self.asked = suspect(grant, &self.zone, lease, &self.gone);
-                if let Some((zone, lease)) = self.asked.clone() {
-                    actions.push(StoreAction::ReadLead(zone, lease));
-                }
+            if grant.amount() < need.want {
+                suspects(grant, &self.zone, lease, &self.gone, &mut unsure);
             }
             if self.wrote.is_some_and(|at| now < at.after(self.settings.gap)) {
                 continue;
@@ -165,9 +166,31 @@
             }
             actions.push(StoreAction::WriteLedger(cap.clone(), write));
         }
+        self.look(unsure, now, &mut actions);
         actions
     }
 
+    /// Looks in turn at the leases that stand in the way.
+    fn look(
+        &mut self,
+        unsure: BTreeSet<(ZoneId, Lease)>,
+        now: Time,
+        actions: &mut Vec<StoreAction>,
+    ) {
+        if self.asked.is_some() {
+            return;
+        }
+        if self.looked.as_ref().is_some_and(|(_, at)| now < at.after(self.settings.gap)) {
+            return;
+        }
+        let last = self.looked.as_ref().map(|(last, _)| last);
+        let later = unsure.iter().find(|it| last < Some(*it));
+        let Some(next) = later.or(unsure.first()).cloned() else { return };
+        self.asked = Some(next.clone());
+        actions.push(StoreAction::ReadLead(next.0.clone(), next.1));
+        self.looked = Some((next, now));
+    }
+
     fn tick_lead(&mut self, now: Time, actions: &mut Vec<StoreAction>) {
         match &mut self.lead {
             Lead::Idle => {
@@ -264,19 +287,19 @@
     }
 }
 
-/// An entry of the ledger whose lease may be gone.
-fn suspect(
+/// Adds the entries of the ledger whose lease may be gone.
+fn suspects(
     grant: &GrantState,
     zone: &ZoneId,
     lease: Lease,
     gone: &BTreeMap<Lease, Time>,
-) -> Option<(ZoneId, Lease)> {
-    let seen = grant.idle()?;
+    unsure: &mut BTreeSet<(ZoneId, Lease)>,
+) {
+    let Some(seen) = grant.idle() else { return };
     for (other, entry) in &seen.ledger.entries {
         let known = entry.lease == lease || gone.contains_key(&entry.lease);
         if !known && (other == zone || 0 < entry.amount) {
-            return Some((other.clone(), entry.lease));
+            unsure.insert((other.clone(), entry.lease));
         }
     }
-    None
 }
--- a/crates/th-steer/src/limit/mod.rs
+++ b/crates/th-steer/src/limit/mod.rs
@@ -19,7 +19,7 @@
 pub use link::{Charge, LinkMeter};
 pub use orphan::{Evidence, OrphanSettings, OwnerSpare, neighbour_may};
 pub use shard::{ShardClaim, ShardSlot, may_take};
-pub use share::{Part, Share};
+pub use share::{Floor, Part, Share};
 pub use shift::{Millionths, Movement, Refusal, ShiftLimiter, Step, Weights, steps};
 pub use slots::{SlotError, SlotLimit, Slots};
 pub use split::{PartAnswer, PartAsk, Splitter};
--- a/crates/th-steer/src/limit/share.rs
+++ b/crates/th-steer/src/limit/share.rs
@@ -43,3 +43,43 @@
         }
     }
 }
+
+/// An amount that each bundle states anew: it falls at once and rises late.
+///
+/// VMs take a bundle at different moments. What one loses by it, another must not spend before all
+/// have taken it and the work that was admitted under the earlier bundle has ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Floor {
+    amount: u64,
+    raise: Option<(u64, Time)>,
+}
+
+impl Floor {
+    /// The amount that the first bundle states.
+    pub fn new(amount: u64) -> Floor {
+        Floor { amount, raise: None }
+    }
+
+    /// What may be spent now.
+    pub fn get(&self, now: Time) -> u64 {
+        match self.raise {
+            Some((amount, from)) if from <= now => amount,
+            _ => self.amount,
+        }
+    }
+
+    /// Takes in what a new bundle states. `wait` is the time in which a bundle is in force at all
+    /// VMs, plus the longest deadline.
+    pub fn set(&mut self, amount: u64, wait: Millis, now: Time) {
+        self.amount = self.get(now);
+        if self.raise.is_some_and(|(next, from)| next == amount && now < from) {
+            return;
+        }
+        self.raise = None;
+        if amount <= self.amount {
+            self.amount = amount;
+        } else {
+            self.raise = Some((amount, now.after(wait)));
+        }
+    }
+}
--- a/crates/th-steer/tests/share.rs
+++ b/crates/th-steer/tests/share.rs
@@ -2,16 +2,20 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::{
+    prelude::*,
+    test_runner::{RngSeed, TestRunner},
+};
 use rstest::rstest;
 use th_protocol::{
-    AttemptId, BackendId, Connections, Incarnation, LoadReport, Millis, Permille, Reason, RegionId,
-    Revision, ServiceId, Slots as Count, Time, VmId, ZoneId,
+    AttemptId, BackendId, Bundle, Connections, Incarnation, Link, LinkId, LoadReport, Mbit, Millis,
+    Permille, Reason, Region, RegionId, Revision, Service, ServiceId, Slots as Count, Target, Time,
+    VmId, Zone, ZoneId,
 };
 use th_steer::limit::{
-    Answer, Cap, CapId, Evidence, Holder, HolderSettings, Lease, LedgerEntry, Need, OrphanSettings,
-    OwnerSpare, Part, PartAsk, Revisioned, ShardClaim, ShardSlot, Share, SlotError, SlotLimit,
-    Slots, Splitter, StoreAction, deal, fair, may_take, neighbour_may,
+    Answer, Cap, CapId, CapTable, Evidence, Floor, Holder, HolderSettings, Lease, LedgerEntry,
+    Need, OrphanSettings, OwnerSpare, Part, PartAsk, Revisioned, ShardClaim, ShardSlot, Share,
+    SlotError, SlotLimit, Slots, Splitter, StoreAction, deal, fair, may_take, neighbour_may,
 };
 
 fn zone(i: usize) -> ZoneId {
@@ -111,6 +115,11 @@
         }
     }
 
+    #[test]
+    fn floors_that_move_never_overlap(rolls in rolls()) {
+        prop_assert!(most_spent(&rolls, SPREAD) <= 10);
+    }
+
     #[test]
     fn slots_stay_under_each_limit(
         steps in prop::collection::vec((0u64..12, 0usize..3, any::<bool>()), 1..200),
@@ -149,6 +158,82 @@
     ("s".parse().expect("an id"), "r".parse().expect("an id"))
 }
 
+/// How late a VM takes a bundle at most, in ticks.
+const SPREAD: u64 = 7;
+
+/// Time since the last roll, the floor of the first of two VMs, and how late each takes it.
+type Roll = (u64, u64, [u64; 2]);
+
+fn rolls() -> impl Strategy<Value = Vec<Roll>> {
+    prop::collection::vec((0u64..20, 0u64..=10, [0..SPREAD, 0..SPREAD]), 1..40)
+}
+
+/// Bundles that move a cap of ten between two VMs: the most that both may spend at a time.
+fn most_spent(rolls: &[Roll], wait: u64) -> u64 {
+    let mut floors = [Floor::new(5), Floor::new(5)];
+    let mut due: [Vec<(u64, u64)>; 2] = Default::default();
+    let mut at = 0;
+    for (gap, first, delays) in rolls {
+        at += gap;
+        for (i, amount) in [*first, 10 - first].into_iter().enumerate() {
+            // A VM never goes back to an earlier bundle.
+            let last = due[i].last().map_or(0, |(when, _)| *when);
+            due[i].push((last.max(at + delays[i]), amount));
+        }
+    }
+    let mut most = 0;
+    for now in 0..at + 50 {
+        for (floor, due) in floors.iter_mut().zip(&due) {
+            for (_, amount) in due.iter().filter(|(when, _)| *when == now) {
+                floor.set(*amount, Millis(wait), Time(now));
+            }
+        }
+        most = most.max(floors.iter().map(|floor| floor.get(Time(now))).sum());
+    }
+    most
+}
+
+#[test]
+fn floors_that_rise_too_soon_are_caught() {
+    let found = TestRunner::deterministic().run(&rolls(), |rolls| {
+        prop_assert!(most_spent(&rolls, SPREAD / 2) <= 10);
+        Ok(())
+    });
+    println!("{}", found.expect_err("one VM rises before the other has fallen"));
+}
+
+#[test]
+fn a_bundle_states_caps_for_the_data_centres_that_spend_them() {
+    let (service, region) = ids();
+    let mut bundle = Bundle::default();
+    let floors = BTreeMap::from([(zone(0), Permille(333))]);
+    bundle.regions.insert(region.clone(), Region { cap: Count(10), floors });
+    bundle.regions.insert("q".parse().expect("an id"), Region::default());
+    for (i, place) in ["r", "r", "q"].into_iter().enumerate() {
+        let place = place.parse().expect("an id");
+        bundle.zones.insert(zone(i), Zone { region: place, shards: 1 });
+    }
+    let target = Target { weight: 1, cap: Count(7) };
+    let regions = BTreeMap::from([(region.clone(), target)]);
+    bundle.services.insert(service.clone(), Service { regions, ..Service::default() });
+    let link: LinkId = "l".parse().expect("an id");
+    let (cap, to) = (Mbit(280), "q".parse().expect("an id"));
+    let floors = BTreeMap::new();
+    let stated = Link { from: region.clone(), to, cap, delay: Millis(20), floors };
+    bundle.links.insert(link.clone(), stated);
+
+    let table = CapTable::new(&bundle);
+    let get = |id| table.get(&id).expect("it is stated").clone();
+    let stated = get(CapId::Region(region.clone()));
+    assert_eq!((stated.total, stated.floor(&zone(0), 1, 0), stated.leasable), (10, 3, 7));
+    let stated = get(CapId::Service(service, region));
+    assert_eq!((stated.total, stated.floor(&zone(0), 1, 0), stated.leasable), (7, 2, 5));
+    // 280 Mbit/s are 3.5 MB in each 100 ms, which the sending region's data centres share.
+    let stated = get(CapId::Link(link));
+    assert_eq!(stated.floors, BTreeMap::from([(zone(0), 1_750_000), (zone(1), 1_750_000)]));
+    assert_eq!(stated.leasable, 0);
+}
+
 #[test]
 fn a_double_release_is_an_error() {
     let (service, region) = ids();
@@ -201,14 +286,19 @@
     assert!(slot.usable(Time(2)));
 }
 
-/// Answers the holder's calls at once, against one ledger and no other data centre.
+/// The one lease of others that is not gone.
+const LIVE: Lease = Lease(5);
+
+/// Answers the holder's calls at once, against one ledger.
 fn serve(holder: &mut Holder, ledger: &mut Revisioned, actions: Vec<StoreAction>, now: Time) {
     for action in actions {
         match action {
             StoreAction::TakeLease(_) => holder.on_lease(Answer::Applied(Lease(1))),
             StoreAction::Claim(..) => holder.on_claim(Answer::Applied(Revision(1))),
             StoreAction::KeepAlive(_) => holder.on_kept(Answer::Applied(())),
-            StoreAction::ReadLead(..) => holder.on_lead(Some(None), now),
+            StoreAction::ReadLead(_, lease) => {
+                holder.on_lead(Some((lease == LIVE).then_some(lease)), now);
+            }
             StoreAction::ReadLedger(cap) => holder.on_read(&cap, Some(ledger.clone())),
             StoreAction::WriteLedger(cap, write) => {
                 let revision = Revision(ledger.revision.map_or(1, |it| it.0 + 1));
@@ -255,9 +345,11 @@
 #[test]
 fn a_lapsed_holder_is_replaced_only_after_the_drift() {
     let settings = HolderSettings::default();
-    let entry = LedgerEntry { amount: 10, want: 10, lease: Lease(7) };
+    let entry = LedgerEntry { amount: 6, want: 6, lease: Lease(7) };
     let mut ledger = Revisioned { revision: Some(Revision(1)), ..Revisioned::default() };
     ledger.ledger.entries.insert(zone(9), entry);
+    // One that is good stands before it, and must not keep the holder from looking further.
+    ledger.ledger.entries.insert(zone(1), LedgerEntry { amount: 4, want: 4, lease: LIVE });
     let mut holder = Holder::new(zone(0), settings);
     let needs = BTreeMap::from([(region_cap(), Need { total: 10, want: 6, out: 0 })]);
     let mut first = None;
