--- a/crates/th-model/src/lib.rs
+++ b/crates/th-model/src/lib.rs
@@ -2,10 +2,14 @@
 
 mod drain;
 mod explore;
+mod grant;
+mod shard;
 mod spread;
 mod ticket;
 
 pub use drain::{DrainAction, DrainModel, DrainState, DrainVariant};
 pub use explore::{Model, Outcome, explore};
+pub use grant::{Call, GrantAction, GrantFault, GrantModel, GrantState};
+pub use shard::{ShardAction, ShardFault, ShardModel, ShardState};
 pub use spread::{Roll, SpreadModel, SpreadMove, SpreadPlace, SpreadVariant};
 pub use ticket::{TicketAction, TicketFault, TicketModel, TicketState};
