Keep look-ups inside the cap on shifts, and read the VM list after the claims

Cause: a look-up whose region had no usable entry VM was answered with another region's, and each answer named one VM of another region, so callers could move past the cap on shifts. A new bundle with other services fell back to the static plan at once. Claims of shards were judged by a list of VMs that could be older than the claim. Change: a diverted look-up is refused with the time of the next step; an answer names VMs of the chosen region only; tables are carried over to the new bundle's rows, and a lost region or a new bundle is planned for at once; the list of VMs is read after the claims. Ruled out: charging each request that comes from a block which this VM would have sent elsewhere, since two VMs' weights may differ and rightly steered requests would be refused. Conclusion: by construction, look-ups move traffic only by planned steps.

--- a/crates/th-entry/src/task/grants.rs
+++ b/crates/th-entry/src/task/grants.rs
@@ -41,8 +41,12 @@
         match action {
             ShardAction::Read => {
                 let claims = read_claims(entry).await;
-                actions
-                    .extend(entry.decide(|engine, now| engine.on_shard_read(claims.as_ref(), now)));
+                // In this order: a list read first may lack a VM that has claimed since.
+                let list = entry.store.vms().await.ok();
+                let read = claims.as_ref().filter(|_| list.is_some());
+                let list = list.unwrap_or_default();
+                let next = entry.decide(|engine, now| engine.on_shard_read(read, &list, now));
+                actions.extend(next);
             }
             ShardAction::Write(index, expected, claim) => {
                 let key = Key::new(format!("{}{index}", shard_prefix(&entry.settings.zone)));
--- a/crates/th-steer/src/engine/action.rs
+++ b/crates/th-steer/src/engine/action.rs
@@ -41,7 +41,8 @@
 /// A call about the claim of one shard.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ShardAction {
-    /// Read the claims of all shards of this data centre; answered by `on_shard_read`.
+    /// Read the claims of all shards of this data centre, and then the platform's list of VMs;
+    /// answered by `on_shard_read`.
     Read,
     /// Write the claim, or remove it, over that revision; answered by `on_shard_write`.
     Write(u32, Option<Revision>, Option<ShardClaim>),
--- a/crates/th-steer/src/engine/lookup.rs
+++ b/crates/th-steer/src/engine/lookup.rs
@@ -9,7 +9,7 @@
 use super::{Engine, notices};
 use crate::{
     explain::{Inputs, Limit, Outcome, Quantity, Rule},
-    route::VmIx,
+    route::{RegionIx, VmIx},
     ticket::Ticket,
 };
 
@@ -31,9 +31,14 @@
         let routing = self.routing.as_ref().expect("there is one with each bundle");
         let row = routing.map().service_ix(service).ok_or(notices::not_run(Reason::NoService))?;
         let answer = routing.lookup(row, source, now);
+        if answer.diverted {
+            return Err(self.held_back(service, now));
+        }
         let mut entries = Vec::new();
         for vm in answer.picks.as_slice() {
-            entries.push(self.entry_address(*vm));
+            if self.is_in(answer.region, *vm) {
+                entries.push(self.entry_address(*vm));
+            }
         }
         if entries.is_empty() && !self.stopping {
             // Whoever asked has reached this VM, and it can forward.
@@ -50,8 +55,7 @@
             true => None,
             false => Some(self.ticket_for(&first.vm.clone(), service, operation, now)),
         };
-        let rule = if answer.diverted { Rule::Divert } else { Rule::Nearest };
-        self.explain_lookup(service, rule, entries.len(), now);
+        self.explain_lookup(service, entries.len(), now);
         Ok(LookupAnswer {
             service: service.clone(),
             operation: operation.clone(),
@@ -96,12 +100,30 @@
         (record.incarnation, Time(wall.saturating_sub(record.origin.0)))
     }
 
-    fn explain_lookup(&mut self, service: &ServiceId, rule: Rule, usable: usize, now: Time) {
+    /// The block's region has no usable entry VM, and the cap on shifts has not yet let its traffic move.
+    fn held_back(&mut self, service: &ServiceId, now: Time) -> Notice {
+        let routing = self.routing.as_mut().expect("the answer comes from it");
+        let retry = routing.next_step(service, now).max(self.settings.refresh);
+        let decision = (Limit::ShiftCap, Rule::Divert, Outcome::Refused);
+        self.record(service, None, Inputs::default(), decision, now);
+        notices::refused(Reason::ShiftCap, retry)
+    }
+
+    /// Whether a VM is in the chosen region. One in another region would take traffic past the cap on shifts.
+    fn is_in(&self, region: Option<RegionIx>, vm: VmIx) -> bool {
+        let Some(routing) = &self.routing else {
+            return false;
+        };
+        let found = routing.map().region_of(routing.fleet().zone(vm));
+        region.is_none_or(|it| it == found)
+    }
+
+    fn explain_lookup(&mut self, service: &ServiceId, usable: usize, now: Time) {
         if !self.journal.wants(Outcome::Accepted) {
             return;
         }
         let mut inputs = Inputs::default();
         inputs.push(Quantity::Usable, usable as f64, self.settings.refresh);
-        self.record(service, None, inputs, (Limit::None, rule, Outcome::Accepted), now);
+        self.record(service, None, inputs, (Limit::None, Rule::Nearest, Outcome::Accepted), now);
     }
 }
--- a/crates/th-steer/src/engine/routing.rs
+++ b/crates/th-steer/src/engine/routing.rs
@@ -10,7 +10,7 @@
 use crate::{
     limit::{Millionths, Movement, Refusal, ShiftLimiter, Weights as Shares},
     route::{
-        Answer, ClassIx, Demand, Effects, Fleet, Inputs, Loads, Map, Planner, RegionIx, Sample,
+        Answer, Carry, Demand, Effects, Fleet, Inputs, Loads, Map, Planner, RegionIx, Sample,
         ServiceIx, Settings, Tables, VmState, lookup,
     },
 };
@@ -21,6 +21,17 @@
 /// Requests over which the average time in a slot is taken.
 const HOLD_WINDOW: f32 = 16.0;
 
+/// What is counted of one service.
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    /// Requests in the present period.
+    present: u64,
+    /// Requests in the last period.
+    last: u64,
+    /// How long a request holds its slot on average, in milliseconds.
+    hold: f32,
+}
+
 /// The tables behind look-ups.
 #[derive(Debug)]
 pub(crate) struct Routing {
@@ -33,10 +44,8 @@
     planner: Planner,
     /// One limiter a service.
     limiters: BTreeMap<ServiceId, ShiftLimiter>,
-    /// Requests of each service in the present and in the last period.
-    requests: Vec<[u64; 2]>,
-    /// How long a request of each service holds its slot on average, in milliseconds.
-    holds: Vec<f32>,
+    /// What is counted of each service.
+    counts: BTreeMap<ServiceId, Count>,
     planned: Time,
     refreshed: Time,
 }
@@ -67,8 +76,7 @@
             effects,
             planner,
             limiters: BTreeMap::new(),
-            requests: vec![[0; 2]; services],
-            holds: vec![0.0; services],
+            counts: bundle.services.keys().map(|id| (id.clone(), Count::default())).collect(),
             planned: now,
             refreshed: now,
         };
@@ -93,46 +101,19 @@
             limiter.set_shift(spec.shift.clone());
             next.limiters.insert(service, limiter);
         }
-        if self.map.services() == next.map.services()
-            && self.map.regions() == next.map.regions()
-            && self.map.class_count() == next.map.class_count()
-        {
-            next.demand = self.demand;
-            next.loads = self.loads;
-            next.effects = self.effects;
-            next.requests = self.requests;
-            next.holds = self.holds;
-            next.planner = self.planner;
-            return next;
-        }
-        next.carry(&self.map, &self.planner);
-        next
-    }
-
-    /// Sets the weights that were in force before, row by row, where the new bundle has the region.
-    fn carry(&mut self, map: &Map, planner: &Planner) {
-        let regions = self.map.regions().to_vec();
-        let classes = self.map.class_count();
-        for (row, service) in self.map.services().to_vec().iter().enumerate() {
-            let Some(old) = map.service_ix(service) else {
-                continue;
-            };
-            for class in 0..classes.min(map.class_count()) {
-                let before = planner.in_force().row(old, ClassIx(class as u16));
-                let mut weights = vec![0.0; regions.len()];
-                for (weight, region) in weights.iter_mut().zip(&regions) {
-                    *weight = map.region_ix(region).map_or(0.0, |it| before[it.row()]);
-                }
-                let sum: f32 = weights.iter().sum();
-                if sum <= 0.0 {
-                    continue;
-                }
-                for weight in &mut weights {
-                    *weight /= sum;
-                }
-                self.planner.set_in_force(ServiceIx(row as u16), ClassIx(class as u16), &weights);
+        let rows = Carry::new(&self.map, &next.map);
+        next.demand.carry(&self.demand, &rows);
+        next.loads.carry(&self.loads, &rows);
+        next.effects.carry(&self.effects, &rows);
+        next.planner.carry(&self.planner, &rows, &next.demand);
+        for (service, row) in &self.counts {
+            if let Some(it) = next.counts.get_mut(service) {
+                *it = *row;
             }
         }
+        // What the new bundle wants differently begins to move at the next tick.
+        next.planned = Time::ZERO;
+        next
     }
 
     /// A limiter for each service that has none.
@@ -177,7 +158,9 @@
         };
         let place = self.map.place(source);
         self.demand.count(row, place.class, 1);
-        self.requests[row.row()][0] += 1;
+        if let Some(count) = self.counts.get_mut(service) {
+            count.present += 1;
+        }
     }
 
     /// Takes over how long a request of a service held its slot, into a moving average.
@@ -185,9 +168,11 @@
         let Some(row) = self.map.service_ix(service) else {
             return;
         };
-        let hold = &mut self.holds[row.row()];
-        *hold += (held.0 as f32 - *hold) / HOLD_WINDOW;
-        self.demand.set_hold(row, Millis(hold.max(1.0) as u64));
+        let Some(count) = self.counts.get_mut(service) else {
+            return;
+        };
+        count.hold += (held.0 as f32 - count.hold) / HOLD_WINDOW;
+        self.demand.set_hold(row, Millis(count.hold.max(1.0) as u64));
     }
 
     /// Lets one request move to another region, under the cap on shifts.
@@ -198,11 +183,8 @@
         to: &RegionId,
         now: Time,
     ) -> Result<(), Refusal> {
-        let Some(row) = self.map.service_ix(service) else {
-            return Ok(());
-        };
-        let [present, last] = self.requests[row.row()];
-        let weight = Millionths::WHOLE.0 / present.max(last).max(LEAST_REQUESTS);
+        let count = self.counts.get(service).copied().unwrap_or_default();
+        let weight = Millionths::WHOLE.0 / count.present.max(count.last).max(LEAST_REQUESTS);
         let Some(limiter) = self.limiters.get_mut(service) else {
             return Ok(());
         };
@@ -246,7 +228,12 @@
     ) {
         if self.refreshed.after(refresh) <= now {
             self.refreshed = now;
+            let serving = self.serving();
             self.fleet = fleet(&self.map, &records(), &self.settings, now);
+            if serving != self.serving() {
+                // A region is lost or back: its traffic begins to move at once.
+                self.planned = Time::ZERO;
+            }
         }
         if self.planned.after(self.settings.period) <= now {
             self.planned = now;
@@ -255,10 +242,24 @@
         }
     }
 
+    /// Whether each region has a usable entry VM.
+    fn serving(&self) -> Vec<bool> {
+        let rows = 0..self.map.regions().len();
+        rows.map(|row| self.fleet.serves(RegionIx(row as u16))).collect()
+    }
+
+    /// Until the next step of a movement that the cap on shifts holds back.
+    pub(crate) fn next_step(&mut self, service: &ServiceId, now: Time) -> Millis {
+        match self.limiters.get_mut(service) {
+            Some(limiter) => limiter.next_free(now),
+            None => self.settings.period,
+        }
+    }
+
     fn plan(&mut self, now: Time) {
         self.demand.close(now);
-        for counts in &mut self.requests {
-            *counts = [0, counts[0]];
+        for count in self.counts.values_mut() {
+            *count = Count { present: 0, last: count.present, ..*count };
         }
         let inputs =
             Inputs { map: &self.map, fleet: &self.fleet, demand: &self.demand, loads: &self.loads };
--- a/crates/th-steer/src/engine/store.rs
+++ b/crates/th-steer/src/engine/store.rs
@@ -1,6 +1,6 @@
 //! Answers of the platform's service and of the data centre's lease holder.
 
-use th_protocol::{Revision, Time};
+use th_protocol::{Revision, Time, VmRecord};
 
 use super::{Action, Claims, Engine, ShardAction};
 use crate::limit::{Answer, Holder, PartAnswer, PartAsk};
@@ -14,7 +14,18 @@
 
     /// Takes the claims of this data centre's shards; `None` where the read failed. Gives the
     /// writes that are due.
-    pub fn on_shard_read(&mut self, read: Option<&Claims>, now: Time) -> Vec<ShardAction> {
+    ///
+    /// `list` must be the answer to a call that was made after the claims were read: an earlier
+    /// list may lack a VM that has claimed a shard since.
+    pub fn on_shard_read(
+        &mut self,
+        read: Option<&Claims>,
+        list: &[VmRecord],
+        now: Time,
+    ) -> Vec<ShardAction> {
+        if read.is_some() {
+            self.on_vms(list, now);
+        }
         let spare = self.spare();
         let actions = self.capacity.on_shard_read(read, spare, now);
         self.set_allowances(now);
--- a/crates/th-steer/src/limit/shift.rs
+++ b/crates/th-steer/src/limit/shift.rs
@@ -227,6 +227,12 @@
         Ok(())
     }
 
+    /// Until some of what is charged is free again.
+    pub fn next_free(&mut self, now: Time) -> Millis {
+        self.advance(now);
+        self.refusal().retry
+    }
+
     /// What is charged now, by cause.
     pub fn charged(&mut self, now: Time) -> BTreeMap<Movement, Millionths> {
         self.advance(now);
