Carry changes of operators, so that a VM that missed one can still judge

Cause: a real entry VM that missed the roll which replaced its only operator refused every later bundle (trial: 'last refused: version 3 has no good signature', version 1 stayed in force). Now bundles hold a signed statement of their operators, rolls add it to the head, and verify_after follows it. plan() takes the SignedBundle. Measured: the roll's tests pass, three changes in a row among them. Conclusion: entry VMs need to call verify_after in place of verify.

--- a/crates/th-operator/src/plan.rs
+++ b/crates/th-operator/src/plan.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use th_protocol::{
-    OperatorId, Revision, SignError, SignedManifest, Version, layout::EARLIER_HEADS,
+    OperatorId, Revision, SignError, SignedBundle, SignedManifest, Version,
+    layout::{EARLIER_HEADS, OPERATOR_CHANGES},
 };
 
 use crate::outcome::{Outcome, Refusal, Winner};
@@ -41,14 +42,15 @@
     },
 }
 
-/// Plans a roll of `next`, whose version is `version`. `own` are the operators that the bundle
+/// Plans a roll of `signed`, whose version is `version`. `own` are the operators that the bundle
 /// itself names: they may sign the first bundle, since no other says who may.
 pub fn plan(
     head: Option<&Head>,
-    next: &SignedManifest,
+    signed: &SignedBundle,
     version: Version,
     own: &BTreeMap<OperatorId, String>,
 ) -> Plan {
+    let next = &signed.head;
     let Some(head) = head else {
         return match next.verify(own) {
             Ok(_) => Plan::Write { expected: None, head: next.clone() },
@@ -74,7 +76,20 @@
     }
     let mut earlier = vec![head.signed.digest()];
     earlier.extend(head.signed.earlier.iter().take(EARLIER_HEADS - 1));
-    let next = SignedManifest { earlier, ..next.clone() };
+    let mut changes = head.signed.changes.clone();
+    if *own != head.operators {
+        let change = &signed.change;
+        if change.version != version || change.operators != *own {
+            let cause = "the change of operators is not this bundle's".to_owned();
+            return refuse(SignError::Malformed(cause));
+        }
+        if let Err(e) = change.verify(&head.operators) {
+            return refuse(e);
+        }
+        changes.push(change.clone());
+        changes.drain(..changes.len().saturating_sub(OPERATOR_CHANGES));
+    }
+    let next = SignedManifest { earlier, changes, ..next.clone() };
     Plan::Write { expected: Some(head.revision), head: next }
 }
 
--- a/crates/th-operator/src/roll.rs
+++ b/crates/th-operator/src/roll.rs
@@ -92,7 +92,7 @@
 impl Run<'_> {
     async fn run(&self, next: &Manifest, own: &BTreeMap<OperatorId, String>) -> Result<Outcome> {
         let head = self.read_head().await?;
-        let (expected, new) = match plan(head.as_ref(), &self.signed.head, self.version, own) {
+        let (expected, new) = match plan(head.as_ref(), self.signed, self.version, own) {
             Plan::End(outcome) => return Ok(outcome),
             Plan::Write { expected, head } => (expected, head),
         };
--- a/crates/th-operator/tests/roll.rs
+++ b/crates/th-operator/tests/roll.rs
@@ -308,6 +308,57 @@
     assert_eq!(memory.0.lock().unwrap().head_writes, 0);
 }
 
+/// The operators change three times; whoever holds any of the bundles can judge the last one,
+/// and a change is followed only once.
+#[tokio::test]
+async fn who_missed_changes_of_operators_can_still_judge() {
+    let (_, platform) = store_at(0).await;
+    let steps = [("ana", "ana"), ("ana", "ben"), ("ben", "eve"), ("eve", "ana"), ("ana", "ana")];
+    let mut held = Vec::new();
+    for (version, (by, named)) in (1..).zip(steps) {
+        let mut next = bundle(version, 1);
+        next.operators = [(named.parse().unwrap(), signer(named).public())].into();
+        let signed = signer(by).sign_bundle(&next, None);
+        let outcome = roll(&platform, &signed, SETTINGS).await;
+        assert_eq!(outcome, Outcome::Rolled { version: Version(version), since: None });
+        held.push((next.version, next.operators));
+    }
+    let (head, _) = read_bundle(&platform).await.unwrap().unwrap();
+    assert_eq!(head.signed.changes.len(), 3);
+    for (version, operators) in &held[..4] {
+        let manifest = head.signed.verify_after(*version, operators).unwrap();
+        assert_eq!(manifest.version, Version(5), "held {version}");
+    }
+
+    // An operator who was taken out is not let back in by an old change, nor by a forged one.
+    let (last, operators) = &held[3];
+    let mut stale = signer("ben").sign_bundle(&bundle(6, 1), None).head;
+    stale.changes = head.signed.changes[..1].to_vec();
+    assert!(stale.verify_after(*last, operators).is_err());
+    let mut change = stale.changes[0].clone();
+    change.version = Version(5);
+    stale.changes = vec![change];
+    assert!(stale.verify_after(*last, operators).is_err());
+    stale.changes = vec![signer("ben").sign_bundle(&bundle(5, 1), None).change];
+    assert!(stale.verify_after(*last, operators).is_err());
+}
+
+#[tokio::test]
+async fn a_false_change_of_operators_is_refused() {
+    let (_, platform) = store_at(1).await;
+    let mut bad = other_operators();
+    bad.change = signed("ana", 2, 3).change;
+    let outcome = roll(&platform, &bad, SETTINGS).await;
+    let Outcome::Refused(refusal) = &outcome else { panic!("{outcome:?}") };
+    assert!(refusal.to_string().contains("not this bundle's"), "{refusal}");
+}
+
+fn other_operators() -> SignedBundle {
+    let mut it = bundle(2, 3);
+    it.operators.remove(&"ben".parse().unwrap());
+    signer("ana").sign_bundle(&it, None)
+}
+
 #[rstest]
 #[case::older(signed("ana", 1, 9))]
 #[case::same_version_other_bundle(signed("ana", 2, 9))]
--- a/crates/th-protocol/src/bundle/layout.rs
+++ b/crates/th-protocol/src/bundle/layout.rs
@@ -11,6 +11,9 @@
 /// Earlier manifests whose digests the head names.
 pub const EARLIER_HEADS: usize = 16;
 
+/// Changes of operators that the head carries.
+pub const OPERATOR_CHANGES: usize = 16;
+
 /// The key of a part.
 pub fn part_key(digest: &Digest) -> String {
     format!("{PART_PREFIX}{digest}")
--- a/crates/th-protocol/src/bundle/mod.rs
+++ b/crates/th-protocol/src/bundle/mod.rs
@@ -17,7 +17,7 @@
 pub use fault::Fault;
 pub use manifest::{Manifest, ManifestError, PartName, assemble};
 pub use part::{CLASS_PARTS, MAX_PART_BLOCKS, Split, split};
-pub use sign::{SignError, SignedBundle, SignedManifest, Signer, public_key};
+pub use sign::{OperatorChange, SignError, SignedBundle, SignedManifest, Signer, public_key};
 pub use spec::{
     Backend, Bundle, Class, Link, Operation, Region, Service, Shift, Slo, Target, Zone,
 };
--- a/crates/th-protocol/src/bundle/sign.rs
+++ b/crates/th-protocol/src/bundle/sign.rs
@@ -17,6 +17,9 @@
 /// Signed before the manifest's text, so that the signature is good for nothing else.
 const DOMAIN: &[u8] = b"tanagerhollow bundle 1\n";
 
+/// Signed before a change of operators.
+const CHANGE_DOMAIN: &[u8] = b"tanagerhollow operators 1\n";
+
 /// Why a signed manifest is not taken.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum SignError {
@@ -78,6 +81,22 @@
             operator: self.operator.clone(),
             signature: hex::encode(signature.to_bytes()),
             earlier: Vec::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    /// Signs who may sign the bundles after `version`.
+    fn sign_change(
+        &self,
+        version: Version,
+        operators: &BTreeMap<OperatorId, String>,
+    ) -> OperatorChange {
+        let signature = self.key.sign(&change_message(version, operators));
+        OperatorChange {
+            version,
+            operators: operators.clone(),
+            operator: self.operator.clone(),
+            signature: hex::encode(signature.to_bytes()),
         }
     }
 
@@ -85,7 +104,8 @@
     pub fn sign_bundle(&self, bundle: &Bundle, base: Option<Digest>) -> SignedBundle {
         let it = split(bundle, base);
         let text = serde_json::to_string(&it.manifest).expect("a manifest is plain data");
-        SignedBundle { head: self.sign(text), parts: it.parts }
+        let change = self.sign_change(bundle.version, &bundle.operators);
+        SignedBundle { head: self.sign(text), change, parts: it.parts }
     }
 }
 
@@ -104,6 +124,32 @@
     /// notes them so that another roll can tell whether it took effect.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub earlier: Vec<Digest>,
+    /// The latest changes of operators, the oldest first. Each is signed on its own; a roll adds
+    /// them so that an entry VM which missed some bundles can still tell who may sign.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<OperatorChange>,
+}
+
+/// Who may sign the bundles after a version, as one of the operators before signed it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorChange {
+    /// The version of the bundle that brought the change.
+    pub version: Version,
+    /// The operators from then on, with their hex-encoded public keys.
+    pub operators: BTreeMap<OperatorId, String>,
+    /// Who signed.
+    pub operator: OperatorId,
+    /// The ed25519 signature in hex.
+    pub signature: String,
+}
+
+impl OperatorChange {
+    /// Whether one of the operators in `keys` signed it.
+    pub fn verify(&self, keys: &BTreeMap<OperatorId, String>) -> Result<()> {
+        let message = change_message(self.version, &self.operators);
+        verify_signature(keys, &self.operator, &self.signature, &message)
+    }
 }
 
 impl SignedManifest {
@@ -134,31 +180,67 @@
 
     /// The manifest, if one of the operators in `keys` (hex-encoded public keys) signed it.
     pub fn verify(&self, keys: &BTreeMap<OperatorId, String>) -> Result<Manifest> {
-        if self.signature.is_empty() {
-            return Err(SignError::Unsigned);
-        }
-        let key = keys.get(&self.operator);
-        let key = key.ok_or_else(|| SignError::Operator(self.operator.clone()))?;
-        let key = public_key(key)?;
-        let wrong = || SignError::Signature(self.operator.clone());
-        let mut raw = [0; 64];
-        hex::decode_to_slice(&self.signature, &mut raw).map_err(|_| wrong())?;
-        let signature = Signature::from_bytes(&raw);
-        key.verify_strict(&message(&self.manifest), &signature).map_err(|_| wrong())?;
+        let message = message(&self.manifest);
+        verify_signature(keys, &self.operator, &self.signature, &message)?;
         self.unverified()
     }
+
+    /// As [`SignedManifest::verify`], for one who holds the bundle of version `held`, whose
+    /// operators are `keys`: changes of operators since then are followed first.
+    pub fn verify_after(
+        &self,
+        held: Version,
+        keys: &BTreeMap<OperatorId, String>,
+    ) -> Result<Manifest> {
+        let version = self.version()?;
+        let mut keys = keys;
+        for change in &self.changes {
+            // An older one is no news; this bundle's own concerns the next bundle.
+            if change.version <= held || version <= change.version {
+                continue;
+            }
+            if change.verify(keys).is_ok() {
+                keys = &change.operators;
+            }
+        }
+        self.verify(keys)
+    }
+}
+
+fn verify_signature(
+    keys: &BTreeMap<OperatorId, String>,
+    operator: &OperatorId,
+    signature: &str,
+    message: &[u8],
+) -> Result<()> {
+    if signature.is_empty() {
+        return Err(SignError::Unsigned);
+    }
+    let key = keys.get(operator).ok_or_else(|| SignError::Operator(operator.clone()))?;
+    let key = public_key(key)?;
+    let wrong = || SignError::Signature(operator.clone());
+    let mut raw = [0; 64];
+    hex::decode_to_slice(signature, &mut raw).map_err(|_| wrong())?;
+    key.verify_strict(message, &Signature::from_bytes(&raw)).map_err(|_| wrong())
 }
 
 fn message(manifest: &str) -> Vec<u8> {
     [DOMAIN, manifest.as_bytes()].concat()
 }
 
+fn change_message(version: Version, operators: &BTreeMap<OperatorId, String>) -> Vec<u8> {
+    let text = serde_json::to_vec(&(version, operators)).expect("operators are plain data");
+    [CHANGE_DOMAIN, &text].concat()
+}
+
 /// A signed manifest and its parts: the file that `thctl bundle sign` writes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SignedBundle {
     /// The signed manifest.
     pub head: SignedManifest,
+    /// Who may sign the next; a roll adds it to the head if that differs from before.
+    pub change: OperatorChange,
     /// The text of each part.
     pub parts: BTreeMap<Digest, String>,
 }
--- a/crates/th-protocol/src/lib.rs
+++ b/crates/th-protocol/src/lib.rs
@@ -15,9 +15,9 @@
 pub use block::{Block, BlockError};
 pub use bundle::{
     Backend, Bundle, CLASS_PARTS, Class, Digest, DigestError, Fault, Link, MAX_PART_BLOCKS,
-    Manifest, ManifestError, Operation, PartName, Region, Service, Shift, SignError, SignedBundle,
-    SignedManifest, Signer, Slo, Split, Target, Zone, assemble, check, check_bundle, check_rules,
-    layout, public_key, split, update,
+    Manifest, ManifestError, Operation, OperatorChange, PartName, Region, Service, Shift,
+    SignError, SignedBundle, SignedManifest, Signer, Slo, Split, Target, Zone, assemble, check,
+    check_bundle, check_rules, layout, public_key, split, update,
 };
 pub use ids::{
     BackendId, ClassId, CustomerId, IdError, LinkId, MAX_ID_BYTES, OperationId, OperatorId,
