--- a/crates/th-steer/src/engine/tick.rs
+++ b/crates/th-steer/src/engine/tick.rs
@@ -90,7 +90,7 @@
     /// Makes the next tick send heartbeats, since there is news.
     fn announce(&mut self, now: Time) {
         self.publish(now);
-        for it in self.members.announce(ANNOUNCEMENTS, &mut self.rng) {
+        for it in self.members.announce(ANNOUNCEMENTS, None, &mut self.rng) {
             self.pending.push(Action::Member(it));
         }
     }
