Let ledger reads and ticks part in the grant model, and test the edges

Cause: fourteen deliberate faults, one at a time; four were not caught: work that ends with its part, max-min shares, a read that settles an open write, a renewal counted late.

--- a/crates/th-model/src/grant.rs
+++ b/crates/th-model/src/grant.rs
@@ -260,9 +260,11 @@
     /// Gives a call its reply and runs the VM's tick.
     fn answer(&self, mut state: GrantState, i: usize, k: usize, reply: Reply) -> GrantState {
         let call = state.vms[i].calls.remove(k);
+        let ledger = matches!(call.action, StoreAction::ReadLedger(_));
         let failed = call.before.is_some() && reply == Reply::Write(Answer::Unknown);
         self.deliver(&mut state.vms[i], call, reply);
-        if failed {
+        // Between a ledger's reading and the next tick, others may act.
+        if failed || ledger {
             return state;
         }
         self.run(&state, i).unwrap_or(state)
--- a/crates/th-steer/src/limit/split.rs
+++ b/crates/th-steer/src/limit/split.rs
@@ -66,7 +66,10 @@
         let amount = if left == Millis::ZERO { 0 } else { ask.want.min(free) };
         if 0 < amount {
             let part = Part { amount, asked: now, expiry };
-            self.parts.entry(ask.vm.clone()).or_default().push(part);
+            let parts = self.parts.entry(ask.vm.clone()).or_default();
+            // Those that neither exceed nor outlast the new one no longer matter.
+            parts.retain(|it| part.amount < it.amount || part.expiry < it.expiry);
+            parts.push(part);
         }
         PartAnswer { cap: ask.cap.clone(), amount, left }
     }
--- a/crates/th-steer/tests/share.rs
+++ b/crates/th-steer/tests/share.rs
@@ -251,6 +251,25 @@
     assert_eq!(slots.disconnect(&backend), Err(SlotError::NotOpen(backend)));
 }
 
+#[rstest]
+#[case::ends_before(49, 5)]
+#[case::ends_with_it(50, 2)]
+#[case::endless(u64::MAX, 2)]
+fn a_part_serves_work_that_ends_before_it(#[case] span: u64, #[case] expected: u64) {
+    let part = Part { amount: 3, asked: Time(0), expiry: Time(50) };
+    assert_eq!(Share { floor: 2, part }.spendable(Time(0), Millis(span)), expected);
+}
+
+#[rstest]
+#[case::equal(&[10, 10], &[5, 5])]
+#[case::small_want_is_met(&[2, 10], &[2, 8])]
+#[case::large_ones_share(&[9, 1, 9], &[4, 1, 5])]
+fn wants_are_met_fairly(#[case] wants: &[u64], #[case] expected: &[u64]) {
+    let map: BTreeMap<_, _> = wants.iter().enumerate().map(|(i, it)| (zone(i), *it)).collect();
+    let got: Vec<_> = map.keys().map(|id| fair(10, &map, id)).collect();
+    assert_eq!(got, expected);
+}
+
 #[test]
 fn an_older_part_does_not_replace_a_newer_one() {
     let newer = Part { amount: 1, asked: Time(20), expiry: Time(50) };
@@ -342,6 +361,28 @@
     assert!(rate * 6.0 < 100.0);
 }
 
+#[test]
+fn a_lease_is_counted_from_before_each_request() {
+    let settings = HolderSettings::default();
+    let mut holder = Holder::new(zone(0), settings);
+    let needs = BTreeMap::new();
+    let sent = Time(1_000);
+    assert_eq!(holder.on_tick(&needs, sent), [StoreAction::TakeLease(settings.ttl)]);
+    holder.on_lease(Answer::Applied(Lease(1)));
+    assert_eq!(holder.on_tick(&needs, Time(9_000)), [StoreAction::Claim(zone(0), Lease(1))]);
+    holder.on_claim(Answer::Applied(Revision(1)));
+    let expiry = sent.after(settings.ttl);
+    assert_eq!(holder.lease(Time(9_000)), Some((Lease(1), expiry)));
+
+    let sent = Time(15_000);
+    assert_eq!(holder.on_tick(&needs, sent), [StoreAction::KeepAlive(Lease(1))]);
+    assert_eq!(holder.on_tick(&needs, Time(25_000)), []);
+    holder.on_kept(Answer::Applied(()));
+    let expiry = sent.after(settings.ttl);
+    assert_eq!(holder.lease(Time(25_000)), Some((Lease(1), expiry)));
+    assert_eq!(holder.lease(expiry), None);
+}
+
 #[test]
 fn a_lapsed_holder_is_replaced_only_after_the_drift() {
     let settings = HolderSettings::default();
