Follow changes of operators in entry VMs

Cause: an entry VM that missed the roll which replaced its only operator kept its old bundle for good.

--- a/crates/th-entry/src/task/bundles.rs
+++ b/crates/th-entry/src/task/bundles.rs
@@ -90,7 +90,8 @@
     if *signed.digest().bytes() != head.digest.0 {
         return Fetched::Corrupt;
     }
-    let manifest = match signed.verify(&operators(entry)) {
+    let held = entry.decide(|engine, _| engine.bundle().map(|it| it.version)).unwrap_or_default();
+    let manifest = match signed.verify_after(held, &operators(entry)) {
         Ok(manifest) => manifest,
         Err(error) => {
             log::warn!(target: "bundle", "Version {} is refused: {error}.", head.version);
--- a/tests/thctl_entry.rs
+++ b/tests/thctl_entry.rs
@@ -6,7 +6,7 @@
 
 use serde_json::{Value, json};
 use th_entry::{Keys, Limits, Listen, Logs, Pace, Settings, Stop, start};
-use th_testing::{FakePlatform, PlatformServer};
+use th_testing::{FakePlatform, Faults, PlatformServer};
 use tokio::task::spawn_blocking;
 use tool::{Folder, keygen, sign, thctl, thctl_json};
 
@@ -83,3 +83,35 @@
     spawn_blocking(work).await.unwrap();
     running.kill();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_missed_a_change_of_operators_catches_up() {
+    let folder = Folder::new("missed");
+    let (ana, ben) = (keygen(&folder, "ana"), keygen(&folder, "ben"));
+    let fake = FakePlatform::default();
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = PlatformServer::start(fake.clone(), loopback).await.unwrap();
+    let running = start(settings(&[("ana", &ana)]), Arc::new(fake.clone())).await.unwrap();
+    let (url, entry) = (server.url(), running.callers().to_string());
+    let files = [
+        sign(&folder, &folder.bundle(1, &[("ana", &ana)]), "ana"),
+        sign(&folder, &folder.bundle(2, &[("ben", &ben)]), "ana"),
+        sign(&folder, &folder.bundle(3, &[("ben", &ben)]), "ben"),
+    ];
+    let work = move || {
+        let roll = |file: &str| {
+            let (code, found) = thctl_json(&["bundle", "roll", file, "--store", &url]);
+            assert_eq!(code, 0, "{found}");
+        };
+        roll(&files[0]);
+        wait_for(1, &entry);
+        fake.set_faults(Faults { silent: true, ..Faults::default() });
+        roll(&files[1]);
+        roll(&files[2]);
+        assert_eq!(wait_for(1, &entry)["version"], 1, "it must not hear of version 2 alone");
+        fake.set_faults(Faults::default());
+        wait_for(3, &entry);
+    };
+    spawn_blocking(work).await.unwrap();
+    running.kill();
+}
