Bound the loop of the full-table test

Cause: with a fault put into the table (a failed operation frees its key) the test ran for ever instead of failing. Before: no verdict. After: 50,000 operations at most, and the same checks; the fault makes it fail.

--- a/crates/th-steer/tests/ticket.rs
+++ b/crates/th-steer/tests/ticket.rs
@@ -12,6 +12,8 @@
 
 const INCARNATION: Incarnation = Incarnation(7);
 const NOW: Time = Time(1_000);
+/// More operations than fit in the default budget.
+const MOST_OPERATIONS: u64 = 50_000;
 
 fn ticket(seed: u64) -> Ticket {
     let owner = ("e1".parse().unwrap(), INCARNATION);
@@ -169,8 +171,8 @@
 fn a_full_table_refuses_and_forgets_nothing() {
     let mut table = table(TicketSettings::default());
     let ticket = ticket(1);
-    let mut count = 0;
-    loop {
+    let mut refused = None;
+    for count in 0..MOST_OPERATIONS {
         let name = format!("{count:036}");
         match table.begin(&ticket, key(&name), print("a"), NOW) {
             Begin::Fresh(operation) => {
@@ -178,12 +180,13 @@
                 table.unknown(token, Reason::Timeout);
             }
             end => {
-                assert_eq!(end, Begin::Refused(Reason::TicketsFull));
+                refused = Some((count, end));
                 break;
             }
         }
-        count += 1;
     }
+    let (count, end) = refused.expect("the table has a bound");
+    assert_eq!(end, Begin::Refused(Reason::TicketsFull));
     println!("{count} operations with keys of 36 bytes fit in {}", table.used());
     assert!(table.used() <= TicketSettings::default().budget);
     let first = table.begin(&ticket, key(&format!("{:036}", 0)), print("a"), NOW);
