Keep the expected wait to a quarter of the spare time; check a ticket's target

Cause: the estimates of service time can be too low, after a cold start for one. The overload test runs five seeds and low estimates now.

--- a/crates/th-steer/src/queue/settings.rs
+++ b/crates/th-steer/src/queue/settings.rs
@@ -34,7 +34,7 @@
             length: 1_024,
             bytes: Bytes(4 * 1024 * 1024),
             age: Millis(2_000),
-            patience: Permille(500),
+            patience: Permille(250),
             order: QueueOrder::Oldest,
         }
     }
--- a/crates/th-steer/src/ticket/ticket.rs
+++ b/crates/th-steer/src/ticket/ticket.rs
@@ -26,6 +26,9 @@
     /// No accepted key made the authentication code.
     #[error("the ticket's authentication code does not match")]
     Forged,
+    /// The ticket is for another service or operation.
+    #[error("the ticket is for {0}")]
+    Target(&'static str),
     /// A field is missing, left over or unreadable.
     #[error("the ticket's {0} cannot be read")]
     Field(&'static str),
@@ -81,6 +84,17 @@
         }
     }
 
+    /// Whether the ticket is good for an operation of a service.
+    pub fn permits(&self, service: &ServiceId, operation: &OperationId) -> Result<()> {
+        if self.service != *service {
+            return Err(TicketError::Target("another service"));
+        }
+        if self.operation != *operation {
+            return Err(TicketError::Target("another operation"));
+        }
+        Ok(())
+    }
+
     /// The text that the authentication code covers.
     pub(crate) fn payload(&self) -> String {
         let Ticket { vm, incarnation, service, operation, expiry, nonce } = self;
--- a/crates/th-steer/tests/queue.rs
+++ b/crates/th-steer/tests/queue.rs
@@ -9,12 +9,14 @@
 use th_protocol::{Bytes, Millis, Permille, Reason, Slots, Time};
 use th_steer::queue::{Popped, Queue, QueueOrder, QueueSettings, QueuedRequest};
 
-const SEED: u64 = 5;
+const SEEDS: [u64; 5] = [5, 6, 7, 8, 9];
 const SLOTS: Slots = Slots(8);
 const MEAN: Millis = Millis(40);
 const TAIL: Millis = Millis(115);
 const DEADLINE: Millis = Millis(500);
 const RUN: u64 = 60_000;
+const WHOLE: Permille = Permille::WHOLE;
+const HALF: Permille = Permille(500);
 
 fn request(customer: &str, deadline: Time, item: u64) -> QueuedRequest<u64> {
     QueuedRequest {
@@ -84,8 +86,9 @@
 }
 
 /// Offers `load` thousandths of the capacity for a minute of virtual time, in steps of 1 ms. An item is its arrival.
-fn run(mut line: Line, load: u64) -> Figures {
-    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+/// The queue is told `told` of the true mean and tail.
+fn run(mut line: Line, load: u64, seed: u64, told: Permille) -> Figures {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let chance = load as f64 / 1_000.0 * f64::from(SLOTS.0) / MEAN.0 as f64;
     let mut figures = Figures::default();
     let mut busy: Vec<u64> = Vec::new();
@@ -94,7 +97,10 @@
         let mut refused = Vec::new();
         if rng.random_bool(chance) {
             figures.offered += 1;
-            refused.extend(line.push(request("", Time(now).after(DEADLINE), now), Time(now)));
+            let mut request = request("", Time(now).after(DEADLINE), now);
+            request.service = Millis(told.of(MEAN.0));
+            request.tail = Millis(told.of(TAIL.0));
+            refused.extend(line.push(request, Time(now)));
         }
         while busy.len() < SLOTS.0 as usize {
             let (next, late) = line.pop(Time(now));
@@ -126,30 +132,35 @@
 }
 
 #[rstest]
-#[case::plain("plain", plain, false, true)]
-#[case::patience_250("oldest, patience 250", || fair(QueueOrder::Oldest, 250), true, true)]
-#[case::default("oldest, patience 500", || fair(QueueOrder::Oldest, 500), true, true)]
-#[case::patience_1000("oldest, patience 1000", || fair(QueueOrder::Oldest, 1_000), true, false)]
-#[case::newest("newest", || fair(QueueOrder::Newest, 500), true, false)]
+#[case::plain("plain", WHOLE, plain, false, true)]
+#[case::default("oldest, patience 250", WHOLE, || fair(QueueOrder::Oldest, 250), true, true)]
+#[case::patience_500("oldest, patience 500", WHOLE, || fair(QueueOrder::Oldest, 500), true, true)]
+#[case::patience_1000("oldest, patience 1000", WHOLE, || fair(QueueOrder::Oldest, 1_000), true, false)]
+#[case::newest("newest", WHOLE, || fair(QueueOrder::Newest, 250), true, false)]
+#[case::low_estimates("oldest, patience 250", HALF, || fair(QueueOrder::Oldest, 250), true, true)]
+#[case::low_estimates_500("oldest, patience 500", HALF, || fair(QueueOrder::Oldest, 500), false, false)]
 fn goodput_holds_at_twice_the_capacity(
     #[case] name: &str,
+    #[case] told: Permille,
     #[case] line: fn() -> Line,
     #[case] holds: bool,
     #[case] prompt: bool,
 ) {
-    let full = run(line(), 1_000);
-    let mut twice = run(line(), 2_000);
-    let started = twice.good + twice.missed;
-    let (p50, p99) = (twice.wait(500), twice.wait(990));
-    println!(
-        "{name}: good {} at 1.0, {} at 2.0 of {}; missed {} of {started} started; \
+    for seed in SEEDS {
+        let full = run(line(), 1_000, seed, told);
+        let mut twice = run(line(), 2_000, seed, told);
+        let started = twice.good + twice.missed;
+        let (p50, p99) = (twice.wait(500), twice.wait(990));
+        println!(
+            "{name}, seed {seed}, told {told}: good {} at 1.0, {} at 2.0 of {}; missed {} of {started} started; \
          refused {}, of them late {}; wait p50 {p50} ms, p99 {p99} ms",
-        full.good, twice.good, twice.offered, twice.missed, twice.refused, twice.held,
-    );
-    let goodput = full.good * 95 <= twice.good * 100;
-    let on_time = twice.missed * 100 < started;
-    assert_eq!(goodput && on_time, holds, "seed {SEED}");
-    assert_eq!(twice.held * 100 < twice.refused, prompt, "seed {SEED}");
+            full.good, twice.good, twice.offered, twice.missed, twice.refused, twice.held,
+        );
+        let goodput = full.good * 95 <= twice.good * 100;
+        let on_time = twice.missed * 100 < started;
+        assert_eq!(goodput && on_time, holds, "seed {seed}");
+        assert_eq!(twice.held * 100 < twice.refused, prompt, "seed {seed}");
+    }
 }
 
 /// Requests of each customer that leave a queue which both keep full.
@@ -211,9 +222,9 @@
     let wait = queue.expected_wait(None, SLOTS);
     assert_eq!(wait, Millis(80));
     let tight = queue.push(request("", Time(215), 16), SLOTS, Time(0)).outcome.unwrap_err();
-    assert_eq!((tight.reason, tight.retry), (Reason::Deadline, Millis(30)));
-    assert!(queue.push(request("", Time(275), 17), SLOTS, Time(0)).outcome.is_ok());
-    let expired = queue.expire(Time(161));
+    assert_eq!((tight.reason, tight.retry), (Reason::Deadline, Millis(55)));
+    assert!(queue.push(request("", Time(435), 17), SLOTS, Time(0)).outcome.is_ok());
+    let expired = queue.expire(Time(321));
     assert_eq!(expired.iter().map(|it| it.item).collect::<Vec<_>>(), [17]);
 }
 
--- a/crates/th-steer/tests/ticket.rs
+++ b/crates/th-steer/tests/ticket.rs
@@ -59,6 +59,19 @@
     assert_eq!(TicketError::Forged.reason(), Reason::BadTicket);
 }
 
+#[rstest]
+#[case("desk", "book", true)]
+#[case("desk", "cancel", false)]
+#[case("call-out", "book", false)]
+fn a_ticket_is_good_for_its_operation_only(
+    #[case] service: &str,
+    #[case] operation: &str,
+    #[case] good: bool,
+) {
+    let end = ticket(1).permits(&service.parse().unwrap(), &operation.parse().unwrap());
+    assert_eq!(end.is_ok(), good);
+}
+
 proptest! {
     #[test]
     fn any_changed_byte_is_refused(at in 0usize..1_000, byte in 0x20u8..0x7f) {
