--- a/crates/th-steer/tests/ticket.rs
+++ b/crates/th-steer/tests/ticket.rs
@@ -12,6 +12,8 @@
 
 const INCARNATION: Incarnation = Incarnation(7);
 const NOW: Time = Time(1_000);
+/// More operations than fit in the default budget.
+const MOST_OPERATIONS: u64 = 50_000;
 
 fn ticket(seed: u64) -> Ticket {
     let owner = ("e1".parse().unwrap(), INCARNATION);
@@ -57,6 +59,19 @@
     assert_eq!(TicketError::Forged.reason(), Reason::BadTicket);
 }
 
+#[rstest]
+#[case("desk", "book", true)]
+#[case("desk", "cancel", false)]
+#[case("call-out", "book", false)]
+fn a_ticket_is_good_for_its_operation_only(
+    #[case] service: &str,
+    #[case] operation: &str,
+    #[case] good: bool,
+) {
+    let end = ticket(1).permits(&service.parse().unwrap(), &operation.parse().unwrap());
+    assert_eq!(end.is_ok(), good);
+}
+
 proptest! {
     #[test]
     fn any_changed_byte_is_refused(at in 0usize..1_000, byte in 0x20u8..0x7f) {
@@ -169,8 +184,8 @@
 fn a_full_table_refuses_and_forgets_nothing() {
     let mut table = table(TicketSettings::default());
     let ticket = ticket(1);
-    let mut count = 0;
-    loop {
+    let mut refused = None;
+    for count in 0..MOST_OPERATIONS {
         let name = format!("{count:036}");
         match table.begin(&ticket, key(&name), print("a"), NOW) {
             Begin::Fresh(operation) => {
@@ -178,12 +193,13 @@
                 table.unknown(token, Reason::Timeout);
             }
             end => {
-                assert_eq!(end, Begin::Refused(Reason::TicketsFull));
+                refused = Some((count, end));
                 break;
             }
         }
-        count += 1;
     }
+    let (count, end) = refused.expect("the table has a bound");
+    assert_eq!(end, Begin::Refused(Reason::TicketsFull));
     println!("{count} operations with keys of 36 bytes fit in {}", table.used());
     assert!(table.used() <= TicketSettings::default().budget);
     let first = table.begin(&ticket, key(&format!("{:036}", 0)), print("a"), NOW);
