--- a/crates/th-steer/src/member/protocol.rs
+++ b/crates/th-steer/src/member/protocol.rs
@@ -297,6 +297,7 @@
     }
 
     fn merge_all(&mut self, message: &Heartbeat, now: Time) {
+        self.revisit_soon(&message.from.vm, now);
         self.pending.remove(&message.from.vm);
         self.merge(&message.from, now);
         for record in &message.records {
@@ -304,6 +305,16 @@
         }
     }
 
+    /// Where a VM that was taken for dead is heard again, others may be back with it, so that the
+    /// next dead VM is tried a period later.
+    fn revisit_soon(&mut self, vm: &VmId, now: Time) {
+        let back = self.table.get(vm).is_some_and(|row| row.record.state == MemberState::Dead);
+        if back {
+            let wait = self.settings.revisit.minus(self.settings.period);
+            self.revisited = self.revisited.min(now.before(wait));
+        }
+    }
+
     fn merge(&mut self, record: &PeerRecord, now: Time) {
         if record.vm == self.me.vm {
             self.refute(record);
