--- a/crates/th-steer/tests/member.rs
+++ b/crates/th-steer/tests/member.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use th_protocol::{
-    CheckAnswer, HeadroomDigest, Incarnation, MemberState, Millis, PeerRecord, Permille, Time, VmId,
+    BundleHead, CheckAnswer, ContentHash, HeadroomDigest, Heartbeat, Incarnation, LeavingNotice,
+    LeavingSource, MemberState, Millis, PeerRecord, Permille, Time, Version, VmId,
 };
 use th_steer::member::{Headroom, MemberAction, MemberSettings, Members, Seed, watchers};
 
@@ -250,3 +252,62 @@
     headroom.expire(Millis(2_000), Time(12_000));
     assert_eq!(headroom.digests(Time(12_000)).count(), 0);
 }
+
+const STATES: [MemberState; 4] =
+    [MemberState::Live, MemberState::Leaving, MemberState::Suspect, MemberState::Dead];
+
+fn any_record() -> impl Strategy<Value = PeerRecord> {
+    (0usize..6, any::<u64>(), any::<u32>(), 0usize..4).prop_map(|(i, incarnation, beat, state)| {
+        let incarnation = Incarnation(incarnation);
+        PeerRecord { incarnation, beat, state: STATES[state], ..record(i) }
+    })
+}
+
+prop_compose! {
+    fn any_heartbeat()(
+        from in any_record(),
+        records in prop::collection::vec(any_record(), 0..8),
+        version: u64,
+        digest: [u8; 32],
+        age: u64,
+    ) -> Heartbeat {
+        let backend = "b1".parse().unwrap();
+        Heartbeat {
+            from,
+            clock: Time(age),
+            head: Some(BundleHead { version: Version(version), digest: ContentHash(digest) }),
+            headroom: Vec::new(),
+            leaving: vec![LeavingNotice { backend, source: LeavingSource::Own, age: Millis(age) }],
+            records,
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn a_heartbeat_is_read_as_it_was_written(message in any_heartbeat()) {
+        let bytes = rmp_serde::to_vec(&message).unwrap();
+        prop_assert_eq!(rmp_serde::from_slice::<Heartbeat>(&bytes).unwrap(), message);
+    }
+
+    #[test]
+    fn other_bytes_are_refused_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = rmp_serde::from_slice::<Heartbeat>(&bytes);
+    }
+
+    /// Whatever is heard, in whatever order, records only advance and this VM stays live to itself.
+    #[test]
+    fn records_only_advance(messages in prop::collection::vec(any_heartbeat(), 1..20)) {
+        let mut member = Members::new(MemberSettings::default(), record(0), Time(0));
+        member.on_list(&seeds(6), Time(0));
+        for (i, message) in messages.iter().enumerate() {
+            let before: Vec<PeerRecord> = member.records().cloned().collect();
+            member.on_heartbeat(message, Time(i as u64 * 100));
+            for old in before {
+                let new = member.record(&old.vm).unwrap();
+                prop_assert!(old.rank() <= new.rank());
+            }
+            prop_assert_eq!(member.me().state, MemberState::Live);
+        }
+    }
+}
