Count silent connections as evidence and say when resting servers return

Cause: a silent connection left its pool and said nothing about the server, and a refusal of a service whose servers all rest had no time to give to the caller. Before: only a timeout of the whole request counted.

--- a/crates/th-steer/src/backend/connection.rs
+++ b/crates/th-steer/src/backend/connection.rs
@@ -157,9 +157,10 @@
         }
     }
 
-    /// Notes that a request made no progress since `last`; true where its generation is left.
+    /// Notes that a request made no progress since `last`; true where this leaves its generation.
     pub fn on_silence(&mut self, generation: Generation, last: Time, now: Time) -> bool {
-        if now.since(last) < self.settings.silence {
+        let left = self.state(generation) == PoolState::Suspect;
+        if left || now.since(last) < self.settings.silence {
             return false;
         }
         self.leave(generation);
--- a/crates/th-steer/src/backend/health.rs
+++ b/crates/th-steer/src/backend/health.rs
@@ -96,6 +96,14 @@
         }
     }
 
+    /// Notes that a connection went silent, which counts as a failure where no own outcome
+    /// outvotes it.
+    pub fn on_silence(&mut self, now: Time) {
+        if !self.has_own_word(now) {
+            self.fail(now);
+        }
+    }
+
     /// Takes a load report.
     pub fn on_report(&mut self, report: LoadReport, now: Time) {
         self.report = Some((report, now));
@@ -124,9 +132,14 @@
         self.ejected
     }
 
+    /// Until when it asked for a rest, if that still lasts.
+    pub fn rest_until(&self, now: Time) -> Option<Time> {
+        self.resting.filter(|until| now < *until)
+    }
+
     /// Whether it asked for a rest that still lasts.
     pub fn resting(&self, now: Time) -> bool {
-        self.resting.is_some_and(|until| now < until)
+        self.rest_until(now).is_some()
     }
 
     /// Age of the last own outcome.
--- a/crates/th-steer/src/backend/table.rs
+++ b/crates/th-steer/src/backend/table.rs
@@ -162,6 +162,19 @@
         Err(if usable { Refusal::NoSlot } else { Refusal::NoBackend })
     }
 
+    /// When the first of the service's servers that rest may be used again, for Retry-After.
+    pub fn rest_until(&self, service: &ServiceId, now: Time) -> Option<Time> {
+        let mut first: Option<Time> = None;
+        for row in self.rows.values() {
+            if row.service != *service || row.drain.leaving() {
+                continue;
+            }
+            let Some(until) = row.health.rest_until(now) else { continue };
+            first = Some(first.map_or(until, |old| old.min(until)));
+        }
+        first
+    }
+
     /// Ends an attempt and frees its slot; false where the attempt is not known.
     pub fn finish(
         &mut self,
@@ -187,12 +200,16 @@
         true
     }
 
-    /// Notes that an attempt made no progress since `last`; true where the connections that it
-    /// shares are left.
+    /// Notes that an attempt made no progress since `last`; true where this leaves the
+    /// connections that it shares.
     pub fn on_silence(&mut self, attempt: AttemptId, last: Time, now: Time) -> bool {
         let Some(attempt) = self.attempts.get(&attempt) else { return false };
         let Some(row) = self.rows.get_mut(&attempt.backend) else { return false };
-        row.pool.on_silence(attempt.generation, last, now)
+        let left = row.pool.on_silence(attempt.generation, last, now);
+        if left {
+            row.health.on_silence(now);
+        }
+        left
     }
 
     /// Takes a load report, in answer to a request that was sent at `asked`.
--- a/crates/th-steer/tests/backend.rs
+++ b/crates/th-steer/tests/backend.rs
@@ -125,9 +125,24 @@
     fail(&mut table, Outcome::Shed(hint), 1, WARM, &mut rng);
     let before = WARM.after(Millis(rest - 1));
     assert_eq!(table.choose(&service(), true, before, &mut rng), Err(Refusal::NoBackend));
+    assert_eq!(table.rest_until(&service(), before), Some(WARM.after(Millis(rest))));
     assert!(table.choose(&service(), true, WARM.after(Millis(rest)), &mut rng).is_ok());
 }
 
+#[test]
+fn silent_connections_eject_a_server_that_nothing_else_speaks_for() {
+    let (mut table, mut rng) = (table(1, BackendSettings::default()), rng(8));
+    for round in 0..3 {
+        let sent = WARM.after(Millis(round * 2_000));
+        let choice = table.choose(&service(), true, sent, &mut rng).unwrap();
+        assert!(table.health(&id(0)).unwrap().ejected().is_none());
+        let late = sent.after(Millis(1_000));
+        assert!(table.on_silence(choice.attempt, sent, late));
+        assert!(!table.on_silence(choice.attempt, sent, late));
+    }
+    assert!(table.health(&id(0)).unwrap().ejected().is_some());
+}
+
 #[test]
 fn probes_of_one_server_are_bounded_over_all_sharers() {
     let sharers = 4;
