--- a/crates/th-entry/src/peer/control.rs
+++ b/crates/th-entry/src/peer/control.rs
@@ -52,6 +52,14 @@
     write(res, &entry, &answer);
 }
 
+/// Gives a VM that has just started the records of all entry VMs.
+#[handler]
+pub(crate) async fn give_records(depot: &mut Depot, res: &mut Response) {
+    let entry = entry(depot);
+    let records = entry.decide(|engine, _| engine.records());
+    write(res, &entry, &records);
+}
+
 #[handler]
 pub(crate) async fn run_check(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let entry = entry(depot);
--- a/crates/th-steer/src/engine/bundles.rs
+++ b/crates/th-steer/src/engine/bundles.rs
@@ -4,7 +4,7 @@
 
 use th_protocol::{
     BackendId, BundleHead, CheckAnswer, ContentHash, Heartbeat, IndirectCheck, LoadReport, Millis,
-    Time, VmId,
+    PeerRecord, Time, VmId,
 };
 
 use super::Engine;
@@ -63,6 +63,11 @@
         self.members.record(vm).map(|it| it.address)
     }
 
+    /// Takes all records of a peer, as a VM does once after its start.
+    pub fn on_records(&mut self, records: &[PeerRecord], now: Time) {
+        self.members.on_records(records, now);
+    }
+
     /// The number of entry VMs that are known, this one included.
     pub fn member_count(&self) -> usize {
         self.members.records().count() + 1
--- a/crates/th-steer/src/engine/engine.rs
+++ b/crates/th-steer/src/engine/engine.rs
@@ -148,7 +148,7 @@
     }
 
     /// The records of all entry VMs that are known, this one included.
-    pub(crate) fn records(&self) -> Vec<PeerRecord> {
+    pub fn records(&self) -> Vec<PeerRecord> {
         let mut records: Vec<PeerRecord> = self.members.records().cloned().collect();
         records.push(self.members.me().clone());
         records
--- a/crates/th-steer/src/engine/place.rs
+++ b/crates/th-steer/src/engine/place.rs
@@ -107,7 +107,9 @@
         let choice = match chosen {
             Ok(choice) => choice,
             Err(Refusal::NoBackend) => {
-                return Err(Obstacle { reason: Reason::NoBackend, retry: USUAL_RETRY });
+                let rest = self.backends.rest_until(&call.service, now);
+                let retry = rest.map_or(USUAL_RETRY, |until| until.since(now));
+                return Err(Obstacle { reason: Reason::NoBackend, retry });
             }
             Err(Refusal::NoSlot) => {
                 let retry = self.usual_time(call);
