--- a/crates/th-entry/src/task/grants.rs
+++ b/crates/th-entry/src/task/grants.rs
@@ -39,21 +39,22 @@
     let mut actions = vec![action];
     while let Some(action) = actions.pop() {
         match action {
-            ShardAction::Read => {
-                let claims = read_claims(entry).await;
+            ShardAction::Read(zone) => {
+                let claims = read_claims(entry, &zone).await;
                 // In this order: a list read first may lack a VM that has claimed since.
                 let list = entry.store.vms().await.ok();
                 let read = claims.as_ref().filter(|_| list.is_some());
                 let list = list.unwrap_or_default();
-                let next = entry.decide(|engine, now| engine.on_shard_read(read, &list, now));
+                let next =
+                    entry.decide(|engine, now| engine.on_shard_read(&zone, read, &list, now));
                 actions.extend(next);
             }
-            ShardAction::Write(index, expected, claim) => {
-                let key = Key::new(format!("{}{index}", shard_prefix(&entry.settings.zone)));
+            ShardAction::Write(zone, index, expected, claim) => {
+                let key = Key::new(format!("{}{index}", shard_prefix(&zone)));
                 let value = claim.map(|it| json(&it));
                 let ended = answer(entry.store.cas(&key, expected, value, None).await);
-                log::info!(target: "store", "The claim of shard {index} ended {ended:?}.");
-                entry.decide(|engine, now| engine.on_shard_write(index, &ended, now));
+                log::info!(target: "store", "The claim of shard {zone}/{index} ended {ended:?}.");
+                entry.decide(|engine, now| engine.on_shard_write(&zone, index, &ended, now));
             }
         }
     }
@@ -63,8 +64,8 @@
     serde_json::to_vec(value).expect("it is plain data")
 }
 
-async fn read_claims(entry: &Entry) -> Option<Claims> {
-    let prefix = shard_prefix(&entry.settings.zone);
+async fn read_claims(entry: &Entry, zone: &ZoneId) -> Option<Claims> {
+    let prefix = shard_prefix(zone);
     let found = entry.store.watch(&prefix, Revision::ZERO, Millis::ZERO).await;
     let found = match found {
         Ok(found) => found,
--- a/crates/th-steer/src/backend/table.rs
+++ b/crates/th-steer/src/backend/table.rs
@@ -1,11 +1,14 @@
 //! The table of backend servers of one data centre.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use rand::Rng;
 use th_protocol::{
     AttemptId, BackendId, Bundle, Connections, LeavingNotice, LoadReport, Millis, Permille,
-    ServiceId, Slots, Time, ZoneId,
+    Service, ServiceId, Slots, Time, ZoneId,
 };
 
 use super::{
@@ -63,7 +66,7 @@
 #[derive(Debug)]
 pub struct Backends {
     settings: BackendSettings,
-    zone: ZoneId,
+    zones: BTreeSet<ZoneId>,
     rows: BTreeMap<BackendId, Row>,
     attempts: BTreeMap<AttemptId, Attempt>,
     next: AttemptId,
@@ -72,7 +75,16 @@
 impl Backends {
     /// An empty table; ids of attempts start at `first`.
     pub fn new(settings: BackendSettings, zone: ZoneId, first: AttemptId) -> Backends {
-        Backends { settings, zone, rows: BTreeMap::new(), attempts: BTreeMap::new(), next: first }
+        let zones = BTreeSet::from([zone]);
+        Backends { settings, zones, rows: BTreeMap::new(), attempts: BTreeMap::new(), next: first }
+    }
+
+    /// Sets the data centres whose servers are in the table from the next bundle on; true where
+    /// that is a change.
+    pub fn set_zones(&mut self, zones: BTreeSet<ZoneId>) -> bool {
+        let changed = self.zones != zones;
+        self.zones = zones;
+        changed
     }
 
     /// Takes a bundle: adds servers without allowance, updates the others. A server that the
@@ -81,7 +93,7 @@
         let mut present = BTreeMap::new();
         for (service, spec) in &bundle.services {
             for (id, backend) in &spec.backends {
-                if backend.zone == self.zone {
+                if self.zones.contains(&backend.zone) {
                     present.insert(id, (service, backend));
                 }
             }
@@ -116,8 +128,9 @@
             note_idle(row, now);
         }
         self.rows.retain(|id, row| {
-            let present = bundle.services.values().any(|spec| spec.backends.contains_key(id));
-            present || row.busy != 0
+            let find = |spec: &Service| spec.backends.get(id).map(|it| it.zone.clone());
+            let zone = bundle.services.values().find_map(find);
+            zone.is_some_and(|it| self.zones.contains(&it)) || row.busy != 0
         });
     }
 
@@ -129,6 +142,16 @@
         row.pool.shrink(connections);
     }
 
+    /// Sets what may be used of every server; of those not named, nothing.
+    pub fn set_allowances(&mut self, allowances: &BTreeMap<BackendId, (Slots, Connections)>) {
+        for (id, row) in &mut self.rows {
+            let (slots, connections) = allowances.get(id).copied().unwrap_or_default();
+            row.slots = slots;
+            row.connections = connections;
+            row.pool.shrink(connections);
+        }
+    }
+
     /// Chooses a server and takes a slot of it; `idempotent` decides which connections may be
     /// used.
     pub fn choose(
--- a/crates/th-steer/src/engine/action.rs
+++ b/crates/th-steer/src/engine/action.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use th_protocol::{BackendId, Revision, VmId};
+use th_protocol::{BackendId, Revision, VmId, ZoneId};
 
 use crate::{
     limit::{PartAsk, ShardClaim, StoreAction},
@@ -41,9 +41,9 @@
 /// A call about the claim of one shard.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ShardAction {
-    /// Read the claims of all shards of this data centre, and then the platform's list of VMs;
+    /// Read the claims of all shards of a data centre, and then the platform's list of VMs;
     /// answered by `on_shard_read`.
-    Read,
+    Read(ZoneId),
     /// Write the claim, or remove it, over that revision; answered by `on_shard_write`.
-    Write(u32, Option<Revision>, Option<ShardClaim>),
+    Write(ZoneId, u32, Option<Revision>, Option<ShardClaim>),
 }
--- a/crates/th-steer/src/engine/capacity.rs
+++ b/crates/th-steer/src/engine/capacity.rs
@@ -1,55 +1,51 @@
 //! What this VM may spend: shares of caps, slots, connections and link bytes.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
 use th_protocol::{
-    AttemptId, BackendId, Bundle, Bytes, Connections, LinkId, Millis, Permille, RegionId, Revision,
+    AttemptId, BackendId, Bundle, Bytes, Connections, LinkId, Millis, Permille, RegionId,
     ServiceId, Slots as Count, Time, VmId, ZoneId,
 };
 
 use super::{
-    EngineSettings, ShardAction,
-    shards::{Claims, ShardRules, Shards},
+    EngineSettings,
+    plan::{CapacityPlan, Holding},
+    shards::Shards,
 };
 use crate::limit::{
-    Answer, CapId, CapTable, Charge, Holder, LinkMeter, Need, PartAnswer, PartAsk, Refusal,
-    ShardClaim, Share, SlotLimit, Slots, Splitter, StoreAction, deal,
+    CapId, Charge, Holder, LinkMeter, Refusal, ShardClaim, Share, SlotLimit, Slots, Splitter,
 };
 
 /// What is counted of one cap.
 #[derive(Debug, Default)]
-struct Use {
-    share: Share,
-    splitter: Splitter,
+pub(crate) struct Use {
+    pub(crate) share: Share,
+    pub(crate) splitter: Splitter,
     /// The most that was in use, or was refused, since the lease holder was last asked.
-    want: u64,
+    pub(crate) want: u64,
     /// When the lease holder was last asked.
-    asked: Option<Time>,
+    pub(crate) asked: Option<Time>,
 }
 
 /// What this VM may spend, and what it has spent.
 #[derive(Debug)]
 pub(crate) struct Capacity {
-    zone: ZoneId,
-    vm: VmId,
-    region: Option<RegionId>,
-    bundle: Option<Arc<Bundle>>,
-    /// The bundle before, whose smaller shares still bind until then.
-    before: Option<(Arc<Bundle>, CapTable, Time)>,
-    caps: CapTable,
-    shards: Shards,
-    uses: BTreeMap<CapId, Use>,
-    slots: Slots,
+    pub(crate) zone: ZoneId,
+    pub(crate) vm: VmId,
+    pub(crate) plan: CapacityPlan,
+    /// Plans of earlier bundles, whose smaller shares still bind until then.
+    earlier: Vec<(CapacityPlan, Time)>,
+    pub(crate) shards: Shards,
+    /// Shards of other data centres of the region whose entry VMs are gone.
+    pub(crate) adopted: BTreeMap<ZoneId, Shards>,
+    pub(crate) uses: BTreeMap<CapId, Use>,
+    pub(crate) slots: Slots,
     meters: BTreeMap<LinkId, LinkMeter>,
-    holder: Holder,
-    /// The longest deadline of any operation.
-    longest: Millis,
-    claim: Millis,
+    pub(crate) holder: Holder,
+    claim: ShardClaim,
+    pub(crate) period: Millis,
     settle: Millis,
-    drift: Millis,
+    pub(crate) drift: Millis,
 }
 
 impl Capacity {
@@ -57,65 +53,96 @@
         Capacity {
             zone: zone.clone(),
             vm: claim.vm.clone(),
-            region: None,
-            bundle: None,
-            before: None,
-            caps: CapTable::default(),
-            shards: Shards::new(claim),
+            plan: CapacityPlan::default(),
+            earlier: Vec::new(),
+            shards: Shards::new(claim.clone()),
+            adopted: BTreeMap::new(),
             uses: BTreeMap::new(),
             slots: Slots::default(),
             meters: BTreeMap::new(),
             holder: Holder::new(zone, settings.holder),
-            longest: Millis::ZERO,
-            claim: settings.claim,
+            claim,
+            period: settings.claim,
             settle: settings.settle,
             drift: settings.holder.drift,
         }
     }
 
-    /// Takes a bundle over. A smaller share binds at once, a larger one after the settling time.
-    pub(crate) fn on_bundle(&mut self, bundle: &Arc<Bundle>, now: Time) {
-        if let Some(old) = self.bundle.take() {
-            let caps = std::mem::take(&mut self.caps);
-            self.before = Some((old, caps, now.after(self.settle)));
+    /// Takes a bundle over. A smaller share binds at once. A larger one is spent only when the
+    /// bundle is in force at the VMs whose share it makes smaller, and what they had dispatched
+    /// before has ended.
+    pub(crate) fn on_bundle(&mut self, bundle: &Bundle, now: Time) {
+        let plan = CapacityPlan::new(bundle, &self.zone);
+        let old = std::mem::replace(&mut self.plan, plan);
+        if old.region.is_some() {
+            let until = now.after(self.settle).after(old.longest);
+            self.earlier.push((old, until));
         }
-        self.caps = CapTable::new(bundle);
-        self.region = bundle.zones.get(&self.zone).map(|it| it.region.clone());
-        self.shards.resize(bundle.zones.get(&self.zone).map_or(0, |it| it.shards));
-        self.longest = longest_deadline(bundle);
-        self.bundle = Some(Arc::clone(bundle));
-        let caps = &self.caps;
+        self.earlier.retain(|(_, until)| now < *until);
+        self.shards.resize(self.plan.shards.get(&self.zone).copied().unwrap_or(0));
+        self.resize_adopted();
+        let caps = &self.plan.caps;
         self.uses.retain(|id, _| caps.get(id).is_some());
     }
 
+    fn resize_adopted(&mut self) {
+        let (zone, claim) = (&self.zone, &self.claim);
+        for (id, count) in &self.plan.shards {
+            if id == zone {
+                continue;
+            }
+            let shards = self.adopted.entry(id.clone());
+            shards.or_insert_with(|| Shards::new(claim.clone())).resize(*count);
+        }
+        let plan = &self.plan;
+        self.adopted.retain(|id, _| plan.shards.contains_key(id));
+    }
+
     /// The region that this VM is in.
     pub(crate) fn region(&self) -> Option<&RegionId> {
-        self.region.as_ref()
+        self.plan.region.as_ref()
     }
 
-    pub(crate) fn on_list(&mut self, listed: BTreeSet<VmId>) {
-        self.shards.on_list(listed);
+    pub(crate) fn on_list(&mut self, listed: &BTreeSet<VmId>) {
+        self.shards.on_list(listed.clone());
+        for shards in self.adopted.values_mut() {
+            shards.on_list(listed.clone());
+        }
     }
 
-    pub(crate) fn shards(&self) -> &Shards {
-        &self.shards
+    /// The shards whose share may be spent.
+    pub(crate) fn holdings(&self, now: Time) -> Vec<Holding> {
+        let mut holdings = Vec::new();
+        let own = (&self.zone, &self.shards);
+        for (zone, shards) in self.adopted.iter().chain([own]) {
+            let usable = shards.usable(now);
+            if !usable.is_empty() {
+                holdings.push(Holding { zone: zone.clone(), shards: usable });
+            }
+        }
+        holdings
+    }
+
+    /// Data centres whose backend servers this VM sends requests to: its own, and those adopted.
+    pub(crate) fn served_zones(&self, now: Time) -> BTreeSet<ZoneId> {
+        let mut zones = BTreeSet::from([self.zone.clone()]);
+        zones.extend(self.holdings(now).into_iter().map(|it| it.zone));
+        zones
     }
 
     /// What the shards that this VM owns bring of a cap.
-    fn floor(&self, id: &CapId, now: Time) -> u64 {
-        let count = self.shards.count();
-        let mut floor = 0;
-        let mut earlier = 0;
-        let before = self.before.as_ref().filter(|(.., until)| now < *until);
-        let before = before.and_then(|(old, caps, _)| Some((old, caps.get(id)?)));
-        for shard in self.shards.usable(now) {
-            floor += self.caps.get(id).map_or(0, |cap| cap.floor(&self.zone, count, shard));
-            if let Some((old, cap)) = before {
-                let count = old.zones.get(&self.zone).map_or(0, |it| it.shards);
-                earlier += cap.floor(&self.zone, count, shard);
+    pub(crate) fn floor(&self, id: &CapId, now: Time) -> u64 {
+        let holdings = self.holdings(now);
+        let mut floor = self.plan.floor(id, &holdings).unwrap_or(0);
+        for (plan, until) in &self.earlier {
+            if *until <= now {
+                continue;
+            }
+            if let Some(before) = plan.floor(id, &holdings) {
+                floor = floor.min(before);
             }
         }
-        if before.is_some() { floor.min(earlier) } else { floor }
+        floor
     }
 
     /// What may be spent of a cap by work that lasts at most `span`.
@@ -125,45 +152,32 @@
         share.spendable(now, span)
     }
 
-    /// The slots and connections of each backend server of this data centre that may be used.
-    pub(crate) fn allowances(&self, now: Time) -> Vec<(BackendId, Count, Connections)> {
-        let Some(bundle) = &self.bundle else {
-            return Vec::new();
-        };
-        let usable = self.shards.usable(now);
-        let count = self.shards.count();
-        let before = self.before.as_ref().filter(|(.., until)| now < *until);
-        let mut allowances = Vec::new();
-        for service in bundle.services.values() {
-            for (id, backend) in &service.backends {
-                if backend.zone != self.zone {
-                    continue;
-                }
-                let mut share = backend_share(id, backend, &usable, count);
-                let earlier = before.and_then(|(old, ..)| {
-                    let count = old.zones.get(&self.zone)?.shards;
-                    let found = old.services.values().find_map(|it| it.backends.get(id))?;
-                    Some(backend_share(id, found, &usable, count))
-                });
-                if let Some(earlier) = earlier {
-                    share = (share.0.min(earlier.0), share.1.min(earlier.1));
+    /// The slots and connections of each backend server that may be used.
+    pub(crate) fn allowances(&self, now: Time) -> BTreeMap<BackendId, (Count, Connections)> {
+        let holdings = self.holdings(now);
+        let mut allowances = self.plan.allowances(&holdings);
+        for (plan, until) in &self.earlier {
+            if *until <= now {
+                continue;
+            }
+            for (id, before) in plan.allowances(&holdings) {
+                if let Some(it) = allowances.get_mut(&id) {
+                    *it = (it.0.min(before.0), it.1.min(before.1));
                 }
-                allowances.push((id.clone(), share.0, share.1));
             }
         }
         allowances
     }
 
-    /// Whether the region's and the service's caps let one more request run here.
+    /// Whether the region's and the service's caps let one more request run here; an error names
+    /// the cap that does not.
     pub(crate) fn room(
         &mut self,
         service: &ServiceId,
         span: Millis,
         now: Time,
-    ) -> Result<SlotLimit, CapId> {
-        let Some(region) = self.region.clone() else {
-            return Err(CapId::Region("unknown".parse().expect("it is an id")));
-        };
+    ) -> Result<SlotLimit, Option<CapId>> {
+        let region = self.plan.region.clone().ok_or(None)?;
         let total = CapId::Region(region.clone());
         let target = CapId::Service(service.clone(), region);
         let limit = SlotLimit {
@@ -175,7 +189,7 @@
             let used = self.slots.used(&id);
             self.note_want(&id, used + 1);
             if most <= used {
-                return Err(id);
+                return Err(Some(id));
             }
         }
         Ok(limit)
@@ -194,7 +208,8 @@
         backend: &BackendId,
         limit: SlotLimit,
     ) -> Result<(), Refusal> {
-        let region = self.region.clone().expect("a slot limit is made where the region is known");
+        let region = self.plan.region.clone();
+        let region = region.expect("a slot limit is made where the region is known");
         self.slots.acquire(attempt, service, &region, backend, limit)
     }
 
@@ -203,28 +218,18 @@
         self.slots.release(attempt).is_ok()
     }
 
-    /// The link between two regions.
-    fn link(&self, from: &RegionId, to: &RegionId) -> Option<LinkId> {
-        let bundle = self.bundle.as_ref()?;
-        let found = bundle.links.iter().find(|(_, it)| it.from == *from && it.to == *to);
-        found.map(|(id, _)| id.clone())
-    }
-
-    /// Charges bytes that this VM sends to another region. Nothing is charged within one region.
+    /// Charges bytes that this VM sends to another region. Nothing is charged within one region,
+    /// nor where no cap is stated.
     pub(crate) fn charge(
         &mut self,
         to: &RegionId,
         bytes: Bytes,
         now: Time,
     ) -> Result<Option<(LinkId, Charge)>, Refusal> {
-        let Some(from) = self.region.clone() else {
-            return Ok(None);
-        };
-        if from == *to {
+        if self.plan.region.as_ref() == Some(to) {
             return Ok(None);
         }
-        let Some(link) = self.link(&from, to) else {
-            // No cap is stated for this way.
+        let Some(link) = self.plan.links.get(to).cloned() else {
             return Ok(None);
         };
         let id = CapId::Link(link.clone());
@@ -238,11 +243,8 @@
 
     /// Notes bytes that go to another region whatever the cap says, as a debt.
     pub(crate) fn owe(&mut self, to: &RegionId, bytes: Bytes) {
-        let Some(from) = self.region.clone().filter(|it| it != to) else {
-            return;
-        };
-        if let Some(link) = self.link(&from, to) {
-            self.meters.entry(link).or_default().owe(bytes);
+        if let Some(link) = self.plan.links.get(to) {
+            self.meters.entry(link.clone()).or_default().owe(bytes);
         }
     }
 
@@ -255,7 +257,7 @@
 
     /// The free share of what this VM may spend of its region's cap.
     pub(crate) fn free(&self, now: Time) -> Permille {
-        let Some(region) = &self.region else {
+        let Some(region) = self.region() else {
             return Permille::ZERO;
         };
         let id = CapId::Region(region.clone());
@@ -275,155 +277,9 @@
         }
         free
     }
-
-    fn rules(&self, spare: bool) -> ShardRules {
-        ShardRules { period: self.claim, deadline: self.longest, spare }
-    }
-
-    /// The calls about shards that are due.
-    pub(crate) fn tick_shards(
-        &mut self,
-        live: &BTreeSet<VmId>,
-        spare: bool,
-        now: Time,
-    ) -> Vec<ShardAction> {
-        self.shards.tick(live, self.rules(spare), now)
-    }
-
-    pub(crate) fn release_shards(&mut self) -> Vec<ShardAction> {
-        self.shards.release()
-    }
-
-    pub(crate) fn on_shard_read(
-        &mut self,
-        read: Option<&Claims>,
-        spare: bool,
-        now: Time,
-    ) -> Vec<ShardAction> {
-        self.shards.on_read(read, self.rules(spare), now)
-    }
-
-    pub(crate) fn on_shard_write(&mut self, index: u32, answer: &Answer<Revision>, now: Time) {
-        self.shards.on_write(index, answer, self.longest, now);
-    }
-
-    /// What the data centre needs of each cap that has a leased remainder, as this VM knows it.
-    fn needs(&mut self, now: Time) -> BTreeMap<CapId, Need> {
-        let mut needs = BTreeMap::new();
-        for (id, cap) in self.caps.iter() {
-            if cap.leasable == 0 || !self.concerns(id) {
-                continue;
-            }
-            let it = self.uses.entry(id.clone()).or_default();
-            let out = it.splitter.out(now);
-            let floor = cap.floors.get(&self.zone).copied().unwrap_or(0);
-            let want = it.want.saturating_sub(floor).max(out);
-            needs.insert(id.clone(), Need { total: cap.leasable, want, out });
-        }
-        needs
-    }
-
-    /// Whether this data centre may spend of a cap at all.
-    fn concerns(&self, id: &CapId) -> bool {
-        let Some(region) = &self.region else {
-            return false;
-        };
-        match id {
-            CapId::Region(it) | CapId::Service(_, it) => it == region,
-            CapId::Link(link) => {
-                let link = self.bundle.as_ref().and_then(|it| it.links.get(link));
-                link.is_some_and(|it| it.from == *region)
-            }
-        }
-    }
-
-    /// The calls for leased grants that are due; only the data centre's lease holder makes them.
-    pub(crate) fn tick_holder(&mut self, now: Time) -> Vec<StoreAction> {
-        let needs = self.needs(now);
-        if needs.is_empty() {
-            return Vec::new();
-        }
-        self.holder.on_tick(&needs, now)
-    }
-
-    pub(crate) fn holder(&mut self) -> &mut Holder {
-        &mut self.holder
-    }
-
-    /// The parts of grants that this VM should ask for now.
-    pub(crate) fn asks(&mut self, period: Millis, now: Time) -> Vec<PartAsk> {
-        let mut asks = Vec::new();
-        let mut ids = Vec::new();
-        for (id, cap) in self.caps.iter() {
-            if 0 < cap.leasable && self.concerns(id) {
-                ids.push(id.clone());
-            }
-        }
-        for id in ids {
-            let floor = self.floor(&id, now);
-            let used = self.slots.used(&id);
-            let it = self.uses.entry(id.clone()).or_default();
-            if it.asked.is_some_and(|at| now < at.after(period)) {
-                continue;
-            }
-            it.asked = Some(now);
-            let want = it.want.max(used).saturating_sub(floor);
-            it.want = used;
-            if 0 < want {
-                asks.push(PartAsk { vm: self.vm.clone(), cap: id, want });
-            }
-        }
-        asks
-    }
-
-    /// Answers a VM of the data centre that asks for a part of a grant.
-    pub(crate) fn on_ask(&mut self, ask: &PartAsk, now: Time) -> PartAnswer {
-        let (total, expiry) = self.holder.spendable(&ask.cap, now);
-        let it = self.uses.entry(ask.cap.clone()).or_default();
-        it.want = it.want.max(ask.want);
-        it.splitter.on_ask(ask, total, expiry, now, self.drift)
-    }
-
-    /// Takes the part of a grant that was asked for at `asked`.
-    pub(crate) fn on_part(&mut self, answer: &PartAnswer, asked: Time) {
-        let it = self.uses.entry(answer.cap.clone()).or_default();
-        it.share.on_part(answer.part(asked));
-    }
 }
 
 /// `part` of `whole`; nothing of nothing.
 fn permille(part: u64, whole: u64) -> Permille {
     Permille((part * 1_000).checked_div(whole).unwrap_or(0) as u32)
 }
-
-fn longest_deadline(bundle: &Bundle) -> Millis {
-    let mut longest = Millis::ZERO;
-    for service in bundle.services.values() {
-        for operation in service.operations.values() {
-            longest = longest.max(operation.deadline);
-        }
-    }
-    longest
-}
-
-/// The part of a backend server that falls to the owner of `shards` out of `count`.
-///
-/// Servers start at different shards, so that the units left over are spread.
-fn backend_share(
-    id: &BackendId,
-    backend: &th_protocol::Backend,
-    shards: &[u32],
-    count: u32,
-) -> (Count, Connections) {
-    let first: u32 = id.as_str().bytes().map(u32::from).sum();
-    let (mut slots, mut connections) = (0, 0);
-    for shard in shards {
-        if count <= *shard {
-            continue;
-        }
-        let index = (shard + first) % count;
-        slots += deal(u64::from(backend.slots.0), count, index);
-        connections += deal(u64::from(backend.connections.0), count, index);
-    }
-    (Count(slots as u32), Connections(connections as u32))
-}
--- /dev/null
+++ b/crates/th-steer/src/engine/claims.rs
@@ -0,0 +1,160 @@
+//! Which shards this VM wants: one of its own data centre, and those of data centres whose entry VMs are gone.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use th_protocol::{Millis, Revision, Time, VmId, VmRecord, VmRole, VmState, ZoneId};
+
+use super::{
+    Claims, Engine, ShardAction,
+    capacity::Capacity,
+    shards::{ShardRules, Shards},
+};
+use crate::limit::Answer;
+
+/// Live entry VMs of each data centre, as the platform lists them.
+pub(crate) type Listed = BTreeMap<ZoneId, BTreeSet<VmId>>;
+
+/// The live entry VMs of the platform's list, by data centre.
+pub(crate) fn listed(list: &[VmRecord]) -> Listed {
+    let mut listed = Listed::new();
+    for it in list {
+        if it.role == VmRole::Entry && it.state == VmState::Live {
+            listed.entry(it.zone.clone()).or_default().insert(it.vm.clone());
+        }
+    }
+    listed
+}
+
+impl Capacity {
+    fn shards_of(&mut self, zone: &ZoneId) -> Option<&mut Shards> {
+        if *zone == self.zone {
+            return Some(&mut self.shards);
+        }
+        self.adopted.get_mut(zone)
+    }
+
+    fn rules(&self, spare: bool) -> ShardRules {
+        ShardRules { period: self.period, deadline: self.plan.longest, spare }
+    }
+}
+
+impl<A: Clone> Engine<A> {
+    /// The calls about shards that are due.
+    pub(crate) fn tick_shards(&mut self, now: Time) -> Vec<ShardAction> {
+        self.note_empty(now);
+        let live = self.live_neighbours();
+        let rules = self.capacity.rules(self.spare());
+        let zone = self.me.zone.clone();
+        let mut actions = self.capacity.shards.tick(&zone, &live, rules, now);
+        let rules = self.capacity.rules(true);
+        for zone in self.capacity.adopted.keys().cloned().collect::<Vec<_>>() {
+            let adopts = self.adopts(&zone, now);
+            let back = self.listed.get(&zone).cloned().unwrap_or_default();
+            let Some(shards) = self.capacity.adopted.get_mut(&zone) else {
+                continue;
+            };
+            if !back.is_empty() {
+                shards.give_up_all(now);
+            }
+            if adopts || shards.is_open() {
+                actions.extend(shards.tick(&zone, &back, rules, now));
+            }
+        }
+        actions
+    }
+
+    /// Notes since when each data centre of the region has had no listed entry VM.
+    fn note_empty(&mut self, now: Time) {
+        for zone in self.capacity.adopted.keys() {
+            let present = self.listed.get(zone).is_some_and(|it| !it.is_empty());
+            if present || self.listed.is_empty() {
+                self.empty.remove(zone);
+            } else {
+                self.empty.entry(zone.clone()).or_insert(now);
+            }
+        }
+    }
+
+    /// Whether this VM is to take over the shards of a data centre: its entry VMs have been gone
+    /// for a while, and this is the first listed VM of the region.
+    ///
+    /// The choice only spares calls: two VMs that both try are kept apart by compare-and-swap.
+    fn adopts(&self, zone: &ZoneId, now: Time) -> bool {
+        let Some(since) = self.empty.get(zone) else {
+            return false;
+        };
+        if now < since.after(self.settings.adopt) {
+            return false;
+        }
+        let mut first: Option<&VmId> = None;
+        for (other, vms) in &self.listed {
+            if self.capacity.plan.shards.contains_key(other) {
+                first = first.into_iter().chain(vms.first()).min();
+            }
+        }
+        first == Some(&self.me.vm)
+    }
+
+    /// Whether this data centre has fewer entry VMs than shards.
+    fn spare(&self) -> bool {
+        let listed = self.listed.get(&self.me.zone).map_or(0, BTreeSet::len);
+        0 < listed && listed < self.capacity.shards.count() as usize
+    }
+
+    /// Takes the claims of a data centre's shards; `None` where the read failed. Gives the writes
+    /// that are due.
+    ///
+    /// `list` must be the answer to a call that was made after the claims were read: an earlier
+    /// list may lack a VM that has claimed a shard since.
+    pub fn on_shard_read(
+        &mut self,
+        zone: &ZoneId,
+        read: Option<&Claims>,
+        list: &[VmRecord],
+        now: Time,
+    ) -> Vec<ShardAction> {
+        if read.is_some() {
+            self.on_vms(list, now);
+        }
+        let spare = if *zone == self.me.zone { self.spare() } else { self.adopts(zone, now) };
+        let rules = self.capacity.rules(spare);
+        let wanted = *zone == self.me.zone || spare;
+        let Some(shards) = self.capacity.shards_of(zone) else {
+            return Vec::new();
+        };
+        let actions = if wanted {
+            shards.on_read(zone, read, rules, now)
+        } else {
+            shards.on_unwanted(read, now);
+            Vec::new()
+        };
+        self.set_allowances(now);
+        actions
+    }
+
+    /// Takes how the write of a shard's claim ended.
+    pub fn on_shard_write(
+        &mut self,
+        zone: &ZoneId,
+        index: u32,
+        answer: &Answer<Revision>,
+        now: Time,
+    ) {
+        let longest: Millis = self.capacity.plan.longest;
+        if let Some(shards) = self.capacity.shards_of(zone) {
+            shards.on_write(index, answer, longest, now);
+        }
+        self.set_allowances(now);
+        self.serve_queues(now);
+    }
+
+    /// Gives up all shards, since this VM has nothing in flight and stops.
+    pub fn release_shards(&mut self) -> Vec<ShardAction> {
+        let zone = self.me.zone.clone();
+        let mut actions = self.capacity.shards.release(&zone);
+        for (zone, shards) in &mut self.capacity.adopted {
+            actions.extend(shards.release(zone));
+        }
+        actions
+    }
+}
--- a/crates/th-steer/src/engine/engine.rs
+++ b/crates/th-steer/src/engine/engine.rs
@@ -8,11 +8,15 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use th_protocol::{
-    AttemptId, Bundle, MemberState, PeerRecord, ServiceId, Time, VmId, VmRecord, VmRole, VmState,
-    ZoneId,
+    AttemptId, Bundle, MemberState, PeerRecord, ServiceId, Time, VmId, VmRecord, ZoneId,
 };
 
-use super::{Action, EngineSettings, Identity, Wake, capacity::Capacity, routing::Routing};
+use super::{
+    Action, EngineSettings, Identity, Wake,
+    capacity::Capacity,
+    claims::{Listed, listed},
+    routing::Routing,
+};
 use crate::{
     backend::Backends,
     explain::Journal,
@@ -47,8 +51,10 @@
     pub(crate) pending: Vec<Action>,
     pub(crate) waiters: u64,
     pub(crate) stopping: bool,
-    /// Entry VMs that the platform lists in this data centre.
-    pub(crate) neighbours: BTreeSet<VmId>,
+    /// Live entry VMs of each data centre, as the platform lists them.
+    pub(crate) listed: Listed,
+    /// Since when data centres of this region have had no listed entry VM.
+    pub(crate) empty: BTreeMap<ZoneId, Time>,
 }
 
 impl<A: Clone> Engine<A> {
@@ -92,7 +98,8 @@
             pending: Vec::new(),
             waiters: 0,
             stopping: false,
-            neighbours: BTreeSet::new(),
+            listed: Listed::new(),
+            empty: BTreeMap::new(),
             settings,
             me,
             rng,
@@ -141,10 +148,15 @@
         self.queues.retain(|id, queue| bundle.services.contains_key(id) || !queue.is_empty());
     }
 
+    /// Sets what may be used of each backend server; what is no longer held may not be used.
     pub(crate) fn set_allowances(&mut self, now: Time) {
-        for (backend, slots, connections) in self.capacity.allowances(now) {
-            self.backends.set_allowance(&backend, slots, connections);
+        let zones = self.capacity.served_zones(now);
+        if let Some(bundle) = &self.bundle
+            && self.backends.set_zones(zones)
+        {
+            self.backends.on_bundle(bundle, now);
         }
+        self.backends.set_allowances(&self.capacity.allowances(now));
     }
 
     /// The records of all entry VMs that are known, this one included.
@@ -167,9 +179,9 @@
 
     /// Takes the platform's list of VMs: entry VMs and backend servers, which lags.
     pub fn on_vms(&mut self, list: &[VmRecord], now: Time) {
-        let listed = list.iter().map(|it| it.vm.clone()).collect();
-        self.capacity.on_list(listed);
-        self.neighbours = neighbours(list, &self.me.zone);
+        let names = list.iter().map(|it| it.vm.clone()).collect();
+        self.capacity.on_list(&names);
+        self.listed = listed(list);
         self.members.on_list(&super::tick::seeds(list), now);
         if let Some(bundle) = self.bundle.clone() {
             self.backends.on_list(&super::tick::backend_states(&bundle, list), now);
@@ -187,13 +199,3 @@
         std::mem::take(&mut self.wakes)
     }
 }
-
-fn neighbours(list: &[VmRecord], zone: &ZoneId) -> BTreeSet<VmId> {
-    let mut found = BTreeSet::new();
-    for it in list {
-        if it.zone == *zone && it.role == VmRole::Entry && it.state == VmState::Live {
-            found.insert(it.vm.clone());
-        }
-    }
-    found
-}
--- /dev/null
+++ b/crates/th-steer/src/engine/grants.rs
@@ -0,0 +1,88 @@
+//! Leased grants of this data centre, and their parts.
+
+use std::collections::BTreeMap;
+
+use th_protocol::{Millis, Time};
+
+use super::capacity::Capacity;
+use crate::limit::{CapId, Need, PartAnswer, PartAsk, StoreAction};
+
+impl Capacity {
+    /// What the data centre needs of each cap that has a leased remainder, as this VM knows it.
+    fn needs(&mut self, now: Time) -> BTreeMap<CapId, Need> {
+        let mut needs = BTreeMap::new();
+        for id in self.leased_caps() {
+            let Some(cap) = self.plan.caps.get(&id) else {
+                continue;
+            };
+            let it = self.uses.entry(id.clone()).or_default();
+            let out = it.splitter.out(now);
+            let floor = cap.floors.get(&self.zone).copied().unwrap_or(0);
+            let want = it.want.saturating_sub(floor).max(out);
+            needs.insert(id, Need { total: cap.leasable, want, out });
+        }
+        needs
+    }
+
+    /// The caps with a leased remainder of which this data centre may spend.
+    fn leased_caps(&self) -> Vec<CapId> {
+        let mut ids = Vec::new();
+        for (id, cap) in self.plan.caps.iter() {
+            if 0 < cap.leasable && self.concerns(id) {
+                ids.push(id.clone());
+            }
+        }
+        ids
+    }
+
+    /// Whether this data centre may spend of a cap at all.
+    fn concerns(&self, id: &CapId) -> bool {
+        match id {
+            CapId::Region(it) | CapId::Service(_, it) => self.region() == Some(it),
+            CapId::Link(link) => self.plan.links.values().any(|it| it == link),
+        }
+    }
+
+    /// The calls for leased grants that are due; only the data centre's lease holder makes them.
+    pub(crate) fn tick_holder(&mut self, now: Time) -> Vec<StoreAction> {
+        let needs = self.needs(now);
+        if needs.is_empty() {
+            return Vec::new();
+        }
+        self.holder.on_tick(&needs, now)
+    }
+
+    /// The parts of grants that this VM should ask for now.
+    pub(crate) fn asks(&mut self, period: Millis, now: Time) -> Vec<PartAsk> {
+        let mut asks = Vec::new();
+        for id in self.leased_caps() {
+            let floor = self.floor(&id, now);
+            let used = self.slots.used(&id);
+            let it = self.uses.entry(id.clone()).or_default();
+            if it.asked.is_some_and(|at| now < at.after(period)) {
+                continue;
+            }
+            it.asked = Some(now);
+            let want = it.want.max(used).saturating_sub(floor);
+            it.want = used;
+            if 0 < want {
+                asks.push(PartAsk { vm: self.vm.clone(), cap: id, want });
+            }
+        }
+        asks
+    }
+
+    /// Answers a VM of the data centre that asks for a part of a grant.
+    pub(crate) fn on_ask(&mut self, ask: &PartAsk, now: Time) -> PartAnswer {
+        let (total, expiry) = self.holder.spendable(&ask.cap, now);
+        let it = self.uses.entry(ask.cap.clone()).or_default();
+        it.want = it.want.max(ask.want);
+        it.splitter.on_ask(ask, total, expiry, now, self.drift)
+    }
+
+    /// Takes the part of a grant that was asked for at `asked`.
+    pub(crate) fn on_part(&mut self, answer: &PartAnswer, asked: Time) {
+        let it = self.uses.entry(answer.cap.clone()).or_default();
+        it.share.on_part(answer.part(asked));
+    }
+}
--- a/crates/th-steer/src/engine/mod.rs
+++ b/crates/th-steer/src/engine/mod.rs
@@ -4,13 +4,16 @@
 mod bundles;
 mod call;
 mod capacity;
+mod claims;
 #[expect(clippy::module_inception, reason = "the file is named after its type")]
 mod engine;
 mod finish;
+mod grants;
 mod identity;
 mod lookup;
 pub mod notices;
 mod place;
+mod plan;
 mod receive;
 mod routing;
 mod settings;
--- a/crates/th-steer/src/engine/place.rs
+++ b/crates/th-steer/src/engine/place.rs
@@ -97,9 +97,8 @@
     ) -> Result<Place, Obstacle> {
         let limit = match self.capacity.room(&call.service, left, now) {
             Ok(limit) => limit,
-            Err(CapId::Link(_)) => unreachable!("a slot is no link"),
-            Err(_) if self.capacity.shards().usable(now).is_empty() => {
-                return self.place_unowned(call, idempotent, now);
+            Err(_) if self.capacity.holdings(now).is_empty() => {
+                return Err(Obstacle { reason: Reason::NoSlot, retry: USUAL_RETRY });
             }
             Err(_) => return Err(Obstacle { reason: Reason::RegionCap, retry: USUAL_RETRY }),
         };
@@ -121,11 +120,6 @@
         Ok(Place::Backend(choice))
     }
 
-    /// A VM that owns no shard has no slots of its own.
-    fn place_unowned(&mut self, _: &Call, _: bool, _: Time) -> Result<Place, Obstacle> {
-        Err(Obstacle { reason: Reason::NoSlot, retry: USUAL_RETRY })
-    }
-
     fn usual_time(&self, call: &Call) -> Millis {
         self.retry.hedge_after(&call.service).unwrap_or(UNKNOWN_SERVICE)
     }
@@ -226,7 +220,7 @@
         // Waiting helps only where a slot will come free here.
         let waits = matches!(obstacle.reason, Reason::NoSlot | Reason::RegionCap)
             || self.queues.get(&run.call.service).is_some_and(|it| !it.is_empty());
-        if !waits || self.capacity.shards().usable(now).is_empty() {
+        if !waits || self.capacity.holdings(now).is_empty() {
             return self.no_place(&run.call, obstacle.reason, obstacle.retry, now);
         }
         let usual = self.usual_time(&run.call);
--- a/crates/th-steer/src/engine/settings.rs
+++ b/crates/th-steer/src/engine/settings.rs
@@ -38,6 +38,8 @@
     pub explain: explain::Settings,
     /// Time between tries to own a shard.
     pub claim: Millis,
+    /// The shards of a data centre are taken over when it has had no listed entry VM for so long.
+    pub adopt: Millis,
     /// A larger share that a new bundle gives is spent only after this time, when the bundle is in
     /// force at the VMs whose share it makes smaller.
     pub settle: Millis,
@@ -61,6 +63,7 @@
             orphan: OrphanSettings::default(),
             explain: explain::Settings::default(),
             claim: Millis(1_000),
+            adopt: Millis(10_000),
             settle: Millis(7_000),
             refresh: Millis(500),
             digest: Millis(10_000),
--- a/crates/th-steer/src/engine/shards.rs
+++ b/crates/th-steer/src/engine/shards.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use th_protocol::{Millis, Revision, Time, VmId};
+use th_protocol::{Millis, Revision, Time, VmId, ZoneId};
 
 use super::ShardAction;
 use crate::limit::{Answer, ShardClaim, ShardSlot};
@@ -89,6 +89,7 @@
     /// The calls that are due: a read of the claims, and the removal of those given up.
     pub(crate) fn tick(
         &mut self,
+        zone: &ZoneId,
         live: &BTreeSet<VmId>,
         rules: ShardRules,
         now: Time,
@@ -96,12 +97,12 @@
         let mut actions = Vec::new();
         self.give_up(live, now);
         for (i, row) in (0..).zip(&mut self.rows) {
-            actions.extend(removal(i, row, rules.deadline, now));
+            actions.extend(removal(zone, i, row, rules.deadline, now));
         }
         if self.read_due(rules, now) {
             self.reading = true;
             self.read = Some(now);
-            actions.push(ShardAction::Read);
+            actions.push(ShardAction::Read(zone.clone()));
         }
         actions
     }
@@ -143,15 +144,49 @@
         }
     }
 
+    /// Whether the claims must still be looked after: one may be this VM's, or is not yet given
+    /// back, or they were never read, so that one of an earlier start may stand there.
+    pub(crate) fn is_open(&self) -> bool {
+        let open = |row: &Row| row.given.is_some() || row.slot != ShardSlot::Other;
+        self.read.is_none() || self.rows.iter().any(open)
+    }
+
+    /// Takes the claims of a data centre whose shards are not wanted. One of this VM, from an
+    /// earlier start or from a write whose answer was lost, is given up.
+    pub(crate) fn on_unwanted(&mut self, read: Option<&Claims>, now: Time) {
+        self.reading = false;
+        let Some(claims) = read else {
+            return;
+        };
+        for (i, row) in (0..).zip(&mut self.rows) {
+            if row.busy || row.given.is_some() {
+                continue;
+            }
+            row.found = claims.get(&i).cloned();
+            let mine = row.found.as_ref().is_some_and(|(claim, _)| claim.vm == self.me.vm);
+            row.given = mine.then_some(now);
+            row.slot = ShardSlot::Other;
+        }
+    }
+
+    /// Gives every shard up, since the data centre has entry VMs of its own again.
+    pub(crate) fn give_up_all(&mut self, now: Time) {
+        for row in &mut self.rows {
+            if row.given.is_none() && matches!(row.slot, ShardSlot::Owned(_)) {
+                row.given = Some(now);
+            }
+        }
+    }
+
     /// Gives every shard up, since this VM stops and has nothing in flight. Gives the writes.
-    pub(crate) fn release(&mut self) -> Vec<ShardAction> {
+    pub(crate) fn release(&mut self, zone: &ZoneId) -> Vec<ShardAction> {
         let mut actions = Vec::new();
         for (i, row) in (0..).zip(&mut self.rows) {
             let Some((claim, revision)) = &row.found else {
                 continue;
             };
             if *claim == self.me {
-                actions.push(ShardAction::Write(i, Some(*revision), None));
+                actions.push(ShardAction::Write(zone.clone(), i, Some(*revision), None));
             }
             row.given = Some(Time::ZERO);
             row.busy = true;
@@ -163,6 +198,7 @@
     /// are due.
     pub(crate) fn on_read(
         &mut self,
+        zone: &ZoneId,
         read: Option<&Claims>,
         rules: ShardRules,
         now: Time,
@@ -175,7 +211,12 @@
         let first = self.first();
         for step in 0..self.rows.len() {
             let index = (first + step) % self.rows.len();
-            actions.extend(self.on_claim(index, claims.get(&(index as u32)), rules, now));
+            let found = claims.get(&(index as u32));
+            let Some(expected) = self.on_claim(index, found, rules, now) else {
+                continue;
+            };
+            let claim = Some(self.me.clone());
+            actions.push(ShardAction::Write(zone.clone(), index as u32, expected, claim));
         }
         actions
     }
@@ -186,13 +227,14 @@
         sum % self.rows.len().max(1)
     }
 
+    /// The revision over which to write a claim of this VM, if that is due.
     fn on_claim(
         &mut self,
         index: usize,
         found: Option<&(ShardClaim, Revision)>,
         rules: ShardRules,
         now: Time,
-    ) -> Option<ShardAction> {
+    ) -> Option<Option<Revision>> {
         let held = self.owned() + self.rows.iter().filter(|it| it.busy).count();
         let row = &mut self.rows[index];
         if row.busy {
@@ -218,7 +260,7 @@
         let listed = self.listed.as_ref().unwrap_or(&none);
         let expected = row.slot.on_read(claim, &self.me, listed, rules.deadline, now)?;
         row.busy = true;
-        Some(ShardAction::Write(index as u32, expected, Some(self.me.clone())))
+        Some(expected)
     }
 
     /// Takes how a write ended.
@@ -260,12 +302,18 @@
 }
 
 /// The removal of a claim that was given up long enough ago.
-fn removal(index: u32, row: &mut Row, deadline: Millis, now: Time) -> Option<ShardAction> {
+fn removal(
+    zone: &ZoneId,
+    index: u32,
+    row: &mut Row,
+    deadline: Millis,
+    now: Time,
+) -> Option<ShardAction> {
     let given = row.given?;
     if row.busy || now < given.after(deadline) {
         return None;
     }
     let (_, revision) = row.found.as_ref()?;
     row.busy = true;
-    Some(ShardAction::Write(index, Some(*revision), None))
+    Some(ShardAction::Write(zone.clone(), index, Some(*revision), None))
 }
--- a/crates/th-steer/src/engine/store.rs
+++ b/crates/th-steer/src/engine/store.rs
@@ -1,52 +1,14 @@
-//! Answers of the platform's service and of the data centre's lease holder.
+//! Leased grants: calls that are due, and the answers to them.
 
-use th_protocol::{Revision, Time, VmRecord};
+use th_protocol::Time;
 
-use super::{Action, Claims, Engine, ShardAction};
-use crate::limit::{Answer, Holder, PartAnswer, PartAsk};
+use super::{Action, Engine};
+use crate::limit::{Holder, PartAnswer, PartAsk};
 
 impl<A: Clone> Engine<A> {
-    /// Whether the data centre has fewer entry VMs than shards.
-    fn spare(&self) -> bool {
-        let listed = self.neighbours.len();
-        0 < listed && listed < self.capacity.shards().count() as usize
-    }
-
-    /// Takes the claims of this data centre's shards; `None` where the read failed. Gives the
-    /// writes that are due.
-    ///
-    /// `list` must be the answer to a call that was made after the claims were read: an earlier
-    /// list may lack a VM that has claimed a shard since.
-    pub fn on_shard_read(
-        &mut self,
-        read: Option<&Claims>,
-        list: &[VmRecord],
-        now: Time,
-    ) -> Vec<ShardAction> {
-        if read.is_some() {
-            self.on_vms(list, now);
-        }
-        let spare = self.spare();
-        let actions = self.capacity.on_shard_read(read, spare, now);
-        self.set_allowances(now);
-        actions
-    }
-
-    /// Gives up all shards, since this VM has nothing in flight and stops.
-    pub fn release_shards(&mut self) -> Vec<ShardAction> {
-        self.capacity.release_shards()
-    }
-
-    /// Takes how the write of a shard's claim ended.
-    pub fn on_shard_write(&mut self, index: u32, answer: &Answer<Revision>, now: Time) {
-        self.capacity.on_shard_write(index, answer, now);
-        self.set_allowances(now);
-        self.serve_queues(now);
-    }
-
     /// The state of the data centre's lease, which takes the answers of grant calls.
     pub fn holder(&mut self) -> &mut Holder {
-        self.capacity.holder()
+        &mut self.capacity.holder
     }
 
     /// Answers a VM of the data centre that asks for a part of a grant.
@@ -62,11 +24,10 @@
 
     /// The calls for grants that are due.
     pub(crate) fn tick_grants(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let live = self.live_neighbours();
-        let spare = self.spare();
-        for it in self.capacity.tick_shards(&live, spare, now) {
+        for it in self.tick_shards(now) {
             actions.push(Action::Shard(it));
         }
+        let live = self.live_neighbours();
         let lead = live.first() == Some(&self.me.vm);
         if lead {
             for it in self.capacity.tick_holder(now) {
--- a/crates/th-steer/src/engine/view.rs
+++ b/crates/th-steer/src/engine/view.rs
@@ -44,7 +44,7 @@
             operations: self.tickets.in_flight() as u64,
             tickets: self.tickets.used(),
             members: self.members.records().count() as u64,
-            shards: self.capacity.shards().owners(),
+            shards: self.capacity.shards.owners(),
             ..View::default()
         };
         for (backend, leaving) in self.backends.states() {
--- /dev/null
+++ b/crates/th-steer/tests/claims.rs
@@ -0,0 +1,214 @@
+//! Shards of data centres: each has at most one owner that spends it, whatever becomes of entry VMs.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use rstest::rstest;
+use serde_json::json;
+use th_protocol::{
+    Bundle, Incarnation, Millis, Revision, Time, VmId, VmRecord, VmRole, VmState, ZoneId,
+};
+use th_steer::{
+    engine::{Action, Claims, Engine, EngineSettings, Identity, ShardAction},
+    limit::{Answer, ShardClaim},
+    ticket::{TicketKey, TicketKeys},
+};
+
+const TICK: Millis = Millis(100);
+
+fn bundle() -> Arc<Bundle> {
+    let backend = |zone: &str, port: u16| {
+        json!({
+            "zone": zone, "address": format!("10.0.0.1:{port}"), "slots": 4, "connections": 100,
+        })
+    };
+    let bundle = json!({
+        "version": 1,
+        "regions": { "north": { "cap": 8 } },
+        "zones": { "a": { "region": "north" }, "b": { "region": "north" } },
+        "services": { "roster": {
+            "regions": { "north": { "weight": 1, "cap": 8 } },
+            "operations": { "check": { "idempotent": true, "deadline": 2000, "size": 1000 } },
+            "backends": { "a-1": backend("a", 1), "b-1": backend("b", 2) },
+            "shift": { "cap": 200, "window": 10000 },
+            "slo": { "latency": 250, "objective": 990, "headroom": 100, "drain": 30000 },
+        }},
+        "operators": {},
+    });
+    Arc::new(serde_json::from_value(bundle).unwrap())
+}
+
+/// Entry VMs over one store. Calls are answered within the tick, but for those that are held.
+struct World {
+    now: Time,
+    engines: BTreeMap<VmId, Engine<()>>,
+    claims: BTreeMap<(ZoneId, u32), (ShardClaim, Revision)>,
+    revision: u64,
+    list: Vec<VmRecord>,
+    down: bool,
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            now: Time(1_000),
+            engines: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            revision: 0,
+            list: Vec::new(),
+            down: false,
+        }
+    }
+
+    fn start(&mut self, vm: &str, zone: &str, incarnation: u64) {
+        let address = "10.0.0.9:1".parse().unwrap();
+        let me = Identity {
+            vm: vm.parse().unwrap(),
+            zone: zone.parse().unwrap(),
+            incarnation: Incarnation(incarnation),
+            callers: address,
+            peers: address,
+            origin: Time::ZERO,
+        };
+        let keys = TicketKeys::new(TicketKey([1; 32]), Vec::new());
+        let mut engine = Engine::new(EngineSettings::default(), me, keys, 1, self.now);
+        engine.apply(bundle(), self.now);
+        self.engines.insert(vm.parse().unwrap(), engine);
+        self.unlist(vm);
+        self.list.push(VmRecord {
+            vm: vm.parse().unwrap(),
+            zone: zone.parse().unwrap(),
+            address,
+            state: VmState::Live,
+            role: VmRole::Entry,
+        });
+    }
+
+    fn unlist(&mut self, vm: &str) {
+        self.list.retain(|it| it.vm.as_str() != vm);
+    }
+
+    fn kill(&mut self, vm: &str) {
+        self.engines.remove(&vm.parse::<VmId>().unwrap());
+    }
+
+    fn run(&mut self, span: Millis) {
+        let end = self.now.after(span);
+        while self.now < end {
+            self.now = self.now.after(TICK);
+            for vm in self.engines.keys().cloned().collect::<Vec<_>>() {
+                self.tick(&vm);
+            }
+        }
+    }
+
+    fn tick(&mut self, vm: &VmId) {
+        let engine = self.engines.get_mut(vm).unwrap();
+        if !self.down {
+            engine.on_vms(&self.list, self.now);
+        }
+        let mut actions = Vec::new();
+        for action in engine.tick(self.now) {
+            if let Action::Shard(it) = action {
+                actions.push(it);
+            }
+        }
+        while let Some(action) = actions.pop() {
+            let engine = self.engines.get_mut(vm).unwrap();
+            match action {
+                ShardAction::Read(zone) => {
+                    let mut claims = Claims::new();
+                    for ((at, index), claim) in &self.claims {
+                        if *at == zone {
+                            claims.insert(*index, claim.clone());
+                        }
+                    }
+                    let read = (!self.down).then_some(&claims);
+                    actions.extend(engine.on_shard_read(&zone, read, &self.list, self.now));
+                }
+                ShardAction::Write(zone, index, expected, claim) => {
+                    let key = (zone.clone(), index);
+                    let found = self.claims.get(&key).map(|it| it.1);
+                    let answer = if self.down {
+                        Answer::Unknown
+                    } else if found != expected {
+                        Answer::Refused
+                    } else {
+                        self.revision += 1;
+                        self.claims.remove(&key);
+                        if let Some(claim) = claim {
+                            self.claims.insert(key, (claim, Revision(self.revision)));
+                        }
+                        Answer::Applied(Revision(self.revision))
+                    };
+                    engine.on_shard_write(&zone, index, &answer, self.now);
+                }
+            }
+        }
+    }
+
+    fn owner(&self, zone: &str) -> Option<String> {
+        let key = (zone.parse().unwrap(), 0);
+        self.claims.get(&key).map(|it| it.0.vm.to_string())
+    }
+}
+
+#[test]
+fn each_vm_owns_the_shard_of_its_data_centre() {
+    let mut world = World::new();
+    world.start("a-entry", "a", 1);
+    world.start("b-entry", "b", 1);
+    world.run(Millis(5_000));
+    assert_eq!(world.owner("a").as_deref(), Some("a-entry"));
+    assert_eq!(world.owner("b").as_deref(), Some("b-entry"));
+}
+
+#[test]
+fn a_neighbour_adopts_a_data_centre_whose_vm_is_gone_and_gives_it_back() {
+    let mut world = World::new();
+    world.start("a-entry", "a", 1);
+    world.start("b-entry", "b", 1);
+    world.run(Millis(5_000));
+    world.kill("b-entry");
+    world.run(Millis(30_000));
+    assert_eq!(world.owner("b").as_deref(), Some("b-entry"), "a VM that is listed may be paused");
+    world.unlist("b-entry");
+    world.run(Millis(30_000));
+    assert_eq!(world.owner("b").as_deref(), Some("a-entry"));
+    world.start("b-entry-2", "b", 1);
+    world.run(Millis(30_000));
+    assert_eq!(world.owner("b").as_deref(), Some("b-entry-2"));
+    assert_eq!(world.owner("a").as_deref(), Some("a-entry"));
+}
+
+#[rstest]
+#[case::adopter_restarts("a-entry", 2)]
+#[case::adopter_restarts_twice("a-entry", 3)]
+fn a_restarted_adopter_gives_back_what_it_no_longer_wants(
+    #[case] vm: &str,
+    #[case] incarnation: u64,
+) {
+    let mut world = World::new();
+    world.start("a-entry", "a", 1);
+    world.run(Millis(30_000));
+    assert_eq!(world.owner("b").as_deref(), Some("a-entry"));
+    world.kill(vm);
+    world.start("b-entry", "b", 1);
+    world.run(Millis(2_000));
+    world.start(vm, "a", incarnation);
+    world.run(Millis(30_000));
+    assert_eq!(world.owner("b").as_deref(), Some("b-entry"));
+}
+
+#[test]
+fn an_outage_of_the_store_takes_no_shard_away() {
+    let mut world = World::new();
+    world.start("a-entry", "a", 1);
+    world.start("b-entry", "b", 1);
+    world.run(Millis(5_000));
+    world.down = true;
+    world.run(Millis(600_000));
+    world.down = false;
+    world.run(Millis(60_000));
+    assert_eq!(world.owner("a").as_deref(), Some("a-entry"));
+    assert_eq!(world.owner("b").as_deref(), Some("b-entry"));
+}
--- a/examples/local/act.rs
+++ b/examples/local/act.rs
@@ -53,6 +53,8 @@
     say(&format!("killing {vm}"));
     deployment.kill_entry(&vm)?;
     sleep(PAUSE).await;
+    // The platform's list lags behind.
+    deployment.platform.unlist_vm(&vm);
 
     say("taking the store down");
     deployment.platform.set_faults(Faults { down: true, ..Faults::default() });
