--- a/crates/th-entry/src/caller/burn.rs
+++ b/crates/th-entry/src/caller/burn.rs
@@ -16,6 +16,7 @@
         }
         objectives
     });
+    entry.record_counts();
     let answer = entry.burn().answer(&entry.settings.vm, entry.now(), &objectives);
     res.render(Json(answer));
 }
--- a/crates/th-entry/src/entry.rs
+++ b/crates/th-entry/src/entry.rs
@@ -12,7 +12,7 @@
 use reqwest::Client;
 use th_platform::{Calls, Clock, Counted};
 use th_protocol::{BackendId, Bytes, Incarnation, Millis, ServiceId, Time, Verdict};
-use th_report::{BurnRing, Measure};
+use th_report::{BurnRing, Count, Measure, Sample};
 use th_steer::{
     backend::Outcome,
     engine::{Engine, EngineSettings, Identity, Place, Wake},
@@ -26,7 +26,7 @@
     library::Library,
     metrics::Metrics,
     settings::Settings,
-    task::{counted, is_good},
+    task::is_good,
 };
 
 /// Bytes of bundles that peers may fetch each second.
@@ -63,7 +63,7 @@
     /// Bytes of bundles that peers may still fetch.
     budget: Mutex<Budget>,
     /// Good and all events of each promise since the start.
-    counts: Mutex<BTreeMap<(ServiceId, Measure), (u64, u64)>>,
+    counts: Mutex<BTreeMap<(ServiceId, Measure), Count>>,
     /// Backend servers whose drain was noted.
     quiet: Mutex<BTreeSet<BackendId>>,
     engine: Mutex<Decisions>,
@@ -188,11 +188,18 @@
     pub(crate) fn count(&self, service: &ServiceId, measure: Measure, good: bool) {
         let mut counts = self.counts.lock().expect("no holder of this lock panics");
         let count = counts.entry((service.clone(), measure)).or_default();
-        count.0 += u64::from(good);
-        count.1 += 1;
-        let sample = counted(self.clock.now(), service, measure, *count);
-        drop(counts);
-        self.burn().record(&sample);
+        count.good += u64::from(good);
+        count.total += 1;
+    }
+
+    /// Hands the counts so far to the burn report.
+    pub(crate) fn record_counts(&self) {
+        let at = self.clock.now();
+        let counts = self.counts.lock().expect("no holder of this lock panics").clone();
+        let mut burn = self.burn();
+        for ((service, measure), Count { good, total }) in counts {
+            burn.record(&Sample { at, service, measure, good, total });
+        }
     }
 
     /// Counts an answer to a caller.
--- a/crates/th-entry/src/task/sample.rs
+++ b/crates/th-entry/src/task/sample.rs
@@ -5,7 +5,7 @@
 use rustix::time::{ClockId, clock_gettime};
 use th_platform::Step;
 use th_protocol::{Millis, Permille, Slo, Verdict};
-use th_report::{Measure, Sample, Scope};
+use th_report::{Measure, Scope};
 use th_steer::engine::View;
 
 use crate::entry::Entry;
@@ -20,6 +20,7 @@
     set_store(entry);
     note_headroom(entry, &view);
     note_drains(entry, &view);
+    entry.record_counts();
 }
 
 fn set_gauges(entry: &Entry, view: &View, version: u64, age: Millis) {
@@ -71,15 +72,17 @@
         burn.note_headroom(&Scope::Link(link.clone()), *free, now);
     }
     drop(burn);
-    let services = entry.decide(|engine, _| engine.bundle().map(|it| it.services.clone()));
-    for (id, service) in services.into_iter().flatten() {
+    let Some(bundle) = entry.decide(|engine, _| engine.bundle().cloned()) else {
+        return;
+    };
+    for (id, service) in &bundle.services {
         let mut low = Permille::WHOLE;
         for region in service.regions.keys() {
             if let Some((free, _)) = view.headroom.get(region) {
                 low = low.min(*free);
             }
         }
-        entry.count(&id, Measure::Headroom, service.slo.headroom <= low);
+        entry.count(id, Measure::Headroom, service.slo.headroom <= low);
     }
 }
 
@@ -117,13 +120,3 @@
 pub(crate) fn is_good(slo: &Slo, verdict: Option<Verdict>, waited: Millis) -> bool {
     verdict.is_none() && waited <= slo.latency
 }
-
-/// A counter as the burn report takes it.
-pub(crate) fn counted(
-    at: th_protocol::Time,
-    service: &th_protocol::ServiceId,
-    measure: Measure,
-    (good, total): (u64, u64),
-) -> Sample {
-    Sample { at, service: service.clone(), measure, good, total }
-}
