Hold a stop for work whose caller left, and charge streamed answers to the link

Cause, found by reading: a non-idempotent request goes on when its caller goes away, but the stop counted callers only, so it could cut one; one sent on by another entry VM was cancelled with that VM's connection; a large answer to another region was charged nothing beyond the estimate; a process whose VM name a later start uses went on; a panic while deciding left a process that could no longer decide. Change: such requests count until they end; chunks of streamed answers wait for the link's room; a replaced process closes; a failed decision ends the process. Conclusion: each is a small change at the place of its cause.

--- a/crates/th-entry/src/call/flow.rs
+++ b/crates/th-entry/src/call/flow.rs
@@ -7,7 +7,10 @@
 use tokio::time::timeout;
 
 use super::{Incoming, owner, run::carry_out};
-use crate::{entry::Entry, io::Reply};
+use crate::{
+    entry::{Entry, InFlight},
+    io::Reply,
+};
 
 /// Who sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,12 +52,16 @@
 
 /// Carries a request out. A non-idempotent one goes on when its caller goes away: whether it ran must be known.
 async fn start(entry: &Arc<Entry>, run: Run, incoming: Incoming) -> Reply {
-    if run.token.is_none() {
+    if run.spec.idempotent {
         return carry_out(entry, run, &incoming).await;
     }
     let task = {
         let entry = Arc::clone(entry);
-        tokio::spawn(async move { carry_out(&entry, run, &incoming).await })
+        tokio::spawn(async move {
+            // A planned stop waits for it, even where its caller does not.
+            let _passage = InFlight::join(&entry);
+            carry_out(&entry, run, &incoming).await
+        })
     };
     match task.await {
         Ok(reply) => reply,
--- a/crates/th-entry/src/entry.rs
+++ b/crates/th-entry/src/entry.rs
@@ -135,7 +135,12 @@
     }
 
     fn engine(&self) -> MutexGuard<'_, Decisions> {
-        self.engine.lock().expect("no holder of this lock panics")
+        let Ok(engine) = self.engine.lock() else {
+            // A decision broke off half way, so that what may be spent is no longer known.
+            log::error!(target: "entry", "A decision failed; the process ends.");
+            std::process::abort();
+        };
+        engine
     }
 
     fn waiters(&self) -> MutexGuard<'_, Waiters> {
@@ -265,6 +270,12 @@
         (before < most).then_some(passage)
     }
 
+    /// Counts a request that goes on in any case.
+    pub(crate) fn join(entry: &Arc<Entry>) -> Passage {
+        entry.in_flight.count.fetch_add(1, Ordering::SeqCst);
+        Passage(Arc::clone(entry))
+    }
+
     pub(crate) fn count(&self) -> u32 {
         self.count.load(Ordering::SeqCst)
     }
--- a/crates/th-entry/src/peer/requests.rs
+++ b/crates/th-entry/src/peer/requests.rs
@@ -1,16 +1,22 @@
 //! Requests that other entry VMs send on.
 
-use std::sync::Arc;
+use std::{io, sync::Arc, time::Duration};
 
+use bytes::Bytes;
+use futures_util::{StreamExt, stream::BoxStream};
 use salvo::{Depot, Request, Response, handler};
-use th_protocol::{Bytes, LinkId, Notice, Reason};
-use th_steer::{engine::notices, limit::Charge};
+use th_protocol::{Bytes as Size, LinkId, Notice, Reason, RegionId};
+use th_steer::{
+    engine::notices,
+    limit::{Charge, Refusal},
+};
+use tokio::time::sleep;
 
 use super::{codec::decode, router::entry};
 use crate::{
     call::{Origin, Wire, answer},
     entry::{Entry, InFlight},
-    io::Reply,
+    io::{Body, Reply},
 };
 
 /// Room for a request's head and the names of its fields, besides its body.
@@ -41,6 +47,7 @@
             return Reply::notice(&notices::not_run(Reason::BadRequest));
         }
     };
+    let region = wire.region().cloned();
     let link = match reserve(entry, &wire, origin) {
         Ok(link) => link,
         Err(notice) => return Reply::notice(&notice),
@@ -51,10 +58,53 @@
         None => Reply::notice(&notices::not_run(Reason::BadRequest)),
     };
     if let Some(charge) = link {
-        entry.decide(|engine, _| engine.settle(charge, Bytes(reply.size())));
+        entry.decide(|engine, _| engine.settle(charge, Size(reply.size())));
     }
     drop(passage);
-    reply
+    match (region, reply.body) {
+        (Some(region), Body::Stream(body)) => {
+            let body = Body::Stream(paced(Arc::clone(entry), region, body));
+            Reply { status: reply.status, headers: reply.headers, body }
+        }
+        (_, body) => Reply { status: reply.status, headers: reply.headers, body },
+    }
+}
+
+/// A body whose every chunk waits until the link has room for it.
+fn paced(
+    entry: Arc<Entry>,
+    region: RegionId,
+    body: BoxStream<'static, io::Result<Bytes>>,
+) -> BoxStream<'static, io::Result<Bytes>> {
+    body.then(move |chunk| {
+        let (entry, region) = (Arc::clone(&entry), region.clone());
+        async move {
+            let chunk = chunk?;
+            await_room(&entry, &region, Size(chunk.len() as u64)).await?;
+            Ok(chunk)
+        }
+    })
+    .boxed()
+}
+
+/// Waits until the link has room for a chunk, and charges it. One that never fits ends with an error.
+async fn await_room(entry: &Entry, region: &RegionId, size: Size) -> io::Result<()> {
+    let until = entry.now().after(entry.settings.limits.slow);
+    loop {
+        let charged = entry.decide(|engine, now| {
+            if let Some(charge) = engine.charge(region, size, now)? {
+                engine.settle(charge, size);
+            }
+            Ok::<_, Refusal>(())
+        });
+        let Err(refusal) = charged else {
+            return Ok(());
+        };
+        if until <= entry.now() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        sleep(Duration::from_millis(refusal.retry.0)).await;
+    }
 }
 
 /// Charges the expected answer to the link that it will cross.
--- a/crates/th-entry/src/task/ticking.rs
+++ b/crates/th-entry/src/task/ticking.rs
@@ -1,6 +1,9 @@
 //! The tick loop.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -12,6 +15,18 @@
 /// Time between two samples for the burn report.
 const SAMPLE: Duration = Duration::from_secs(1);
 
+/// Takes nothing more where a later start of this VM's process is known.
+fn stop_if_replaced(entry: &Entry) {
+    let Some(later) = entry.decide(|engine, _| engine.replaced()) else {
+        return;
+    };
+    if entry.stopping.swap(true, Ordering::SeqCst) {
+        return;
+    }
+    log::error!(target: "entry", "Incarnation {later} of this VM runs elsewhere; taking nothing more.");
+    entry.decide(|engine, _| engine.close());
+}
+
 /// Runs the systems once a tick, and at once when something calls for it.
 pub(crate) async fn run_ticks(entry: Arc<Entry>) {
     let mut ticks = interval(Duration::from_millis(entry.settings.pace.tick.0));
@@ -27,6 +42,7 @@
                 continue;
             }
         }
+        stop_if_replaced(&entry);
         for action in entry.decide(|engine, now| engine.tick(now)) {
             tokio::spawn(perform(Arc::clone(&entry), action));
         }
--- a/crates/th-steer/src/engine/bundles.rs
+++ b/crates/th-steer/src/engine/bundles.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use th_protocol::{
-    BackendId, BundleHead, CheckAnswer, ContentHash, Heartbeat, IndirectCheck, LoadReport, Millis,
-    PeerRecord, Time, VmId,
+    BackendId, BundleHead, CheckAnswer, ContentHash, Heartbeat, Incarnation, IndirectCheck,
+    LoadReport, Millis, PeerRecord, Time, VmId,
 };
 
 use super::Engine;
@@ -88,6 +88,11 @@
         now.since(self.since)
     }
 
+    /// A later start of this VM's process, if one is known: this one must take nothing more.
+    pub fn replaced(&self) -> Option<Incarnation> {
+        self.members.replaced()
+    }
+
     /// Whether requests are no longer taken.
     pub fn stopping(&self) -> bool {
         self.stopping
