--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,383 @@
+//! Helpers that the tests on real sockets share.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use reqwest::{Client, RequestBuilder, Response, StatusCode, header::HeaderMap};
+use th_entry::{Keys, Limits, Listen, Logs, Pace, Running, Settings, Stop, start};
+use th_platform::{BootClock, Clock};
+use th_protocol::{
+    BackendId, LookupAnswer, Millis, Notice, Reason, Signer, Verdict, VmId, ZoneId, header,
+};
+use th_steer::ticket::{Ticket, TicketKey, TicketKeys};
+use th_testing::{Deployment, DeploymentSpec, REQUEST, ZoneSpec};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::{Instant, sleep, timeout},
+};
+
+/// Bound on everything that is waited for; no test expects to come near it.
+pub(crate) const BOUND: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(10);
+/// The key that entry VMs of a deployment show each other.
+pub(crate) const PEER_KEY: &str = "entry VMs of a test";
+
+/// One data centre.
+pub(crate) fn small(entries: u32, backends: u32) -> DeploymentSpec {
+    let zones = vec![ZoneSpec { name: "north-a", region: "north", entries, backends }];
+    DeploymentSpec { zones, deadline: Millis(10_000), linger: Millis(50), ..Default::default() }
+}
+
+/// Starts it and waits until each entry VM has had a request answered.
+pub(crate) async fn started(spec: DeploymentSpec) -> Deployment {
+    let deployment = Deployment::start(spec).await.unwrap();
+    for address in deployment.callers() {
+        warm(address).await;
+    }
+    deployment
+}
+
+/// Waits until the entry VM has slots.
+pub(crate) async fn warm(address: SocketAddr) {
+    let end = Instant::now() + BOUND;
+    loop {
+        let told = Ask::check("warm").send(address).await;
+        if told.status == StatusCode::OK {
+            return;
+        }
+        assert!(Instant::now() < end, "{address} answers nothing: {told:?}");
+        sleep(POLL).await;
+    }
+}
+
+/// Settings of an entry VM that fits a deployment.
+pub(crate) fn settings(vm: &str) -> Settings {
+    let ana = Signer::new("ana".parse().unwrap(), [7; 32]);
+    Settings {
+        vm: vm.parse().unwrap(),
+        zone: "north-a".parse().unwrap(),
+        listen: Listen::default(),
+        peers: Vec::new(),
+        store: None,
+        keys: Keys {
+            peer: PEER_KEY.to_owned(),
+            tickets: vec![[9; 32]],
+            operators: BTreeMap::from([("ana".parse().unwrap(), ana.public())]),
+        },
+        limits: Limits::default(),
+        stop: Stop { linger: Millis(50), limit: Millis(20_000) },
+        pace: Pace { list: Millis(1_000), ..Pace::default() },
+        logs: Logs::default(),
+    }
+}
+
+/// A deployment whose only entry VM has settings of its own.
+pub(crate) async fn alone(
+    spec: DeploymentSpec,
+    change: impl FnOnce(&mut Settings),
+) -> (Deployment, SocketAddr) {
+    assert_eq!(spec.zones[0].entries, 0);
+    let mut deployment = Deployment::start(spec).await.unwrap();
+    let mut settings = settings("alone");
+    change(&mut settings);
+    let vm = settings.vm.clone();
+    let running = start(settings, Arc::new(deployment.platform.clone())).await.unwrap();
+    let address = running.callers();
+    deployment.entries.insert(vm, running);
+    warm(address).await;
+    (deployment, address)
+}
+
+pub(crate) fn entry<'a>(deployment: &'a Deployment, vm: &str) -> &'a Running {
+    &deployment.entries[&vm.parse::<VmId>().unwrap()]
+}
+
+pub(crate) fn backend_id(number: u32) -> BackendId {
+    format!("north-a-backend-{number}").parse().unwrap()
+}
+
+pub(crate) fn zone() -> ZoneId {
+    "north-a".parse().unwrap()
+}
+
+/// How often the request ran.
+pub(crate) fn runs(deployment: &Deployment, request: &str) -> u32 {
+    deployment.ledger.counts().get(request).copied().unwrap_or(0)
+}
+
+/// Waits until `is_so`.
+pub(crate) async fn until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let end = Instant::now() + BOUND;
+    while !is_so() {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        sleep(POLL).await;
+    }
+}
+
+/// Waits until the answer at `path` fits.
+pub(crate) async fn until_text(
+    address: SocketAddr,
+    path: &str,
+    fits: impl Fn(&str) -> bool,
+) -> String {
+    let end = Instant::now() + BOUND;
+    loop {
+        let text = text(address, path).await;
+        if fits(&text) {
+            return text;
+        }
+        assert!(Instant::now() < end, "{path} never fitted: {text}");
+        sleep(POLL).await;
+    }
+}
+
+pub(crate) async fn text(address: SocketAddr, path: &str) -> String {
+    let answer = client().get(format!("http://{address}{path}")).send().await.unwrap();
+    answer.text().await.unwrap()
+}
+
+pub(crate) fn client() -> Client {
+    Client::builder().no_proxy().timeout(BOUND).build().unwrap()
+}
+
+/// A ticket with any content, sealed with the deployment's key.
+pub(crate) fn seal(running: &Running, change: impl FnOnce(&mut Ticket)) -> String {
+    let status = running.status();
+    let mut ticket = Ticket::issue(
+        (status.vm, status.incarnation),
+        ("roster".parse().unwrap(), "book".parse().unwrap()),
+        BootClock.now(),
+        Millis(60_000),
+        &mut rand::rng(),
+    );
+    change(&mut ticket);
+    TicketKeys::new(TicketKey([9; 32]), Vec::new()).seal(&ticket)
+}
+
+pub(crate) async fn lookup(address: SocketAddr, operation: &str) -> LookupAnswer {
+    let url = format!("http://{address}/v1/lookup/roster/{operation}");
+    client().get(url).send().await.unwrap().json().await.unwrap()
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone)]
+pub(crate) struct Ask {
+    pub(crate) operation: &'static str,
+    pub(crate) request: String,
+    pub(crate) ticket: Option<String>,
+    pub(crate) key: Option<String>,
+    pub(crate) body: String,
+    pub(crate) headers: Vec<(&'static str, String)>,
+}
+
+impl Ask {
+    pub(crate) fn check(request: &str) -> Ask {
+        let (ticket, key, headers) = (None, None, Vec::new());
+        let (request, body) = (request.to_owned(), format!("body of {request}"));
+        Ask { operation: "check", request, ticket, key, body, headers }
+    }
+
+    pub(crate) fn book(request: &str, ticket: &str) -> Ask {
+        let (ticket, key) = (Some(ticket.to_owned()), Some(request.to_owned()));
+        Ask { operation: "book", ticket, key, ..Ask::check(request) }
+    }
+
+    /// The operation by name; a ticket of `running` where it needs one.
+    pub(crate) fn of(operation: &str, request: &str, running: &Running) -> Ask {
+        match operation {
+            "check" => Ask::check(request),
+            _ => Ask::book(request, &seal(running, |_| {})),
+        }
+    }
+
+    pub(crate) fn header(mut self, name: &'static str, value: &str) -> Ask {
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    fn build(&self, address: SocketAddr) -> RequestBuilder {
+        let url = format!("http://{address}/v1/call/roster/{}", self.operation);
+        let mut call = client().post(url).header(REQUEST, &self.request).body(self.body.clone());
+        for (name, value) in [(header::TICKET, &self.ticket), (header::IDEMPOTENCY_KEY, &self.key)]
+        {
+            if let Some(value) = value {
+                call = call.header(name, value);
+            }
+        }
+        for (name, value) in &self.headers {
+            call = call.header(*name, value);
+        }
+        call
+    }
+
+    pub(crate) async fn send(&self, address: SocketAddr) -> Told {
+        Told::read(self.build(address).send().await.unwrap()).await
+    }
+
+    /// The same in the background.
+    pub(crate) fn spawn(&self, address: SocketAddr) -> JoinHandle<Told> {
+        let ask = self.clone();
+        tokio::spawn(async move { ask.send(address).await })
+    }
+
+    /// The request as bytes, for a connection of the test's own.
+    pub(crate) fn raw(&self) -> String {
+        let mut head = format!("POST /v1/call/roster/{} HTTP/1.1\r\nhost: th\r\n", self.operation);
+        head += &format!("{REQUEST}: {}\r\ncontent-length: {}\r\n", self.request, self.body.len());
+        if let (Some(ticket), Some(key)) = (&self.ticket, &self.key) {
+            head += &format!("th-ticket: {ticket}\r\nidempotency-key: {key}\r\n");
+        }
+        format!("{head}\r\n{}", self.body)
+    }
+}
+
+/// What the caller got.
+#[derive(Debug)]
+pub(crate) struct Told {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    /// `None` where the connection broke.
+    pub(crate) body: Option<Bytes>,
+}
+
+impl Told {
+    pub(crate) async fn read(response: Response) -> Told {
+        let (status, headers) = (response.status(), response.headers().clone());
+        Told { status, headers, body: response.bytes().await.ok() }
+    }
+
+    /// What the system itself says, which header and body must agree on.
+    pub(crate) fn notice(&self) -> Option<Notice> {
+        let verdict = self.headers.get(header::VERDICT)?.to_str().unwrap();
+        let reason = self.headers.get(header::REASON).unwrap().to_str().unwrap();
+        let notice: Notice = serde_json::from_slice(self.body.as_ref().unwrap()).unwrap();
+        assert_eq!((verdict, reason), (notice.verdict.code(), notice.reason.code()));
+        Some(notice)
+    }
+
+    #[track_caller]
+    pub(crate) fn says(&self, verdict: Verdict, reason: Reason) {
+        let notice = self.notice().map(|it| (it.verdict, it.reason));
+        assert_eq!(notice, Some((verdict, reason)), "{self:?}");
+    }
+
+    /// Fails unless this is the whole answer to `request`.
+    #[track_caller]
+    pub(crate) fn is_answer_to(&self, request: &str) {
+        assert_eq!((self.status, self.notice()), (StatusCode::OK, None), "{self:?}");
+        let body = self.body.as_ref().expect("the answer is whole");
+        assert!(body.starts_with(format!("{request} ran at ").as_bytes()), "{self:?}");
+        assert!(body.contains(&b'\n'), "{self:?}");
+    }
+}
+
+/// Sends bytes and reads until the other side closes or `enough` has come; broken connections end it.
+pub(crate) async fn exchange(address: SocketAddr, bytes: &[u8], enough: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    // A peer that refuses early may close before all is written.
+    let _ = stream.write_all(bytes).await;
+    let mut got = Vec::new();
+    let read = async {
+        let mut chunk = [0; 4096];
+        while let Ok(length) = stream.read(&mut chunk).await {
+            got.extend_from_slice(&chunk[..length]);
+            let text = String::from_utf8_lossy(&got);
+            if length == 0 || (!enough.is_empty() && text.contains(enough)) {
+                return;
+            }
+        }
+    };
+    timeout(BOUND, read).await.expect("the other side ends the exchange");
+    String::from_utf8_lossy(&got).into_owned()
+}
+
+/// A backend server that sends exactly these bytes for each request and then closes or resets the connection.
+pub(crate) struct RawBackend {
+    pub(crate) address: SocketAddr,
+    heads: Arc<Mutex<Vec<String>>>,
+    task: JoinHandle<()>,
+}
+
+impl RawBackend {
+    pub(crate) async fn start(script: impl Into<Vec<u8>>, resets: bool) -> RawBackend {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let heads = Arc::new(Mutex::new(Vec::new()));
+        let (script, kept) = (script.into(), Arc::clone(&heads));
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve_raw(stream, script.clone(), resets, Arc::clone(&kept)));
+            }
+        });
+        RawBackend { address, heads, task }
+    }
+
+    /// Heads of the requests that it got, probes aside.
+    pub(crate) fn heads(&self) -> Vec<String> {
+        self.heads.lock().unwrap().clone()
+    }
+
+    /// Puts this one in the place of the deployment's only backend server.
+    pub(crate) async fn join(&self, deployment: &mut Deployment) {
+        let address = self.address;
+        let change = |bundle: &mut th_protocol::Bundle| {
+            for service in bundle.services.values_mut() {
+                for backend in service.backends.values_mut() {
+                    backend.address = address;
+                }
+            }
+        };
+        deployment.change(change).await.unwrap();
+        deployment.in_force(deployment.bundle.version, Millis(20_000)).await.unwrap();
+    }
+}
+
+impl Drop for RawBackend {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn serve_raw(
+    mut stream: TcpStream,
+    script: Vec<u8>,
+    resets: bool,
+    heads: Arc<Mutex<Vec<String>>>,
+) {
+    let mut got = Vec::new();
+    while !got.ends_with(b"\r\n\r\n") {
+        let Ok(byte) = stream.read_u8().await else {
+            return;
+        };
+        got.push(byte);
+    }
+    let head = String::from_utf8_lossy(&got).to_ascii_lowercase();
+    let length = head.split("content-length: ").nth(1).and_then(|it| it.lines().next());
+    let length: usize = length.map_or(0, |it| it.parse().unwrap());
+    // Closing with unread bytes resets the connection.
+    if !resets && stream.read_exact(&mut vec![0; length]).await.is_err() {
+        return;
+    }
+    let load = r#"{"busy":0,"slots":4,"leaving":false}"#;
+    let probe = if head.starts_with("get /health") {
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n".to_owned()
+    } else if head.starts_with("get /load") {
+        let size = load.len();
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close";
+        format!("{head}\r\ncontent-length: {size}\r\n\r\n{load}")
+    } else {
+        heads.lock().unwrap().push(head);
+        let _ = stream.write_all(&script).await;
+        return;
+    };
+    let _ = stream.write_all(probe.as_bytes()).await;
+}
