Send an idempotent request once more when its connection is silent

Cause: without a known latency an idempotent request waited on a silent connection until its deadline, and a hedge could go over another idle connection of the same silent pool. A killed entry process (tests only) went on serving connections that were open, since its listener's task was aborted before it could close them. Before: silent_connections_lose_and_double_nothing ended with unknown (timeout) on its first check; only_the_owner_of_a_ticket_dispatches got an answer from the killed entry VM. After a second without an answer the pool is left and one more attempt goes over a fresh connection, out of the budget of retries. Conclusion: the retry keeps the idempotent requests of a half-open server answered; non-idempotent ones end unknown.

--- a/crates/th-entry/src/call/here.rs
+++ b/crates/th-entry/src/call/here.rs
@@ -2,11 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::StatusCode;
-use th_protocol::Time;
+use th_protocol::{AttemptId, Millis, Time};
 use th_steer::{
     backend::{Choice, Outcome},
     engine::{Place, Run},
+    retry::RetryDecision,
 };
 use tokio::time::sleep;
 
@@ -19,56 +21,85 @@
 /// Between two looks at whether an attempt makes progress.
 const SILENCE_CHECK: Duration = Duration::from_millis(500);
 
-/// Sends a request to a backend server, and to a second one where the first is slow and the operation is idempotent.
-/// Gives how it ended and, if there is one, the answer to pass on.
+/// An attempt without an answer for this long is taken to be on a silent connection.
+const SILENCE: Millis = Millis(1_000);
+
+/// How an attempt ended and, if there is one, the answer to pass on.
+type Ended = (Outcome, Option<Reply>);
+
+/// Sends a request to a backend server and, where that is slow or silent and the operation is idempotent, sends it once
+/// more beside. Gives how it ended and, if there is one, the answer to pass on.
 pub(crate) async fn send_to(
     entry: &Arc<Entry>,
     run: &Run,
     incoming: &Incoming,
     choice: Choice,
     attempt: Attempt,
-) -> (Outcome, Option<Reply>) {
-    let first = one(entry, run, incoming, choice, attempt);
-    if !run.spec.idempotent || run.call.forwarded || 1 < run.tries {
-        return first.await;
+) -> Ended {
+    let (id, began) = (attempt.id(), attempt.began());
+    // Whoever is dropped frees its slot and closes its connection.
+    let mut open = FuturesUnordered::new();
+    open.push(one(entry, run, incoming, choice, attempt));
+    let mut worst = None;
+    for wait in waits(entry, run) {
+        let due = sleep(Duration::from_millis((began.after(wait).since(entry.now())).0 + 1));
+        tokio::pin!(due);
+        loop {
+            tokio::select! {
+                Some(ended) = open.next() => {
+                    if ended.1.is_some() || open.is_empty() {
+                        return worse(worst, ended);
+                    }
+                    worst = Some(worse(worst, ended));
+                }
+                () = &mut due => break,
+            }
+        }
+        if SILENCE <= wait {
+            note_silence(entry, id, began);
+        }
+        if let Some((choice, attempt)) = beside(entry, run, began) {
+            open.push(one(entry, run, incoming, choice, attempt));
+        }
     }
-    let Some(wait) = entry.decide(|engine, _| engine.hedge_after(&run.call.service)) else {
-        return first.await;
-    };
-    let sent = entry.now();
-    tokio::pin!(first);
-    tokio::select! {
-        ended = &mut first => return ended,
-        () = sleep(Duration::from_millis(wait.0 + 1)) => {}
+    while let Some(ended) = open.next().await {
+        if ended.1.is_some() || open.is_empty() {
+            return worse(worst, ended);
+        }
+        worst = Some(worse(worst, ended));
     }
-    let Some((choice, attempt)) = hedge(entry, run, sent) else {
-        return first.await;
-    };
-    let second = one(entry, run, incoming, choice, attempt);
-    tokio::pin!(second);
-    // The loser is dropped, which frees its slot and closes its connection.
-    tokio::select! {
-        ended = &mut first => better(ended, second).await,
-        ended = &mut second => better(ended, first).await,
+    unreachable!("the last attempt's end was returned")
+}
+
+/// When to send an attempt beside the first: once it is slower than most, and once its connection counts as silent. The
+/// connections that may be silent are left by then, so that the second of them goes over a fresh one.
+fn waits(entry: &Entry, run: &Run) -> Vec<Millis> {
+    if !run.spec.idempotent || run.call.forwarded || 1 < run.tries {
+        return Vec::new();
+    }
+    match entry.decide(|engine, _| engine.hedge_after(&run.call.service)) {
+        Some(slow) if SILENCE <= slow => vec![slow],
+        Some(slow) => vec![slow, SILENCE],
+        None => vec![SILENCE],
     }
 }
 
-/// The answer of the try that ended, or else how the other one ends. Without any, what may have run counts.
-async fn better(
-    ended: (Outcome, Option<Reply>),
-    other: impl Future<Output = (Outcome, Option<Reply>)>,
-) -> (Outcome, Option<Reply>) {
-    if ended.1.is_some() {
-        return ended;
+/// An answer, or else the end that leaves more open: what may have run counts.
+fn worse(before: Option<Ended>, ended: Ended) -> Ended {
+    match before {
+        Some(before) if ended.1.is_none() && ended.0.surely_not_run() => before,
+        _ => ended,
     }
-    let last = other.await;
-    if last.1.is_none() && last.0.surely_not_run() { ended } else { last }
 }
 
-/// A second backend server for a slow request, where the budget and a free slot allow it.
-fn hedge(entry: &Arc<Entry>, run: &Run, sent: Time) -> Option<(Choice, Attempt)> {
+/// A backend server for an attempt beside a slow one, where the budget and a free slot allow it.
+fn beside(entry: &Arc<Entry>, run: &Run, began: Time) -> Option<(Choice, Attempt)> {
     let place = entry.decide(|engine, now| {
-        if !engine.hedge(run, sent, now) {
+        if engine.hedge(run, began, now) {
+            return engine.place_hedge(run, now);
+        }
+        let silent = SILENCE <= now.since(began);
+        if !silent || matches!(engine.retry(run, false, now), RetryDecision::Stop(_)) {
             return None;
         }
         engine.place_hedge(run, now)
@@ -87,7 +118,7 @@
     incoming: &Incoming,
     choice: Choice,
     attempt: Attempt,
-) -> (Outcome, Option<Reply>) {
+) -> Ended {
     let client = entry.clients.get(&choice.backend, choice.generation);
     let course = Course {
         address: choice.address,
@@ -102,7 +133,7 @@
         loop {
             tokio::select! {
                 sent = &mut sending => break sent,
-                () = sleep(SILENCE_CHECK) => note_silence(entry, &attempt),
+                () = sleep(SILENCE_CHECK) => note_silence(entry, attempt.id(), attempt.began()),
             }
         }
     };
@@ -119,10 +150,10 @@
     }
 }
 
-fn note_silence(entry: &Entry, attempt: &Attempt) {
-    let left = entry.decide(|engine, now| engine.on_silence(attempt.id(), attempt.began(), now));
+fn note_silence(entry: &Entry, attempt: AttemptId, began: Time) {
+    let left = entry.decide(|engine, now| engine.on_silence(attempt, began, now));
     if left {
-        log::info!(target: "backend", "Attempt {} made no progress; its connections are left.", attempt.id());
+        log::info!(target: "backend", "Attempt {attempt} made no progress; its connections are left.");
     }
 }
 
@@ -133,7 +164,7 @@
 }
 
 /// Ends the attempt, now or when the last byte of a streamed body has passed.
-fn pass(entry: &Entry, attempt: Attempt, reply: Reply) -> (Outcome, Option<Reply>) {
+fn pass(entry: &Entry, attempt: Attempt, reply: Reply) -> Ended {
     let outcome = outcome_of(reply.status);
     let Reply { status, headers, body } = reply;
     let body = match body {
--- a/crates/th-entry/src/server.rs
+++ b/crates/th-entry/src/server.rs
@@ -172,8 +172,8 @@
     /// Ends at once, as if the VM were lost.
     pub fn kill(self) {
         for listener in &self.listeners {
+            // The listener's task ends itself, and the connections with it.
             listener.handle.stop_forcible();
-            listener.task.abort();
         }
         for task in &self.tasks {
             task.abort();
