Try bad requests and bad messages of peers on real listeners

Cause: nothing showed that garbage, oversized and slow input leaves the process serving. Before: no test. Conclusion: each is refused with its reason, runs nothing, and the process serves on.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -14,7 +14,8 @@
 use th_entry::{Keys, Limits, Listen, Logs, Pace, Running, Settings, Stop, start};
 use th_platform::{BootClock, Clock};
 use th_protocol::{
-    BackendId, LookupAnswer, Millis, Notice, Reason, Signer, Slots, Verdict, VmId, ZoneId, header,
+    BackendId, LookupAnswer, Millis, Notice, Reason, Signer, Slots, Verdict, VmId, VmRecord,
+    VmRole, VmState, ZoneId, header,
 };
 use th_steer::ticket::{Ticket, TicketKey, TicketKeys};
 use th_testing::{Deployment, DeploymentSpec, REQUEST, ZoneSpec};
@@ -99,11 +100,23 @@
     let vm = settings.vm.clone();
     let running = start(settings, Arc::new(deployment.platform.clone())).await.unwrap();
     let address = running.callers();
+    list(&deployment, &running);
     deployment.entries.insert(vm, running);
     warm(address).await;
     (deployment, address)
 }
 
+/// Has the platform list the entry VM, without which it is given no slots.
+pub(crate) fn list(deployment: &Deployment, running: &Running) {
+    deployment.platform.list_vm(VmRecord {
+        vm: running.status().vm,
+        zone: zone(),
+        address: running.peers(),
+        state: VmState::Live,
+        role: VmRole::Entry,
+    });
+}
+
 pub(crate) fn entry<'a>(deployment: &'a Deployment, vm: &str) -> &'a Running {
     &deployment.entries[&vm.parse::<VmId>().unwrap()]
 }
--- /dev/null
+++ b/tests/peers.rs
@@ -0,0 +1,146 @@
+//! The listener for other entry VMs, with messages that no entry VM sends.
+
+mod common;
+
+use common::*;
+use proptest::{
+    collection::vec,
+    prelude::any,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use reqwest::StatusCode;
+use rstest::rstest;
+use th_protocol::{
+    BundleAnswer, BundleHead, BundleRequest, CheckAnswer, ContentHash, Heartbeat, IndirectCheck,
+    MemberState, PeerRecord, Time, Version, header,
+};
+use th_testing::Deployment;
+
+const ROUTES: &[&str] = &["heartbeat", "check", "bundle", "part", "own", "execute"];
+
+async fn post(
+    deployment: &Deployment,
+    route: &str,
+    key: Option<&str>,
+    body: Vec<u8>,
+) -> StatusCode {
+    let peers = deployment.entries.values().next().unwrap().peers();
+    let mut call = client().post(format!("http://{peers}/peer/{route}")).body(body);
+    if let Some(key) = key {
+        call = call.header(header::PEER_KEY, key);
+    }
+    call.send().await.unwrap().status()
+}
+
+/// A heartbeat of an entry VM that nobody knows.
+fn heartbeat() -> Heartbeat {
+    let address = "127.0.0.1:9".parse().unwrap();
+    let from = PeerRecord {
+        vm: "stranger".parse().unwrap(),
+        zone: "north-a".parse().unwrap(),
+        address,
+        callers: address,
+        origin: Time(0),
+        incarnation: Default::default(),
+        beat: 1,
+        state: MemberState::Live,
+    };
+    let head = Some(BundleHead { version: Version(99), digest: ContentHash([1; 32]) });
+    let (headroom, leaving, records) = (Vec::new(), Vec::new(), Vec::new());
+    Heartbeat { from, clock: Time(0), head, headroom, leaving, records }
+}
+
+async fn members(deployment: &Deployment) -> String {
+    let address = deployment.callers()[0];
+    let text = text(address, "/metrics").await;
+    text.lines().find(|it| it.contains("name=\"members\"")).unwrap().to_owned()
+}
+
+#[rstest]
+#[case::none(None)]
+#[case::wrong(Some("entry VMs of a tesT"))]
+#[case::prefix(Some("entry VMs of"))]
+#[case::longer(Some("entry VMs of a test, and more"))]
+#[case::empty(Some(""))]
+#[tokio::test(flavor = "multi_thread")]
+async fn without_the_key_nothing_changes(#[case] key: Option<&str>) {
+    let deployment = started(small(1, 1)).await;
+    let before = members(&deployment).await;
+    for route in ROUTES {
+        let body = rmp_serde::to_vec_named(&heartbeat()).unwrap();
+        assert_eq!(post(&deployment, route, key, body).await, StatusCode::UNAUTHORIZED, "{route}");
+    }
+    let lookup = lookup(deployment.callers()[0], "check").await;
+    assert!(lookup.entries.iter().all(|it| it.vm.as_str() != "stranger"), "{lookup:?}");
+    assert_eq!(members(&deployment).await, before);
+    let body = rmp_serde::to_vec_named(&heartbeat()).unwrap();
+    assert_eq!(post(&deployment, "heartbeat", Some(PEER_KEY), body).await, StatusCode::OK);
+    until_text(deployment.callers()[0], "/metrics", |it| !it.contains(&before)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_that_cannot_be_read_are_refused() {
+    const SEED: [u8; 32] = [42; 32];
+    const CASES: u32 = 20;
+    let deployment = started(small(1, 1)).await;
+    let good = rmp_serde::to_vec_named(&heartbeat()).unwrap();
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    println!("seed {SEED:?}");
+    let mut bodies =
+        vec![Vec::new(), vec![0xc1], b"{}".to_vec(), vec![0xdf, 0xff, 0xff, 0xff, 0xff]];
+    for i in 0..good.len() {
+        if i % 7 == 0 {
+            bodies.push(good[..i].to_vec());
+        }
+    }
+    for _ in 0..CASES {
+        use proptest::strategy::{Strategy, ValueTree};
+        bodies.push(vec(any::<u8>(), 0..400).new_tree(&mut runner).unwrap().current());
+    }
+    for route in ROUTES {
+        for body in &bodies {
+            let status = post(&deployment, route, Some(PEER_KEY), body.clone()).await;
+            // A forwarded request is answered as one of a caller is: 400 with `not-run`.
+            assert_eq!(status, StatusCode::BAD_REQUEST, "{route}: {body:?}");
+        }
+        let huge = vec![0; 3 << 20];
+        let status = post(&deployment, route, Some(PEER_KEY), huge).await;
+        assert!(status.is_client_error(), "{route}: {status}");
+    }
+    let address = deployment.callers()[0];
+    Ask::check("after").send(address).await.is_answer_to("after");
+}
+
+/// Reading random bytes as any message ends, without a panic.
+#[test]
+fn random_bytes_are_no_message() {
+    let config = Config { failure_persistence: None, cases: 4_096, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[43; 32]);
+    println!("seed {:?}", [43u8; 32]);
+    let good = rmp_serde::to_vec_named(&heartbeat()).unwrap();
+    let size = good.len();
+    let mutation = (vec(any::<u8>(), 0..200), vec((0..size, any::<u8>()), 0..6));
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result = runner.run(&mutation, |(random, changes)| {
+        let mut changed = good.clone();
+        for (at, byte) in changes {
+            changed[at] = byte;
+        }
+        for bytes in [&random, &changed] {
+            if let Ok(read) = rmp_serde::from_slice::<Heartbeat>(bytes) {
+                let again = rmp_serde::to_vec_named(&read).unwrap();
+                proptest::prop_assert_eq!(
+                    &rmp_serde::from_slice::<Heartbeat>(&again).unwrap(),
+                    &read
+                );
+            }
+            let _ = rmp_serde::from_slice::<IndirectCheck>(bytes);
+            let _ = rmp_serde::from_slice::<CheckAnswer>(bytes);
+            let _ = rmp_serde::from_slice::<BundleRequest>(bytes);
+            let _ = rmp_serde::from_slice::<BundleAnswer>(bytes);
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
