--- a/crates/th-entry/src/task/bundles.rs
+++ b/crates/th-entry/src/task/bundles.rs
@@ -130,7 +130,10 @@
             entry.library().add_part(bytes);
             Fetched::Good(())
         }
-        Ok(Some(_)) => Fetched::Corrupt,
+        Ok(Some(_)) => {
+            log::warn!(target: "bundle", "Part {hash} is refused: it has wrong bytes.");
+            Fetched::Corrupt
+        }
         Ok(None) => Fetched::Missing,
         Err(ended) => ended,
     };
--- /dev/null
+++ b/tests/stop.rs
@@ -0,0 +1,179 @@
+//! Planned stops under load, and backend servers that leave.
+
+mod common;
+
+use common::*;
+use reqwest::StatusCode;
+use rstest::rstest;
+use th_protocol::{Millis, Reason as R, Slots, Verdict as V};
+use th_testing::{Behaviour, Caller, CallerSettings, Deployment, DeploymentSpec, Records};
+use tokio::{io::AsyncWriteExt, net::TcpStream, sync::watch};
+
+/// Callers that send one request after another until told otherwise.
+fn load(
+    deployment: &Deployment,
+    records: &Records,
+    end: &watch::Receiver<bool>,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let mut tasks = Vec::new();
+    for i in 0..8 {
+        let mut caller = Caller::new(CallerSettings {
+            name: format!("caller-{i}"),
+            seeds: deployment.callers(),
+            patience: Millis(20_000),
+            records: records.clone(),
+            ..CallerSettings::default()
+        });
+        let end = end.clone();
+        tasks.push(tokio::spawn(async move {
+            while !*end.borrow() {
+                caller.call("check", true).await;
+                caller.call("book", false).await;
+            }
+        }));
+    }
+    tasks
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_under_load_cuts_nothing() {
+    const ROUND: usize = 100;
+    let spec = DeploymentSpec { ttl: Millis(300), linger: Millis(700), ..small(3, 2) };
+    let mut deployment = started(spec).await;
+    let records = Records::default();
+    let (stop, end) = watch::channel(false);
+    let tasks = load(&deployment, &records, &end);
+    for vm in ["north-a-entry-0", "north-a-entry-1"] {
+        let before = records.all().len();
+        until("the load is on", || before + ROUND < records.all().len()).await;
+        let stopped = deployment.stop_entry(&vm.parse().unwrap()).await.unwrap();
+        assert_eq!(stopped.cut, 0, "{vm}");
+    }
+    let before = records.all().len();
+    until("the load goes on", || before + ROUND < records.all().len()).await;
+    stop.send(true).unwrap();
+    for task in tasks {
+        task.await.unwrap();
+    }
+    let audit = records.audit(&deployment.ledger);
+    let wrong = (audit.lost, audit.doubled, audit.wrong, audit.false_not_run, audit.broken);
+    assert_eq!(wrong, (0, 0, 0, 0, 0), "{audit:?}");
+    assert!(audit.requests < 2 * audit.answered, "{audit:?}");
+}
+
+/// Holds a slot by a request that is not answered, until the connection is dropped.
+async fn hold(deployment: &Deployment, address: std::net::SocketAddr, request: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(Ask::check(request).raw().as_bytes()).await.unwrap();
+    until("it runs", || runs(deployment, request) == 1).await;
+    stream
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_comes_during_a_stop_is_told_so() {
+    // A quarter of the slots is given to a server in its slow start: one.
+    let spec = DeploymentSpec { slots: Slots(4), deadline: Millis(600_000), ..small(0, 1) };
+    let (mut deployment, address) = alone(spec, |it| it.stop.limit = Millis(60_000)).await;
+    deployment.backends[&backend_id(0)].behave(|it| it.mute = true);
+    let held = hold(&deployment, address, "held").await;
+    let running = deployment.entries.pop_first().unwrap().1;
+    let book = Ask::of("book", "new-book", &running);
+    let queued = Ask::check("queued").spawn(address);
+    until_text(address, "/metrics", |it| it.contains("th_state{name=\"waiting\"} 1")).await;
+    let stop = tokio::spawn(running.stop());
+    let told = queued.await.unwrap();
+    let sure = told.notice().is_some_and(|it| it.verdict != V::Unknown);
+    assert!(sure && runs(&deployment, "queued") == 0, "{told:?}");
+    until_text(address, "/v1/status", |it| it.contains("\"stopping\":true")).await;
+    for ask in [Ask::check("new-check"), book] {
+        let told = ask.send(address).await;
+        told.says(V::NotRun, R::Stopping);
+        assert_eq!(told.headers["connection"], "close");
+        assert_eq!(runs(&deployment, &ask.request), 0);
+    }
+    let url = format!("http://{address}/ready");
+    let ready = client().get(url).send().await.unwrap();
+    assert_eq!(ready.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(ready.text().await.unwrap(), "it is stopping");
+    drop(held);
+    assert_eq!(stop.await.unwrap().cut, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_at_its_limit_counts_what_it_cuts() {
+    let spec = DeploymentSpec { deadline: Millis(600_000), ..small(0, 1) };
+    let (mut deployment, address) = alone(spec, |it| it.stop.limit = Millis(500)).await;
+    deployment.backends[&backend_id(0)].behave(|it| it.mute = true);
+    let held = hold(&deployment, address, "held").await;
+    let running = deployment.entries.pop_first().unwrap().1;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let book = Ask::of("book", "cut", &running).raw();
+    stream.write_all(book.as_bytes()).await.unwrap();
+    until("it runs", || runs(&deployment, "cut") == 1).await;
+    assert_eq!(running.stop().await.cut, 2);
+    for mut stream in [held, stream] {
+        let mut got = Vec::new();
+        let read = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut got);
+        let ended = tokio::time::timeout(BOUND, read).await.expect("its connection ends");
+        assert!(ended.is_err() || got.is_empty(), "{}", String::from_utf8_lossy(&got));
+    }
+    assert_eq!(runs(&deployment, "cut"), 1);
+}
+
+async fn by_bundle(deployment: &mut Deployment) {
+    let leave = |bundle: &mut th_protocol::Bundle| {
+        let service = bundle.services.values_mut().next().unwrap();
+        service.backends.get_mut(&backend_id(0)).unwrap().leaving = true;
+    };
+    deployment.change(leave).await.unwrap();
+}
+
+async fn by_own_word(deployment: &mut Deployment) {
+    deployment.backends[&backend_id(0)].behave(|it| it.leaving = true);
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_gets_nothing_new_and_its_drain_is_shown(
+    #[values("bundle", "own word")] how: &str,
+) {
+    let mut deployment = started(small(2, 2)).await;
+    for backend in deployment.backends.values() {
+        backend.behave(|it| it.service = Millis(1_000));
+    }
+    let first = deployment.callers()[0];
+    let flying: Vec<_> =
+        (0..4).map(|i| (i, Ask::check(&format!("flying-{i}")).spawn(first))).collect();
+    until("they run", || (0..4).all(|i| 0 < runs(&deployment, &format!("flying-{i}")))).await;
+    for backend in deployment.backends.values() {
+        backend.behave(|it| *it = Behaviour::default());
+    }
+    match how {
+        "bundle" => by_bundle(&mut deployment).await,
+        _ => by_own_word(&mut deployment).await,
+    }
+    for (i, told) in flying {
+        told.await.unwrap().is_answer_to(&format!("flying-{i}"));
+    }
+    let drained = |text: &str| {
+        let burn: serde_json::Value = serde_json::from_str(text).unwrap();
+        let drains = burn["drains"].as_array().unwrap();
+        drains.iter().any(|it| it["backend"] == "north-a-backend-0" && it["took"].is_u64())
+    };
+    for address in deployment.callers() {
+        until_text(address, "/v1/burn", drained).await;
+    }
+    let before = deployment.ledger.runs().len();
+    for (vm, running) in &deployment.entries {
+        for i in 0..10 {
+            for operation in ["check", "book"] {
+                let request = format!("{operation}-{vm}-{i}");
+                let ask = Ask::of(operation, &request, running);
+                ask.send(running.callers()).await.is_answer_to(&request);
+            }
+        }
+    }
+    for run in &deployment.ledger.runs()[before..] {
+        assert_eq!(run.server, "north-a-backend-1", "{run:?}");
+    }
+}
