--- a/crates/th-steer/examples/member_measure.rs
+++ b/crates/th-steer/examples/member_measure/fleet.rs
@@ -1,8 +1,4 @@
-//! Runs membership and the spread of bundles in virtual time at four sizes of fleet and prints
-//! bytes, times and processor time per node. Real messages are encoded to count their bytes.
-//!
-//! `cargo run --release -p th-steer --example member_measure -- [--json] [--nodes N]
-//! [--holders N]`: one size only; only each Nth VM serves bundles to others
+//! A fleet of entry VMs in virtual time, with a network that loses messages.
 
 use std::{
     cmp::Reverse,
@@ -14,53 +10,25 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use th_protocol::{
-    BundleHead, CheckAnswer, ContentHash, HeadroomDigest, Heartbeat, Incarnation, IndirectCheck,
-    LeavingNotice, MemberState, Millis, PeerRecord, Permille, RegionId, Time, Version, VmId,
-    ZoneId,
+    BundleHead, CheckAnswer, ContentHash, Heartbeat, Incarnation, IndirectCheck, LeavingNotice,
+    PeerRecord, Time, VmId,
 };
 use th_steer::{
     backend::Drain,
     member::{
-        Content, Fetched, ManifestInfo, MemberAction, MemberSettings, Members, Seed, Source,
-        Spread, SpreadAction, SpreadSettings, watchers,
+        Content, Fetched, MemberAction, MemberSettings, Members, Seed, Source, Spread,
+        SpreadAction, SpreadSettings, watchers,
     },
 };
 
-const SIZES: [usize; 4] = [50, 200, 800, 2_500];
-const ZONES: usize = 26;
+use crate::sample::{ZONES, head, headroom, manifest, record, zone};
+
 const SEED: u64 = 7;
 const LOSS: f64 = 0.01;
 const TICK: u64 = 100;
-/// Steady state is measured between these times.
-const STEADY: (u64, u64) = (5_000, 20_000);
-const KILL: u64 = 20_000;
-const ROLL: u64 = 45_000;
-const EVIDENCE: u64 = 54_000;
-const END: u64 = 60_000;
-/// Parts of each bundle; a roll changes one.
-const PARTS: u8 = 8;
 /// Heartbeats that go out at once on news.
 const ANNOUNCE: usize = 3;
 
-#[derive(Debug, Default, Serialize)]
-struct Figures {
-    nodes: usize,
-    messages_per_node_s: f64,
-    payload_bytes_per_node_s: f64,
-    mean_message_bytes: f64,
-    suspected_in_steady: u64,
-    buried_in_steady: u64,
-    first_suspect_ms: Option<u64>,
-    all_suspect_ms: Option<u64>,
-    all_dead_ms: Option<u64>,
-    bundle_median_ms: Option<u64>,
-    bundle_all_ms: Option<u64>,
-    evidence_all_ms: Option<u64>,
-    cpu_us_per_node_s: f64,
-    codec_us_per_node_s: f64,
-    table_bytes: usize,
-}
-
 enum Event {
     Tick(usize),
     Heartbeat { from: usize, to: usize, message: Box<Heartbeat>, check: Option<usize> },
@@ -72,77 +40,37 @@
     Part { to: usize, from: Source, hash: ContentHash },
 }
 
-struct Node {
-    members: Members,
-    spread: Spread,
-    drain: Option<Drain>,
+pub(crate) struct Node {
+    pub(crate) members: Members,
+    pub(crate) spread: Spread,
+    pub(crate) drain: Option<Drain>,
     announced: bool,
     watcher: bool,
-    applied: Option<u64>,
-    alive: bool,
+    pub(crate) applied: Option<u64>,
+    pub(crate) alive: bool,
 }
 
-struct Fleet {
-    now: u64,
+pub(crate) struct Fleet {
+    pub(crate) now: u64,
     serial: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
-    nodes: Vec<Node>,
+    pub(crate) nodes: Vec<Node>,
     index: BTreeMap<VmId, usize>,
     rng: ChaCha8Rng,
-    store: BundleHead,
+    pub(crate) store: BundleHead,
+    store_down: bool,
+    /// The data centre that is cut off from the others and from the store.
+    pub(crate) cut: Option<usize>,
     holders: Option<usize>,
-    messages: u64,
-    bytes: u64,
-    cpu: Duration,
-    codec: Duration,
-}
-
-fn hash(version: u64, part: u8) -> ContentHash {
-    let mut bytes = [part; 32];
-    bytes[..8].copy_from_slice(&version.to_be_bytes());
-    ContentHash(bytes)
-}
-
-fn head(version: u64) -> BundleHead {
-    BundleHead { version: Version(version), digest: hash(version, 255) }
-}
-
-fn manifest(head: BundleHead) -> ManifestInfo {
-    let mut parts: Vec<ContentHash> = (1..PARTS).map(|part| hash(0, part)).collect();
-    parts.push(hash(head.version.0, 0));
-    ManifestInfo { head, parts }
-}
-
-fn zone(i: usize) -> ZoneId {
-    format!("zone-{:02}", i % ZONES).parse().unwrap()
-}
-
-fn record(i: usize) -> PeerRecord {
-    PeerRecord {
-        vm: format!("entry-{i:04}").parse().unwrap(),
-        zone: zone(i),
-        address: format!("10.{}.{}.1:7000", i / 250, i % 250).parse().unwrap(),
-        callers: format!("10.{}.{}.1:8000", i / 250, i % 250).parse().unwrap(),
-        origin: Time(1_790_000_000_000 + i as u64),
-        incarnation: Incarnation(1_790_000_000_000 + i as u64),
-        beat: 0,
-        state: MemberState::Live,
-    }
-}
-
-fn headroom(i: usize) -> Vec<HeadroomDigest> {
-    let region: RegionId = format!("region-{:02}", i % 12).parse().unwrap();
-    let mut digests = Vec::new();
-    for k in 0..2 {
-        let (free, age) = (Permille(100), Millis(900));
-        digests.push(HeadroomDigest { region: region.clone(), zone: zone(i + k), free, age });
-    }
-    digests
+    pub(crate) messages: u64,
+    pub(crate) bytes: u64,
+    pub(crate) cpu: Duration,
+    pub(crate) codec: Duration,
 }
 
 impl Fleet {
-    fn new(count: usize, holders: Option<usize>) -> Fleet {
+    pub(crate) fn new(count: usize, holders: Option<usize>) -> Fleet {
         let mut rng = ChaCha8Rng::seed_from_u64(SEED);
         let mut seeds = Vec::new();
         for i in 0..count {
@@ -181,6 +109,8 @@
             index,
             rng,
             store: head(1),
+            store_down: false,
+            cut: None,
             holders,
             messages: 0,
             bytes: 0,
@@ -201,13 +131,13 @@
     }
 
     /// Sends a message of that size over the network, which loses some.
-    fn send(&mut self, message: &impl Serialize, event: Event) {
+    fn send(&mut self, from: usize, to: usize, message: &impl Serialize, event: Event) {
         let start = Instant::now();
         let size = rmp_serde::to_vec(message).unwrap().len();
         self.codec += start.elapsed();
         self.messages += 1;
         self.bytes += size as u64;
-        if self.rng.random_bool(LOSS) {
+        if self.rng.random_bool(LOSS) || !self.linked(from, to) {
             return;
         }
         let delay = self.rng.random_range(1..=25);
@@ -223,7 +153,7 @@
         self.codec += start.elapsed();
         drop(decoded);
         let event = Event::Heartbeat { from, to, message: Box::new(message.clone()), check: None };
-        self.send(&message, event);
+        self.send(from, to, &message, event);
     }
 
     fn perform(&mut self, i: usize, actions: Vec<MemberAction>) {
@@ -233,7 +163,7 @@
                 MemberAction::Check { via, message, .. } => {
                     let to = self.index[&via];
                     let event = Event::Check { from: i, to, message: Box::new(message.clone()) };
-                    self.send(&message, event);
+                    self.send(i, to, &message, event);
                 }
             }
         }
@@ -252,6 +182,7 @@
     fn perform_spread(&mut self, i: usize, actions: Vec<SpreadAction>) {
         for action in actions {
             match action {
+                SpreadAction::ReadHead if !self.reaches_store(i) => {}
                 SpreadAction::ReadHead => {
                     let head = self.store;
                     self.push(20, Event::Head { to: i, head });
@@ -306,7 +237,7 @@
         self.announce_evidence(i);
     }
 
-    fn announce_evidence(&mut self, i: usize) {
+    pub(crate) fn announce_evidence(&mut self, i: usize) {
         let node = &mut self.nodes[i];
         if node.announced || !node.drain.as_ref().is_some_and(Drain::leaving) {
             return;
@@ -319,10 +250,22 @@
         self.perform(i, actions);
     }
 
-    /// Whether the source serves that bundle.
-    fn serves(&self, from: &Source, head: BundleHead) -> bool {
-        let Source::Peer(vm) = from else { return head == self.store };
+    fn reaches_store(&self, i: usize) -> bool {
+        !self.store_down && self.cut != Some(i % ZONES)
+    }
+
+    fn linked(&self, i: usize, j: usize) -> bool {
+        let Some(cut) = self.cut else { return true };
+        (i % ZONES == cut) == (j % ZONES == cut)
+    }
+
+    /// Whether the source serves that bundle to that VM.
+    fn serves(&self, from: &Source, to: usize, head: BundleHead) -> bool {
+        let Source::Peer(vm) = from else { return head == self.store && self.reaches_store(to) };
         let i = self.index[vm];
+        if !self.linked(i, to) {
+            return false;
+        }
         let holder = self.holders.is_none_or(|every| i.is_multiple_of(every));
         holder && self.nodes[i].alive && self.nodes[i].spread.head() == Some(head)
     }
@@ -355,11 +298,13 @@
                 let answer = self.nodes[to].members.on_heartbeat(&message, now);
                 self.cpu += start.elapsed();
                 self.take_content(to, &message);
-                let event = match check {
-                    None => Event::Answer { to: from, message: Box::new(answer.clone()) },
-                    Some(asker) => Event::Checked { to: asker, record: answer.from.clone() },
+                let (back, event) = match check {
+                    None => (from, Event::Answer { to: from, message: Box::new(answer.clone()) }),
+                    Some(asker) => {
+                        (asker, Event::Checked { to: asker, record: answer.from.clone() })
+                    }
                 };
-                self.send(&answer, event);
+                self.send(to, back, &answer, event);
             }
             Event::Answer { to, message } => {
                 if !self.nodes[to].alive {
@@ -379,7 +324,7 @@
                 let boxed = Box::new(heartbeat.clone());
                 let event =
                     Event::Heartbeat { from: to, to: target, message: boxed, check: Some(from) };
-                self.send(&heartbeat, event);
+                self.send(to, target, &heartbeat, event);
             }
             Event::Checked { to, record } => {
                 let answer = CheckAnswer { record: Some(record) };
@@ -390,7 +335,7 @@
                 self.drive(to);
             }
             Event::Manifest { to, from, head } => {
-                let served = self.serves(&from, head) && !self.rng.random_bool(LOSS);
+                let served = self.serves(&from, to, head) && !self.rng.random_bool(LOSS);
                 let fetched = if served { Fetched::Good(manifest(head)) } else { Fetched::Missing };
                 self.nodes[to].spread.on_manifest(head, &from, fetched, now, &mut self.rng);
                 self.drive(to);
@@ -404,7 +349,7 @@
         }
     }
 
-    fn run_until(&mut self, end: u64) {
+    pub(crate) fn run_until(&mut self, end: u64) {
         while let Some(Reverse((at, serial))) = self.queue.peek().copied() {
             if end < at {
                 break;
@@ -418,7 +363,7 @@
     }
 
     /// Runs on until `done` holds for every live node; the time that it took.
-    fn time_until(&mut self, end: u64, done: impl Fn(&Node) -> bool) -> Option<u64> {
+    pub(crate) fn time_until(&mut self, end: u64, done: impl Fn(&Node) -> bool) -> Option<u64> {
         let start = self.now;
         while self.now < end {
             if self.nodes.iter().all(|node| !node.alive || done(node)) {
@@ -429,7 +374,22 @@
         None
     }
 
-    fn counted(&self) -> (u64, u64) {
+    /// Restarts all VMs of one data centre with nothing, while the store is down.
+    pub(crate) fn restart_zone(&mut self) {
+        self.store_down = true;
+        let now = Time(self.now);
+        let records: Vec<PeerRecord> = self.nodes[0].members.records().cloned().collect();
+        for i in (2..self.nodes.len()).step_by(ZONES) {
+            let mut me = record(i);
+            me.incarnation = me.incarnation.plus(Incarnation(self.now));
+            let node = &mut self.nodes[i];
+            node.members = Members::new(MemberSettings::default(), me, now);
+            node.members.on_records(&records, now);
+            node.spread = Spread::new(SpreadSettings::default(), now, &mut self.rng);
+        }
+    }
+
+    pub(crate) fn counted(&self) -> (u64, u64) {
         let (mut suspected, mut buried) = (0, 0);
         for node in &self.nodes {
             suspected += node.members.counts().suspected;
@@ -438,107 +398,3 @@
         (suspected, buried)
     }
 }
-
-fn measure(count: usize, holders: Option<usize>) -> Figures {
-    let mut fleet = Fleet::new(count, holders);
-    let mut figures = Figures { nodes: count, ..Figures::default() };
-    fleet.run_until(STEADY.0);
-    let before = (fleet.messages, fleet.bytes, fleet.cpu, fleet.codec, fleet.counted());
-    fleet.run_until(STEADY.1);
-    let node_seconds = count as f64 * (STEADY.1 - STEADY.0) as f64 / 1000.0;
-    let messages = (fleet.messages - before.0) as f64;
-    let bytes = (fleet.bytes - before.1) as f64;
-    // Each message is sent by one node and received by another.
-    figures.messages_per_node_s = 2.0 * messages / node_seconds;
-    figures.payload_bytes_per_node_s = 2.0 * bytes / node_seconds;
-    figures.mean_message_bytes = bytes / messages;
-    figures.cpu_us_per_node_s = (fleet.cpu - before.2).as_secs_f64() * 1e6 / node_seconds;
-    figures.codec_us_per_node_s = (fleet.codec - before.3).as_secs_f64() * 1e6 / node_seconds;
-    let counted = fleet.counted();
-    figures.suspected_in_steady = counted.0 - before.4.0;
-    figures.buried_in_steady = counted.1 - before.4.1;
-    figures.table_bytes = count * (size_of::<PeerRecord>() + 2 * size_of::<VmId>() + 96);
-
-    fleet.run_until(KILL);
-    let victim = record(1).vm;
-    fleet.nodes[1].alive = false;
-    let state = |node: &Node| node.members.record(&victim).map_or(MemberState::Dead, |it| it.state);
-    while fleet.now < ROLL && figures.first_suspect_ms.is_none() {
-        fleet.run_until(fleet.now + 50);
-        let seen = |node: &Node| node.alive && MemberState::Suspect <= state(node);
-        if fleet.nodes.iter().any(seen) {
-            figures.first_suspect_ms = Some(fleet.now - KILL);
-        }
-    }
-    let since = fleet.now - KILL;
-    figures.all_suspect_ms =
-        fleet.time_until(ROLL, |node| MemberState::Suspect <= state(node)).map(|it| it + since);
-    let since = fleet.now - KILL;
-    figures.all_dead_ms =
-        fleet.time_until(ROLL, |node| state(node) == MemberState::Dead).map(|it| it + since);
-
-    fleet.run_until(ROLL);
-    fleet.store = head(2);
-    figures.bundle_all_ms = fleet.time_until(EVIDENCE, |node| node.spread.head() == Some(head(2)));
-    let mut times = Vec::new();
-    for node in &fleet.nodes {
-        times.extend(node.applied.filter(|at| ROLL <= *at));
-    }
-    times.sort_unstable();
-    figures.bundle_median_ms = times.get(times.len() / 2).map(|at| at - ROLL);
-
-    fleet.run_until(EVIDENCE);
-    if let Some(drain) = &mut fleet.nodes[0].drain {
-        drain.on_own(true, Time(EVIDENCE), Time(EVIDENCE));
-    }
-    fleet.announce_evidence(0);
-    figures.evidence_all_ms =
-        fleet.time_until(END, |node| node.drain.as_ref().is_none_or(Drain::leaving));
-    figures
-}
-
-/// Intercept and slope of the least-squares line.
-fn fit(points: &[(f64, f64)]) -> (f64, f64) {
-    let n = points.len() as f64;
-    let (mut x, mut y, mut xx, mut xy) = (0.0, 0.0, 0.0, 0.0);
-    for point in points {
-        x += point.0;
-        y += point.1;
-        xx += point.0 * point.0;
-        xy += point.0 * point.1;
-    }
-    let slope = (n * xy - x * y) / (n * xx - x * x);
-    ((y - slope * x) / n, slope)
-}
-
-fn number(args: &[String], name: &str) -> Option<usize> {
-    let place = args.iter().position(|arg| arg == name)?;
-    args.get(place + 1)?.parse().ok()
-}
-
-fn main() {
-    let args: Vec<String> = std::env::args().collect();
-    let json = args.iter().any(|arg| arg == "--json");
-    let holders = number(&args, "--holders");
-    let sizes = number(&args, "--nodes").map_or(SIZES.to_vec(), |count| vec![count]);
-    let (mut bytes, mut cpu) = (Vec::new(), Vec::new());
-    for count in sizes.iter().copied() {
-        let figures = measure(count, holders);
-        bytes.push((count as f64, figures.payload_bytes_per_node_s));
-        cpu.push((count as f64, figures.cpu_us_per_node_s + figures.codec_us_per_node_s));
-        if json {
-            println!("{}", serde_json::to_string(&figures).unwrap());
-        } else {
-            println!("{figures:#?}");
-        }
-    }
-    if sizes.len() < 2 {
-        return;
-    }
-    let (bytes, cpu) = (fit(&bytes), fit(&cpu));
-    let line = serde_json::json!({
-        "fit_bytes_per_node_s": { "intercept": bytes.0, "slope_per_node": bytes.1 },
-        "fit_cpu_us_per_node_s": { "intercept": cpu.0, "slope_per_node": cpu.1 },
-    });
-    println!("{line}");
-}
--- /dev/null
+++ b/crates/th-steer/examples/member_measure/main.rs
@@ -0,0 +1,187 @@
+//! Runs membership and the spread of bundles in virtual time at four sizes of fleet and prints
+//! bytes, times and processor time per node. Real messages are encoded to count their bytes.
+//!
+//! `cargo run --release -p th-steer --example member_measure -- [--json] [--nodes N]
+//! [--holders N] [--cut]`: one size only; only each Nth VM serves bundles to others; a data centre
+//! is cut off for 30 s instead, while a bundle is rolled
+
+mod fleet;
+mod sample;
+
+use serde::Serialize;
+use th_protocol::{MemberState, PeerRecord, Time, VmId};
+use th_steer::backend::Drain;
+
+use fleet::{Fleet, Node};
+use sample::{head, record};
+
+const SIZES: [usize; 4] = [50, 200, 800, 2_500];
+/// Steady state is measured between these times.
+const STEADY: (u64, u64) = (5_000, 20_000);
+const KILL: u64 = 20_000;
+const ROLL: u64 = 45_000;
+const EVIDENCE: u64 = 54_000;
+const RESTART: u64 = 58_000;
+const END: u64 = 68_000;
+
+#[derive(Debug, Default, Serialize)]
+struct Figures {
+    nodes: usize,
+    messages_per_node_s: f64,
+    payload_bytes_per_node_s: f64,
+    mean_message_bytes: f64,
+    suspected_in_steady: u64,
+    buried_in_steady: u64,
+    first_suspect_ms: Option<u64>,
+    all_suspect_ms: Option<u64>,
+    all_dead_ms: Option<u64>,
+    bundle_median_ms: Option<u64>,
+    bundle_all_ms: Option<u64>,
+    evidence_all_ms: Option<u64>,
+    start_ready_ms: Option<u64>,
+    restart_ready_ms: Option<u64>,
+    cpu_us_per_node_s: f64,
+    codec_us_per_node_s: f64,
+    table_bytes: usize,
+}
+
+fn measure(count: usize, holders: Option<usize>) -> Figures {
+    let mut fleet = Fleet::new(count, holders);
+    let mut figures = Figures { nodes: count, ..Figures::default() };
+    figures.start_ready_ms = fleet.time_until(STEADY.0, |node| node.spread.ready().is_ok());
+    fleet.run_until(STEADY.0);
+    let before = (fleet.messages, fleet.bytes, fleet.cpu, fleet.codec, fleet.counted());
+    fleet.run_until(STEADY.1);
+    let node_seconds = count as f64 * (STEADY.1 - STEADY.0) as f64 / 1000.0;
+    let messages = (fleet.messages - before.0) as f64;
+    let bytes = (fleet.bytes - before.1) as f64;
+    // Each message is sent by one node and received by another.
+    figures.messages_per_node_s = 2.0 * messages / node_seconds;
+    figures.payload_bytes_per_node_s = 2.0 * bytes / node_seconds;
+    figures.mean_message_bytes = bytes / messages;
+    figures.cpu_us_per_node_s = (fleet.cpu - before.2).as_secs_f64() * 1e6 / node_seconds;
+    figures.codec_us_per_node_s = (fleet.codec - before.3).as_secs_f64() * 1e6 / node_seconds;
+    let counted = fleet.counted();
+    figures.suspected_in_steady = counted.0 - before.4.0;
+    figures.buried_in_steady = counted.1 - before.4.1;
+    figures.table_bytes = count * (size_of::<PeerRecord>() + 2 * size_of::<VmId>() + 96);
+
+    fleet.run_until(KILL);
+    let victim = record(1).vm;
+    fleet.nodes[1].alive = false;
+    let state = |node: &Node| node.members.record(&victim).map_or(MemberState::Dead, |it| it.state);
+    while fleet.now < ROLL && figures.first_suspect_ms.is_none() {
+        fleet.run_until(fleet.now + 50);
+        let seen = |node: &Node| node.alive && MemberState::Suspect <= state(node);
+        if fleet.nodes.iter().any(seen) {
+            figures.first_suspect_ms = Some(fleet.now - KILL);
+        }
+    }
+    let since = fleet.now - KILL;
+    figures.all_suspect_ms =
+        fleet.time_until(ROLL, |node| MemberState::Suspect <= state(node)).map(|it| it + since);
+    let since = fleet.now - KILL;
+    figures.all_dead_ms =
+        fleet.time_until(ROLL, |node| state(node) == MemberState::Dead).map(|it| it + since);
+
+    fleet.run_until(ROLL);
+    fleet.store = head(2);
+    figures.bundle_all_ms = fleet.time_until(EVIDENCE, |node| node.spread.head() == Some(head(2)));
+    let mut times = Vec::new();
+    for node in &fleet.nodes {
+        times.extend(node.applied.filter(|at| ROLL <= *at));
+    }
+    times.sort_unstable();
+    figures.bundle_median_ms = times.get(times.len() / 2).map(|at| at - ROLL);
+
+    fleet.run_until(EVIDENCE);
+    if let Some(drain) = &mut fleet.nodes[0].drain {
+        drain.on_own(true, Time(EVIDENCE), Time(EVIDENCE));
+    }
+    fleet.announce_evidence(0);
+    figures.evidence_all_ms =
+        fleet.time_until(RESTART, |node| node.drain.as_ref().is_none_or(Drain::leaving));
+
+    fleet.run_until(RESTART);
+    fleet.restart_zone();
+    figures.restart_ready_ms = fleet.time_until(END, |node| node.spread.ready().is_ok());
+    figures
+}
+
+#[derive(Debug, Serialize)]
+struct Healing {
+    nodes: usize,
+    bundle_all_ms: Option<u64>,
+    members_all_ms: Option<u64>,
+    payload_bytes_per_node_s: f64,
+}
+
+/// Cuts a data centre off for 30 s while a bundle is rolled, then heals the cut.
+fn heal(count: usize) -> Healing {
+    let mut fleet = Fleet::new(count, None);
+    fleet.run_until(5_000);
+    fleet.cut = Some(2);
+    fleet.run_until(10_000);
+    fleet.store = head(2);
+    fleet.run_until(35_000);
+    fleet.cut = None;
+    let before = fleet.bytes;
+    let bundle_all_ms = fleet.time_until(65_000, |node| node.spread.head() == Some(head(2)));
+    let live = |node: &Node| node.members.records().all(|it| it.state == MemberState::Live);
+    let members_all_ms = fleet.time_until(335_000, live).map(|_| fleet.now - 35_000);
+    let node_seconds = count as f64 * (fleet.now - 35_000) as f64 / 1000.0;
+    let payload_bytes_per_node_s = 2.0 * (fleet.bytes - before) as f64 / node_seconds;
+    Healing { nodes: count, bundle_all_ms, members_all_ms, payload_bytes_per_node_s }
+}
+
+/// Intercept and slope of the least-squares line.
+fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let (mut x, mut y, mut xx, mut xy) = (0.0, 0.0, 0.0, 0.0);
+    for point in points {
+        x += point.0;
+        y += point.1;
+        xx += point.0 * point.0;
+        xy += point.0 * point.1;
+    }
+    let slope = (n * xy - x * y) / (n * xx - x * x);
+    ((y - slope * x) / n, slope)
+}
+
+fn number(args: &[String], name: &str) -> Option<usize> {
+    let place = args.iter().position(|arg| arg == name)?;
+    args.get(place + 1)?.parse().ok()
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let json = args.iter().any(|arg| arg == "--json");
+    let holders = number(&args, "--holders");
+    let sizes = number(&args, "--nodes").map_or(SIZES.to_vec(), |count| vec![count]);
+    if args.iter().any(|arg| arg == "--cut") {
+        for count in sizes {
+            println!("{}", serde_json::to_string(&heal(count)).unwrap());
+        }
+        return;
+    }
+    let (mut bytes, mut cpu) = (Vec::new(), Vec::new());
+    for count in sizes.iter().copied() {
+        let figures = measure(count, holders);
+        bytes.push((count as f64, figures.payload_bytes_per_node_s));
+        cpu.push((count as f64, figures.cpu_us_per_node_s + figures.codec_us_per_node_s));
+        if json {
+            println!("{}", serde_json::to_string(&figures).unwrap());
+        } else {
+            println!("{figures:#?}");
+        }
+    }
+    if sizes.len() < 2 {
+        return;
+    }
+    let (bytes, cpu) = (fit(&bytes), fit(&cpu));
+    let line = serde_json::json!({
+        "fit_bytes_per_node_s": { "intercept": bytes.0, "slope_per_node": bytes.1 },
+        "fit_cpu_us_per_node_s": { "intercept": cpu.0, "slope_per_node": cpu.1 },
+    });
+    println!("{line}");
+}
--- /dev/null
+++ b/crates/th-steer/examples/member_measure/sample.rs
@@ -0,0 +1,52 @@
+//! Names and contents that the fleet is made of.
+
+use th_protocol::{
+    BundleHead, ContentHash, HeadroomDigest, Incarnation, MemberState, Millis, PeerRecord,
+    Permille, RegionId, Version, ZoneId,
+};
+use th_steer::member::ManifestInfo;
+
+pub(crate) const ZONES: usize = 26;
+/// Parts of each bundle; a roll changes one.
+const PARTS: u8 = 8;
+
+pub(crate) fn hash(version: u64, part: u8) -> ContentHash {
+    let mut bytes = [part; 32];
+    bytes[..8].copy_from_slice(&version.to_be_bytes());
+    ContentHash(bytes)
+}
+
+pub(crate) fn head(version: u64) -> BundleHead {
+    BundleHead { version: Version(version), digest: hash(version, 255) }
+}
+
+pub(crate) fn manifest(head: BundleHead) -> ManifestInfo {
+    let mut parts: Vec<ContentHash> = (1..PARTS).map(|part| hash(0, part)).collect();
+    parts.push(hash(head.version.0, 0));
+    ManifestInfo { head, parts }
+}
+
+pub(crate) fn zone(i: usize) -> ZoneId {
+    format!("zone-{:02}", i % ZONES).parse().unwrap()
+}
+
+pub(crate) fn record(i: usize) -> PeerRecord {
+    PeerRecord {
+        vm: format!("entry-{i:04}").parse().unwrap(),
+        zone: zone(i),
+        address: format!("10.{}.{}.1:7000", i / 250, i % 250).parse().unwrap(),
+        incarnation: Incarnation(1_790_000_000_000 + i as u64),
+        beat: 0,
+        state: MemberState::Live,
+    }
+}
+
+pub(crate) fn headroom(i: usize) -> Vec<HeadroomDigest> {
+    let region: RegionId = format!("region-{:02}", i % 12).parse().unwrap();
+    let mut digests = Vec::new();
+    for k in 0..2 {
+        let (free, age) = (Permille(100), Millis(900));
+        digests.push(HeadroomDigest { region: region.clone(), zone: zone(i + k), free, age });
+    }
+    digests
+}
