--- a/crates/th-protocol/examples/bundle_measure.rs
+++ b/crates/th-protocol/examples/bundle_measure/sizes.rs
@@ -1,6 +1,4 @@
-//! Measures the bytes of a manifest and of single changes at four sizes of a bundle.
-//!
-//! `cargo run --release -p th-protocol --example bundle_measure -- [--json]`
+//! Bytes and times of a bundle and of changes of it.
 
 use std::{collections::BTreeMap, net::Ipv4Addr, time::Instant};
 
@@ -16,30 +14,29 @@
 const BLOCKS: u32 = 130_000;
 const CLASSES: u32 = 2_000;
 const BACKENDS: u32 = 12;
-const CHANGES_PER_DAY: f64 = 3_900.0;
-const DAY_SECONDS: f64 = 86_400.0;
-const BUDGET_BYTES: f64 = 5_000.0;
-const EIGHTHS: [u32; 4] = [1, 2, 4, 8];
+pub(crate) const CHANGES_PER_DAY: f64 = 3_900.0;
+pub(crate) const DAY_SECONDS: f64 = 86_400.0;
 
+/// Figures of one bundle and of changes of it.
 #[derive(Debug, serde::Serialize)]
-struct Row {
-    sites: u32,
-    blocks: u32,
-    parts: usize,
-    whole_bytes: usize,
-    head_bytes: usize,
-    largest_part_bytes: usize,
-    service_bytes: usize,
-    block_bytes: usize,
-    class_bytes: usize,
-    topology_bytes: usize,
-    mean_bytes_per_second: f64,
-    worst_bytes_per_second: f64,
-    split_ms: f64,
-    assemble_ms: f64,
-    update_ms: f64,
-    check_bundle_ms: f64,
-    check_rules_ms: f64,
+pub(crate) struct Row {
+    pub(crate) sites: u32,
+    pub(crate) blocks: u32,
+    pub(crate) parts: usize,
+    pub(crate) whole_bytes: usize,
+    pub(crate) head_bytes: usize,
+    pub(crate) largest_part_bytes: usize,
+    pub(crate) service_bytes: usize,
+    pub(crate) block_bytes: usize,
+    pub(crate) class_bytes: usize,
+    pub(crate) topology_bytes: usize,
+    pub(crate) mean_bytes_per_second: f64,
+    pub(crate) worst_bytes_per_second: f64,
+    pub(crate) split_ms: f64,
+    pub(crate) assemble_ms: f64,
+    pub(crate) update_ms: f64,
+    pub(crate) check_bundle_ms: f64,
+    pub(crate) check_rules_ms: f64,
 }
 
 fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(kind: &str, n: u32) -> T {
@@ -68,7 +65,8 @@
     it
 }
 
-fn bundle(eighths: u32) -> Bundle {
+/// A bundle of a share of the full size, in eighths.
+pub(crate) fn bundle(eighths: u32) -> Bundle {
     let mut it = Bundle { version: Version(1), ..Bundle::default() };
     for n in 0..REGIONS {
         let region = Region { cap: Slots(4_000), floors: BTreeMap::new() };
@@ -139,19 +137,19 @@
     start.elapsed().as_secs_f64() * 1e3
 }
 
-fn measure(eighths: u32) -> Row {
-    let bundle = bundle(eighths);
+/// Measures a bundle and a change of each kind of part.
+pub(crate) fn measure(bundle: &Bundle) -> Row {
     let start = Instant::now();
-    let it = split(&bundle, None);
+    let it = split(bundle, None);
     let split_ms = start.elapsed().as_secs_f64() * 1e3;
     let start = Instant::now();
     let whole = assemble(&it.manifest, &it.parts).expect("the parts were just made");
     let assemble_ms = start.elapsed().as_secs_f64() * 1e3;
-    assert_eq!(whole, bundle, "the parts make up the bundle");
+    assert_eq!(whole, *bundle, "the parts make up the bundle");
 
     let signer = Signer::new(id("operator", 0), [7; 32]);
     let base = Some(Digest::of(b""));
-    let SignedBundle { mut head, .. } = signer.sign_bundle(&bundle, base);
+    let SignedBundle { mut head, .. } = signer.sign_bundle(bundle, base);
     head.earlier = vec![Digest::of(b""); th_protocol::layout::EARLIER_HEADS];
     let head_bytes = head.write().len();
 
@@ -176,29 +174,8 @@
         worst_bytes_per_second: rate(sizes.into_iter().max().unwrap_or(0) as f64),
         split_ms,
         assemble_ms,
-        update_ms: time_update(&bundle, &it),
-        check_bundle_ms: time(|| check_bundle(&bundle)),
-        check_rules_ms: time(|| check_rules(&bundle)),
-    }
-}
-
-fn main() {
-    let json = std::env::args().any(|it| it == "--json");
-    let mut rows = Vec::new();
-    for eighths in EIGHTHS {
-        eprintln!("measuring {eighths}/8 of the full size");
-        rows.push(measure(eighths));
-    }
-    if json {
-        println!("{}", serde_json::to_string(&rows).expect("rows are plain data"));
-        return;
-    }
-    for row in &rows {
-        println!("{row:#?}");
-        let whole = (row.whole_bytes + row.head_bytes) as f64 * CHANGES_PER_DAY / DAY_SECONDS;
-        let share = row.worst_bytes_per_second / BUDGET_BYTES * 100.0;
-        println!(
-            "whole bundle per change: {whole:.0} B/s; worst change: {share:.0}% of the budget"
-        );
+        update_ms: time_update(bundle, &it),
+        check_bundle_ms: time(|| check_bundle(bundle)),
+        check_rules_ms: time(|| check_rules(bundle)),
     }
 }
--- a/crates/th-steer/examples/member_measure/fleet.rs
+++ b/crates/th-steer/examples/member_measure/fleet.rs
@@ -10,18 +10,18 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use th_protocol::{
-    BundleHead, CheckAnswer, ContentHash, Heartbeat, Incarnation, IndirectCheck, LeavingNotice,
-    PeerRecord, Time, VmId,
+    BundleHead, Bytes, CheckAnswer, ContentHash, Heartbeat, Incarnation, IndirectCheck,
+    LeavingNotice, PeerRecord, Time, VmId,
 };
 use th_steer::{
     backend::Drain,
     member::{
-        Content, Fetched, MemberAction, MemberSettings, Members, Seed, Source, Spread,
+        Budget, Content, Fetched, MemberAction, MemberSettings, Members, Seed, Source, Spread,
         SpreadAction, SpreadSettings, watchers,
     },
 };
 
-use crate::sample::{ZONES, head, headroom, manifest, record, zone};
+use crate::sample::{REGIONS, ZONES, head, headroom, manifest, record, zone};
 
 const SEED: u64 = 7;
 const LOSS: f64 = 0.01;
@@ -29,6 +29,38 @@
 /// Heartbeats that go out at once on news.
 const ANNOUNCE: usize = 3;
 
+/// What a VM may serve of bundles in a second, and save up.
+const SERVE_RATE: Bytes = Bytes(256 << 10);
+const SERVE_BURST: Bytes = Bytes(4 << 20);
+
+/// What is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Cut {
+    /// A data centre from all others and from the store.
+    Zone(usize),
+    /// Two regions from each other.
+    Regions(usize, usize),
+}
+
+/// Size and make-up of a fleet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FleetSettings {
+    /// Entry VMs.
+    pub(crate) count: usize,
+    /// Only each VM of this number serves bundles to others.
+    pub(crate) holders: Option<usize>,
+    /// Parts of each bundle; a roll changes one.
+    pub(crate) parts: u8,
+    /// Size of each part.
+    pub(crate) bytes: Bytes,
+}
+
+impl Default for FleetSettings {
+    fn default() -> FleetSettings {
+        FleetSettings { count: 50, holders: None, parts: 8, bytes: Bytes::ZERO }
+    }
+}
+
 enum Event {
     Tick(usize),
     Heartbeat { from: usize, to: usize, message: Box<Heartbeat>, check: Option<usize> },
@@ -48,6 +80,9 @@
     watcher: bool,
     pub(crate) applied: Option<u64>,
     pub(crate) alive: bool,
+    budget: Budget,
+    /// Parts that it gave to others.
+    pub(crate) served: u64,
 }
 
 pub(crate) struct Fleet {
@@ -60,9 +95,10 @@
     rng: ChaCha8Rng,
     pub(crate) store: BundleHead,
     store_down: bool,
-    /// The data centre that is cut off from the others and from the store.
-    pub(crate) cut: Option<usize>,
-    holders: Option<usize>,
+    pub(crate) cut: Option<Cut>,
+    pub(crate) settings: FleetSettings,
+    /// Reads of heads, manifests and parts from the store.
+    pub(crate) reads: u64,
     pub(crate) messages: u64,
     pub(crate) bytes: u64,
     pub(crate) cpu: Duration,
@@ -70,7 +106,8 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(count: usize, holders: Option<usize>) -> Fleet {
+    pub(crate) fn new(settings: FleetSettings) -> Fleet {
+        let count = settings.count;
         let mut rng = ChaCha8Rng::seed_from_u64(SEED);
         let mut seeds = Vec::new();
         for i in 0..count {
@@ -96,6 +133,8 @@
                 watcher,
                 applied: None,
                 alive: true,
+                budget: Budget::new(SERVE_RATE, SERVE_BURST, Time(0), &mut rng),
+                served: 0,
             };
             nodes.push(node);
         }
@@ -111,7 +150,8 @@
             store: head(1),
             store_down: false,
             cut: None,
-            holders,
+            settings,
+            reads: 0,
             messages: 0,
             bytes: 0,
             cpu: Duration::ZERO,
@@ -184,6 +224,7 @@
             match action {
                 SpreadAction::ReadHead if !self.reaches_store(i) => {}
                 SpreadAction::ReadHead => {
+                    self.reads += 1;
                     let head = self.store;
                     self.push(20, Event::Head { to: i, head });
                 }
@@ -251,12 +292,18 @@
     }
 
     fn reaches_store(&self, i: usize) -> bool {
-        !self.store_down && self.cut != Some(i % ZONES)
+        !self.store_down && self.cut != Some(Cut::Zone(i % ZONES))
     }
 
     fn linked(&self, i: usize, j: usize) -> bool {
-        let Some(cut) = self.cut else { return true };
-        (i % ZONES == cut) == (j % ZONES == cut)
+        match self.cut {
+            None => true,
+            Some(Cut::Zone(zone)) => (i % ZONES == zone) == (j % ZONES == zone),
+            Some(Cut::Regions(a, b)) => {
+                let ends = (i % ZONES % REGIONS, j % ZONES % REGIONS);
+                ends != (a, b) && ends != (b, a)
+            }
+        }
     }
 
     /// Whether the source serves that bundle to that VM.
@@ -266,7 +313,7 @@
         if !self.linked(i, to) {
             return false;
         }
-        let holder = self.holders.is_none_or(|every| i.is_multiple_of(every));
+        let holder = self.settings.holders.is_none_or(|every| i.is_multiple_of(every));
         holder && self.nodes[i].alive && self.nodes[i].spread.head() == Some(head)
     }
 
@@ -335,20 +382,43 @@
                 self.drive(to);
             }
             Event::Manifest { to, from, head } => {
+                self.reads += u64::from(from == Source::Store);
                 let served = self.serves(&from, to, head) && !self.rng.random_bool(LOSS);
-                let fetched = if served { Fetched::Good(manifest(head)) } else { Fetched::Missing };
+                let parts = self.settings.parts;
+                let fetched =
+                    if served { Fetched::Good(manifest(head, parts)) } else { Fetched::Missing };
                 self.nodes[to].spread.on_manifest(head, &from, fetched, now, &mut self.rng);
                 self.drive(to);
             }
             Event::Part { to, from, hash } => {
-                let served = !self.rng.random_bool(LOSS);
-                let fetched = if served { Fetched::Good(()) } else { Fetched::Missing };
+                let fetched = self.part(&from, to);
                 self.nodes[to].spread.on_part(hash, &from, fetched, now, &mut self.rng);
                 self.drive(to);
             }
         }
     }
 
+    /// How the fetch of a part ends.
+    fn part(&mut self, from: &Source, to: usize) -> Fetched<()> {
+        if self.rng.random_bool(LOSS) {
+            return Fetched::Missing;
+        }
+        let Source::Peer(vm) = from else {
+            self.reads += 1;
+            return if self.reaches_store(to) { Fetched::Good(()) } else { Fetched::Missing };
+        };
+        let i = self.index[vm];
+        if !self.nodes[i].alive || !self.linked(i, to) {
+            return Fetched::Missing;
+        }
+        let node = &mut self.nodes[i];
+        if !node.budget.take(self.settings.bytes, Time(self.now)) {
+            return Fetched::Busy;
+        }
+        node.served += 1;
+        Fetched::Good(())
+    }
+
     pub(crate) fn run_until(&mut self, end: u64) {
         while let Some(Reverse((at, serial))) = self.queue.peek().copied() {
             if end < at {
@@ -377,9 +447,17 @@
     /// Restarts all VMs of one data centre with nothing, while the store is down.
     pub(crate) fn restart_zone(&mut self) {
         self.store_down = true;
+        self.restart(|i| i % ZONES == 2);
+    }
+
+    /// Restarts some VMs with nothing.
+    pub(crate) fn restart(&mut self, chosen: impl Fn(usize) -> bool) {
         let now = Time(self.now);
         let records: Vec<PeerRecord> = self.nodes[0].members.records().cloned().collect();
-        for i in (2..self.nodes.len()).step_by(ZONES) {
+        for i in 0..self.nodes.len() {
+            if !chosen(i) {
+                continue;
+            }
             let mut me = record(i);
             me.incarnation = me.incarnation.plus(Incarnation(self.now));
             let node = &mut self.nodes[i];
--- /dev/null
+++ b/crates/th-steer/examples/member_measure/healing.rs
@@ -0,0 +1,55 @@
+//! What a healed cut costs and how long it takes.
+
+use serde::Serialize;
+use th_protocol::MemberState;
+
+use crate::{
+    fleet::{Cut, Fleet, FleetSettings, Node},
+    sample::head,
+};
+
+const CUT: u64 = 5_000;
+const ROLL: u64 = 10_000;
+const HEAL: u64 = 35_000;
+const END: u64 = 335_000;
+
+/// Figures of one cut and its healing.
+#[derive(Debug, Serialize)]
+pub(crate) struct Healing {
+    pub(crate) nodes: usize,
+    /// VMs that took another for dead, during the cut.
+    pub(crate) buried: u64,
+    /// Whether the bundle that was rolled during the cut came to all before its end.
+    pub(crate) rolled: bool,
+    pub(crate) bundle_all_ms: Option<u64>,
+    pub(crate) members_all_ms: Option<u64>,
+    pub(crate) payload_bytes_per_node_s: f64,
+}
+
+/// Cuts for 30 s while a bundle is rolled, then heals the cut.
+pub(crate) fn heal(count: usize, cut: Cut) -> Healing {
+    let mut fleet = Fleet::new(FleetSettings { count, ..FleetSettings::default() });
+    fleet.run_until(CUT);
+    fleet.cut = Some(cut);
+    fleet.run_until(ROLL);
+    fleet.store = head(2);
+    fleet.run_until(HEAL);
+    let has = |node: &Node| node.spread.head() == Some(head(2));
+    let rolled = fleet.nodes.iter().all(has);
+    let buried = fleet.counted().1;
+    fleet.cut = None;
+    let before = fleet.bytes;
+    let bundle_all_ms = fleet.time_until(END, has);
+    let live = |node: &Node| node.members.records().all(|it| it.state == MemberState::Live);
+    let members_all_ms = fleet.time_until(END, live).map(|_| fleet.now - HEAL);
+    let node_seconds = count as f64 * (fleet.now - HEAL).max(1) as f64 / 1000.0;
+    let payload_bytes_per_node_s = 2.0 * (fleet.bytes - before) as f64 / node_seconds;
+    Healing {
+        nodes: count,
+        buried,
+        rolled,
+        bundle_all_ms,
+        members_all_ms,
+        payload_bytes_per_node_s,
+    }
+}
--- a/crates/th-steer/examples/member_measure/main.rs
+++ b/crates/th-steer/examples/member_measure/main.rs
@@ -2,17 +2,23 @@
 //! bytes, times and processor time per node. Real messages are encoded to count their bytes.
 //!
 //! `cargo run --release -p th-steer --example member_measure -- [--json] [--nodes N]
-//! [--holders N] [--cut]`: one size only; only each Nth VM serves bundles to others; a data centre
-//! is cut off for 30 s instead, while a bundle is rolled
+//! [--holders N] [--cut | --cut-regions]`: one size only; only each Nth VM serves bundles to others;
+//! a data centre, or two regions from each other, are cut off for 30 s instead, while a bundle is
+//! rolled
 
+#[path = "../shared/fit.rs"]
+mod fit;
 mod fleet;
+mod healing;
 mod sample;
 
 use serde::Serialize;
 use th_protocol::{MemberState, PeerRecord, Time, VmId};
 use th_steer::backend::Drain;
 
-use fleet::{Fleet, Node};
+use fit::Fit;
+use fleet::{Cut, Fleet, FleetSettings, Node};
+use healing::heal;
 use sample::{head, record};
 
 const SIZES: [usize; 4] = [50, 200, 800, 2_500];
@@ -46,7 +52,7 @@
 }
 
 fn measure(count: usize, holders: Option<usize>) -> Figures {
-    let mut fleet = Fleet::new(count, holders);
+    let mut fleet = Fleet::new(FleetSettings { count, holders, ..FleetSettings::default() });
     let mut figures = Figures { nodes: count, ..Figures::default() };
     figures.start_ready_ms = fleet.time_until(STEADY.0, |node| node.spread.ready().is_ok());
     fleet.run_until(STEADY.0);
@@ -108,46 +114,6 @@
     figures
 }
 
-#[derive(Debug, Serialize)]
-struct Healing {
-    nodes: usize,
-    bundle_all_ms: Option<u64>,
-    members_all_ms: Option<u64>,
-    payload_bytes_per_node_s: f64,
-}
-
-/// Cuts a data centre off for 30 s while a bundle is rolled, then heals the cut.
-fn heal(count: usize) -> Healing {
-    let mut fleet = Fleet::new(count, None);
-    fleet.run_until(5_000);
-    fleet.cut = Some(2);
-    fleet.run_until(10_000);
-    fleet.store = head(2);
-    fleet.run_until(35_000);
-    fleet.cut = None;
-    let before = fleet.bytes;
-    let bundle_all_ms = fleet.time_until(65_000, |node| node.spread.head() == Some(head(2)));
-    let live = |node: &Node| node.members.records().all(|it| it.state == MemberState::Live);
-    let members_all_ms = fleet.time_until(335_000, live).map(|_| fleet.now - 35_000);
-    let node_seconds = count as f64 * (fleet.now - 35_000) as f64 / 1000.0;
-    let payload_bytes_per_node_s = 2.0 * (fleet.bytes - before) as f64 / node_seconds;
-    Healing { nodes: count, bundle_all_ms, members_all_ms, payload_bytes_per_node_s }
-}
-
-/// Intercept and slope of the least-squares line.
-fn fit(points: &[(f64, f64)]) -> (f64, f64) {
-    let n = points.len() as f64;
-    let (mut x, mut y, mut xx, mut xy) = (0.0, 0.0, 0.0, 0.0);
-    for point in points {
-        x += point.0;
-        y += point.1;
-        xx += point.0 * point.0;
-        xy += point.0 * point.1;
-    }
-    let slope = (n * xy - x * y) / (n * xx - x * x);
-    ((y - slope * x) / n, slope)
-}
-
 fn number(args: &[String], name: &str) -> Option<usize> {
     let place = args.iter().position(|arg| arg == name)?;
     args.get(place + 1)?.parse().ok()
@@ -158,9 +124,10 @@
     let json = args.iter().any(|arg| arg == "--json");
     let holders = number(&args, "--holders");
     let sizes = number(&args, "--nodes").map_or(SIZES.to_vec(), |count| vec![count]);
-    if args.iter().any(|arg| arg == "--cut") {
+    let cuts = [("--cut", Cut::Zone(2)), ("--cut-regions", Cut::Regions(0, 1))];
+    if let Some((_, cut)) = cuts.iter().find(|(name, _)| args.iter().any(|arg| arg == name)) {
         for count in sizes {
-            println!("{}", serde_json::to_string(&heal(count)).unwrap());
+            println!("{}", serde_json::to_string(&heal(count, *cut)).unwrap());
         }
         return;
     }
@@ -178,10 +145,10 @@
     if sizes.len() < 2 {
         return;
     }
-    let (bytes, cpu) = (fit(&bytes), fit(&cpu));
+    let (bytes, cpu) = (Fit::new(&bytes), Fit::new(&cpu));
     let line = serde_json::json!({
-        "fit_bytes_per_node_s": { "intercept": bytes.0, "slope_per_node": bytes.1 },
-        "fit_cpu_us_per_node_s": { "intercept": cpu.0, "slope_per_node": cpu.1 },
+        "fit_bytes_per_node_s": bytes,
+        "fit_cpu_us_per_node_s": cpu,
     });
     println!("{line}");
 }
--- a/crates/th-steer/examples/member_measure/sample.rs
+++ b/crates/th-steer/examples/member_measure/sample.rs
@@ -2,13 +2,12 @@
 
 use th_protocol::{
     BundleHead, ContentHash, HeadroomDigest, Incarnation, MemberState, Millis, PeerRecord,
-    Permille, RegionId, Version, ZoneId,
+    Permille, RegionId, Time, Version, ZoneId,
 };
 use th_steer::member::ManifestInfo;
 
 pub(crate) const ZONES: usize = 26;
-/// Parts of each bundle; a roll changes one.
-const PARTS: u8 = 8;
+pub(crate) const REGIONS: usize = 12;
 
 pub(crate) fn hash(version: u64, part: u8) -> ContentHash {
     let mut bytes = [part; 32];
@@ -20,8 +19,8 @@
     BundleHead { version: Version(version), digest: hash(version, 255) }
 }
 
-pub(crate) fn manifest(head: BundleHead) -> ManifestInfo {
-    let mut parts: Vec<ContentHash> = (1..PARTS).map(|part| hash(0, part)).collect();
+pub(crate) fn manifest(head: BundleHead, parts: u8) -> ManifestInfo {
+    let mut parts: Vec<ContentHash> = (1..parts).map(|part| hash(0, part)).collect();
     parts.push(hash(head.version.0, 0));
     ManifestInfo { head, parts }
 }
@@ -35,6 +34,8 @@
         vm: format!("entry-{i:04}").parse().unwrap(),
         zone: zone(i),
         address: format!("10.{}.{}.1:7000", i / 250, i % 250).parse().unwrap(),
+        callers: format!("10.{}.{}.1:8000", i / 250, i % 250).parse().unwrap(),
+        origin: Time(1_790_000_000_000 + i as u64),
         incarnation: Incarnation(1_790_000_000_000 + i as u64),
         beat: 0,
         state: MemberState::Live,
--- a/crates/th-steer/examples/route_measure.rs
+++ b/crates/th-steer/examples/route_measure/figures.rs
@@ -1,9 +1,4 @@
-//! Measures the route tables at four sizes and fits a line through each figure.
-//!
-//! `cargo run --release -p th-steer --example route_measure -- [--json]`
-
-#[path = "../tests/world/mod.rs"]
-mod world;
+//! Times and bytes of the route tables at one size.
 
 use std::{hint::black_box, time::Instant};
 
@@ -13,10 +8,9 @@
     explain,
     route::{ClassIx, Effects, Inputs, Map, RegionIx, ServiceIx, Settings, Tables, lookup},
 };
-use world::Size;
 
-/// Shares of the full size, in eighths.
-const EIGHTHS: [usize; 4] = [1, 2, 4, 8];
+use crate::world::{self, Size};
+
 const LOOKUPS: usize = 400_000;
 const ROUNDS: usize = 15;
 /// Step from block to block, so that neighbours in time are not neighbours in memory.
@@ -24,46 +18,37 @@
 
 /// Figures at one size.
 #[derive(Debug, Clone, Default, Serialize)]
-struct Figures {
-    blocks: usize,
-    classes: usize,
-    sites: usize,
-    vms: usize,
+pub(crate) struct Figures {
+    pub(crate) blocks: usize,
+    pub(crate) classes: usize,
+    pub(crate) sites: usize,
+    pub(crate) vms: usize,
     /// Milliseconds to build the map and the fleet from a bundle.
-    build_ms: f64,
+    pub(crate) build_ms: f64,
     /// Bytes that all route tables hold, as the allocator counts them.
-    table_bytes: f64,
+    pub(crate) table_bytes: f64,
     /// Bytes that the map, the fleet, the weights and so on say they hold.
-    said_bytes: f64,
+    pub(crate) said_bytes: f64,
     /// Bytes that the parsed bundle holds, which is not part of the tables.
-    bundle_bytes: f64,
+    pub(crate) bundle_bytes: f64,
     /// Bytes that the journal of reasons holds.
-    journal_bytes: f64,
+    pub(crate) journal_bytes: f64,
     /// Nanoseconds for one look-up; the fastest and the middle of the rounds.
-    lookup_least_ns: f64,
-    lookup_ns: f64,
+    pub(crate) lookup_least_ns: f64,
+    pub(crate) lookup_ns: f64,
     /// Allocations over all look-ups.
-    lookup_allocations: f64,
+    pub(crate) lookup_allocations: f64,
     /// Milliseconds for one tick over all classes and services.
-    tick_least_ms: f64,
-    tick_ms: f64,
+    pub(crate) tick_least_ms: f64,
+    pub(crate) tick_ms: f64,
     /// Share of a core that ticks take at their period, in percent.
-    tick_percent: f64,
+    pub(crate) tick_percent: f64,
     /// Milliseconds to refresh the fleet after one entry VM changed.
-    refresh_ms: f64,
-}
-
-/// A line through the four sizes.
-#[derive(Debug, Serialize)]
-struct Fit {
-    figure: &'static str,
-    per: &'static str,
-    slope: f64,
-    offset: f64,
-    r_squared: f64,
+    pub(crate) refresh_ms: f64,
 }
 
-fn size(eighths: usize) -> Size {
+/// A share of the full size, in eighths.
+pub(crate) fn size(eighths: usize) -> Size {
     let full = Size::default();
     Size {
         sites: full.sites * eighths / 8,
@@ -85,7 +70,8 @@
     start.elapsed().as_secs_f64()
 }
 
-fn measure(size: &Size) -> Figures {
+/// Measures the tables of that size.
+pub(crate) fn measure(size: &Size) -> Figures {
     let mut bundle = Bundle::default();
     let parsed = allocation_counter::measure(|| bundle = world::bundle(size));
     let settings = Settings::default();
@@ -199,58 +185,3 @@
     });
     (sorted(times), seen.count_total as f64)
 }
-
-fn fit(figure: &'static str, per: &'static str, points: &[(f64, f64)]) -> Fit {
-    let n = points.len() as f64;
-    let mean_x = points.iter().map(|it| it.0).sum::<f64>() / n;
-    let mean_y = points.iter().map(|it| it.1).sum::<f64>() / n;
-    let (mut xx, mut xy, mut yy) = (0.0, 0.0, 0.0);
-    for (x, y) in points {
-        xx += (x - mean_x).powi(2);
-        xy += (x - mean_x) * (y - mean_y);
-        yy += (y - mean_y).powi(2);
-    }
-    let slope = xy / xx;
-    let r_squared = if yy == 0.0 { 1.0 } else { xy * xy / (xx * yy) };
-    Fit { figure, per, slope, offset: mean_y - slope * mean_x, r_squared }
-}
-
-fn fits(all: &[Figures]) -> Vec<Fit> {
-    type Pick = fn(&Figures) -> f64;
-    let blocks: Pick = |it| it.blocks as f64;
-    let cells: Pick = |it| it.classes as f64 * it.sites as f64;
-    let of = |figure, per, x: Pick, y: Pick| {
-        let points: Vec<(f64, f64)> = all.iter().map(|it| (x(it), y(it))).collect();
-        fit(figure, per, &points)
-    };
-    vec![
-        of("build_ms", "block", blocks, |it| it.build_ms),
-        of("table_bytes", "class x site", cells, |it| it.table_bytes),
-        of("bundle_bytes", "block", blocks, |it| it.bundle_bytes),
-        of("lookup_ns", "block", blocks, |it| it.lookup_ns),
-        of("tick_ms", "class x site", cells, |it| it.tick_ms),
-    ]
-}
-
-fn main() {
-    let json = std::env::args().any(|it| it == "--json");
-    let mut all = Vec::new();
-    for eighths in EIGHTHS {
-        eprintln!("measuring {eighths}/8 of the full size");
-        all.push(measure(&size(eighths)));
-    }
-    let fits = fits(&all);
-    if json {
-        println!("{}", serde_json::json!({ "sizes": all, "fits": fits }));
-        return;
-    }
-    for it in &all {
-        println!("{it:#?}");
-    }
-    for it in &fits {
-        println!(
-            "{} = {:.4} + {:.3e} per {}, r2 {:.4}",
-            it.figure, it.offset, it.slope, it.per, it.r_squared
-        );
-    }
-}
--- /dev/null
+++ b/examples/capacity/calls.rs
@@ -0,0 +1,216 @@
+//! Calls of the platform's service and control messages of real entry processes on loopback.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use eyre::{Result, WrapErr};
+use th_protocol::{Permille, VmId, VmRecord, VmRole, VmState};
+use th_testing::{Caller, CallerSettings, Deployment, DeploymentSpec, Records, ZoneSpec};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep, timeout},
+};
+
+use crate::slope::Slope;
+
+/// Entry VMs in each of three data centres.
+const ENTRIES: [u32; 4] = [1, 2, 4, 8];
+const ZONES: [(&str, &str); 3] = [("north-a", "north"), ("north-b", "north"), ("south-a", "south")];
+const FULL: f64 = 2_500.0 / 26.0;
+/// Two periods in which settled VMs read the claims of shards.
+const WINDOW: Duration = Duration::from_secs(60);
+const WARMUP: Duration = Duration::from_secs(3);
+const CALL_PAUSE: Duration = Duration::from_millis(25);
+const CALLERS: usize = 6;
+const KINDS: [&str; 6] = ["read", "cas", "lease", "keep-alive", "watch", "vm-list"];
+
+/// Calls so far by kind, and bytes of control messages, of all entry processes.
+type Numbers = BTreeMap<String, f64>;
+
+struct Counted {
+    entries: u32,
+    start: Numbers,
+    rest: Numbers,
+}
+
+async fn numbers(callers: &[SocketAddr]) -> Result<Numbers> {
+    let mut sums = Numbers::new();
+    for address in callers {
+        let text = reqwest::get(format!("http://{address}/metrics")).await?.text().await?;
+        for line in text.lines() {
+            let Some((name, value)) = line.rsplit_once(' ') else { continue };
+            let value: f64 = value.parse().unwrap_or(0.0);
+            if name.starts_with("th_control_bytes_total") {
+                *sums.entry("control".to_owned()).or_default() += value;
+            }
+            if !name.starts_with("th_store_calls") || !name.contains("end=\"made\"") {
+                continue;
+            }
+            let Some((_, rest)) = name.split_once("call=\"") else { continue };
+            let kind = rest.split('"').next().unwrap_or_default();
+            *sums.entry(kind.to_owned()).or_default() += value;
+        }
+    }
+    Ok(sums)
+}
+
+fn difference(later: &Numbers, earlier: &Numbers) -> Numbers {
+    let mut rates = Numbers::new();
+    for (kind, value) in later {
+        rates.insert(kind.clone(), value - earlier.get(kind).copied().unwrap_or(0.0));
+    }
+    rates
+}
+
+fn spec(entries: u32) -> DeploymentSpec {
+    let mut zones = Vec::new();
+    for (name, region) in ZONES {
+        zones.push(ZoneSpec { name, region, entries, backends: 2 });
+    }
+    DeploymentSpec { zones, ..DeploymentSpec::default() }
+}
+
+/// Leaves half of each region's cap to leases.
+async fn lease_half(deployment: &mut Deployment) -> Result<()> {
+    let change = |bundle: &mut th_protocol::Bundle| {
+        let zones = bundle.zones.clone();
+        for (id, region) in &mut bundle.regions {
+            let own = zones.iter().filter(|(_, zone)| zone.region == *id);
+            let names: Vec<_> = own.map(|(name, _)| name.clone()).collect();
+            let share = Permille(500 / names.len().max(1) as u32);
+            region.floors = names.into_iter().map(|name| (name, share)).collect();
+        }
+    };
+    deployment.change(change).await?;
+    deployment.in_force(deployment.bundle.version, th_protocol::Millis(20_000)).await
+}
+
+async fn call_on(seeds: Vec<SocketAddr>, name: usize, end: Instant) {
+    let settings = CallerSettings {
+        name: format!("caller-{name}"),
+        seeds,
+        records: Records::default(),
+        ..CallerSettings::default()
+    };
+    let mut caller = Caller::new(settings);
+    while Instant::now() < end {
+        caller.call("check", true).await;
+        sleep(CALL_PAUSE).await;
+    }
+}
+
+async fn count(entries: u32) -> Result<Counted> {
+    let mut deployment = Deployment::start(spec(entries)).await?;
+    sleep(WARMUP).await;
+    let seeds = deployment.callers();
+    let started = numbers(&seeds).await?;
+    lease_half(&mut deployment).await?;
+    sleep(WARMUP).await;
+    let before = numbers(&seeds).await?;
+    let end = Instant::now() + WINDOW;
+    let mut callers = Vec::new();
+    for name in 0..CALLERS {
+        callers.push(tokio::spawn(call_on(seeds.clone(), name, end)));
+    }
+    for caller in callers {
+        caller.await?;
+    }
+    let rest = difference(&numbers(&seeds).await?, &before);
+    Ok(Counted { entries, start: started, rest })
+}
+
+/// Bytes on the wire of one heartbeat and of its answer, without the headers of TCP and IP.
+async fn wire() -> Result<(usize, usize)> {
+    let deployment = Deployment::start(DeploymentSpec::default()).await?;
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let record = VmRecord {
+        vm: "north-a-entry-9".parse::<VmId>()?,
+        zone: "north-a".parse()?,
+        address: listener.local_addr()?,
+        state: VmState::Live,
+        role: VmRole::Entry,
+    };
+    deployment.platform.list_vm(record);
+    let (mut stream, _) = timeout(Duration::from_secs(20), listener.accept())
+        .await
+        .wrap_err("waiting for a heartbeat")??;
+    let request = message(&mut stream).await?;
+    let entry = deployment.entries.values().next().expect("there is an entry process");
+    let mut to = TcpStream::connect(entry.peers()).await?;
+    to.write_all(&request).await?;
+    let answer = message(&mut to).await?;
+    Ok((request.len(), answer.len()))
+}
+
+/// One HTTP message whose length is stated.
+async fn message(stream: &mut TcpStream) -> Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let count = timeout(Duration::from_secs(5), stream.read(&mut buffer)).await??;
+        eyre::ensure!(0 < count, "the connection ended early");
+        bytes.extend_from_slice(&buffer[..count]);
+        let Some(end) = bytes.windows(4).position(|it| it == b"\r\n\r\n") else { continue };
+        let head = String::from_utf8_lossy(&bytes[..end]).to_lowercase();
+        let length = head.lines().find_map(|it| it.strip_prefix("content-length: ")?.parse().ok());
+        if bytes.len() == end + 4 + length.unwrap_or(0usize) {
+            return Ok(bytes);
+        }
+    }
+}
+
+async fn run() -> Result<Vec<Counted>> {
+    let (request, answer) = wire().await?;
+    eprintln!(
+        "calls: a heartbeat is {request} B on the wire with its HTTP head, its answer {answer} B"
+    );
+    let mut tasks = Vec::new();
+    for entries in ENTRIES {
+        tasks.push(tokio::spawn(count(entries)));
+    }
+    let mut all = Vec::new();
+    for task in tasks {
+        all.push(task.await??);
+    }
+    Ok(all)
+}
+
+/// Calls a second and data centre by kind, at rest under a light load; calls of a start.
+pub(crate) fn measure() -> Result<Vec<Slope>> {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
+    let all = runtime.block_on(run())?;
+    let zones = ZONES.len() as f64;
+    let seconds = WINDOW.as_secs_f64();
+    let mut slopes = Vec::new();
+    let names = [
+        ("store: read", "start: read"),
+        ("store: compare-and-swap", "start: compare-and-swap"),
+        ("store: lease", "start: lease"),
+        ("store: keep-alive", "start: keep-alive"),
+        ("store: watch", "start: watch"),
+        ("store: VM list", "start: VM list"),
+    ];
+    for (kind, (rest, start)) in KINDS.iter().zip(names) {
+        let value = |it: &Numbers| it.get(*kind).copied().unwrap_or(0.0);
+        let points = |y: &dyn Fn(&Counted) -> f64| {
+            all.iter().map(|it| (f64::from(it.entries), y(it))).collect::<Vec<_>>()
+        };
+        let per = "entry VM of a data centre";
+        let rates = points(&|it| value(&it.rest) / zones / seconds);
+        slopes.push(Slope::new((rest, "1/s for a data centre", per), rates, FULL));
+        let calls = points(&|it| value(&it.start) / zones);
+        slopes.push(Slope::new((start, "calls for a data centre", per), calls, FULL));
+    }
+    let mut control = Vec::new();
+    for it in &all {
+        let bytes = it.rest.get("control").copied().unwrap_or(0.0);
+        control.push((f64::from(it.entries), bytes / zones / f64::from(it.entries) / seconds));
+    }
+    slopes.push(Slope::new(
+        ("control payload, real processes", "bytes/s a VM", "entry VM of a data centre"),
+        control,
+        FULL,
+    ));
+    Ok(slopes)
+}
--- /dev/null
+++ b/examples/capacity/changes.rs
@@ -0,0 +1,40 @@
+//! What one change of the bundle costs.
+
+use eyre::Result;
+
+use crate::{
+    bundles::{self, Row},
+    slope::Slope,
+};
+
+const EIGHTHS: [u32; 4] = [1, 2, 4, 8];
+
+/// Bytes that travel and processor time at an entry VM, for a bundle of many small services.
+pub(crate) fn measure() -> Result<Vec<Slope>> {
+    let mut rows = Vec::new();
+    for eighths in EIGHTHS {
+        eprintln!("changes: {eighths}/8 of the full size");
+        rows.push(bundles::measure(&bundles::bundle(eighths)));
+    }
+    let points = |y: fn(&Row) -> f64| rows.iter().map(|it| (f64::from(it.blocks), y(it))).collect();
+    let full = rows.last().map_or(0.0, |it| f64::from(it.blocks));
+    let of = |name, unit, y| Slope::new((name, unit, "block"), points(y), full);
+    Ok(vec![
+        of("parts", "", |it| it.parts as f64),
+        of("whole bundle", "bytes", |it| it.whole_bytes as f64),
+        of("manifest and head", "bytes", |it| it.head_bytes as f64),
+        of("part of a service", "bytes", |it| it.service_bytes as f64),
+        of("part of blocks", "bytes", |it| it.block_bytes as f64),
+        of("part of classes", "bytes", |it| it.class_bytes as f64),
+        of("part of regions and links", "bytes", |it| it.topology_bytes as f64),
+        of("mean change at 3900 a day", "bytes/s", |it| it.mean_bytes_per_second),
+        of("costliest change at 3900 a day", "bytes/s", |it| it.worst_bytes_per_second),
+        of("whole bundle at 3900 a day", "bytes/s", |it| {
+            it.whole_bytes as f64 * bundles::CHANGES_PER_DAY / bundles::DAY_SECONDS
+        }),
+        of("assemble", "ms", |it| it.assemble_ms),
+        of("check_bundle", "ms", |it| it.check_bundle_ms),
+        of("update", "ms", |it| it.update_ms),
+        of("check_rules", "ms", |it| it.check_rules_ms),
+    ])
+}
--- /dev/null
+++ b/examples/capacity/engines.rs
@@ -0,0 +1,323 @@
+//! The decisions of one entry VM: processor time at rest and memory.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use eyre::{Result, ensure};
+use th_protocol::{
+    Bundle, Bytes, Heartbeat, Millis, Operation, PeerRecord, Revision, Time, Version, VmRecord,
+    VmRole, VmState, ZoneId,
+};
+use th_steer::{
+    engine::{Action, Claims, Engine, EngineSettings, Identity, ShardAction},
+    limit::Answer,
+    member::MemberAction,
+    ticket::{TicketKey, TicketKeys},
+};
+
+use crate::{
+    sample,
+    slope::Slope,
+    world::{self, Size},
+};
+
+const MEMBERS: [usize; 4] = [312, 625, 1_250, 2_500];
+const EIGHTHS: [usize; 4] = [1, 2, 4, 8];
+/// Backend servers of each service in each data centre.
+const COPIES: [usize; 4] = [1, 2, 4, 8];
+const FULL_COPIES: usize = 4;
+const TICK: u64 = 100;
+const START: u64 = 10_000;
+const END: u64 = 30_000;
+/// Heartbeats that arrive in a second.
+const ARRIVALS: u64 = 2;
+
+struct Shape {
+    members: usize,
+    eighths: usize,
+    copies: usize,
+}
+
+const SMALL: Shape = Shape { members: 312, eighths: 1, copies: 1 };
+
+/// The synthetic bundle with operations and more backend servers.
+fn bundle(shape: &Shape) -> Bundle {
+    let full = Size::default();
+    let size = Size {
+        blocks: full.blocks * shape.eighths / 8,
+        classes: full.classes * shape.eighths / 8,
+        ..full
+    };
+    let mut bundle = world::bundle(&size);
+    bundle.version = Version(1);
+    let spec = Operation { idempotent: true, deadline: Millis(2_000), size: Bytes(4_000) };
+    for service in bundle.services.values_mut() {
+        service.operations.insert("check".parse().expect("it is an id"), spec.clone());
+        let book = Operation { idempotent: false, ..spec.clone() };
+        service.operations.insert("book".parse().expect("it is an id"), book);
+        let first: Vec<_> = service.backends.clone().into_iter().collect();
+        for copy in 1..shape.copies {
+            for (id, backend) in &first {
+                let id = format!("{id}-{copy}").parse().expect("it is an id");
+                service.backends.insert(id, backend.clone());
+            }
+        }
+    }
+    bundle
+}
+
+struct Fleet {
+    records: Vec<PeerRecord>,
+    list: Vec<VmRecord>,
+}
+
+/// The records of the fleet, in the data centres of the bundle.
+fn fleet(bundle: &Bundle, count: usize) -> Fleet {
+    let zones: Vec<ZoneId> = bundle.zones.keys().cloned().collect();
+    let mut records = Vec::new();
+    let mut list = Vec::new();
+    for i in 0..count {
+        let zone = zones[i % zones.len()].clone();
+        let record = PeerRecord { zone: zone.clone(), ..sample::record(i) };
+        let (vm, address) = (record.vm.clone(), record.address);
+        list.push(VmRecord { vm, zone, address, state: VmState::Live, role: VmRole::Entry });
+        records.push(record);
+    }
+    Fleet { records, list }
+}
+
+fn heartbeat(fleet: &Fleet, from: usize, now: Time, records: usize) -> Heartbeat {
+    let mut news = Vec::new();
+    for step in 1..=records {
+        news.push(fleet.records[(from + step) % fleet.records.len()].clone());
+    }
+    Heartbeat {
+        from: fleet.records[from].clone(),
+        clock: now,
+        head: None,
+        headroom: sample::headroom(from),
+        leaving: Vec::new(),
+        records: news,
+    }
+}
+
+fn engine(fleet: &Fleet, bundle: Arc<Bundle>) -> Engine<()> {
+    let me = fleet.records[0].clone();
+    let identity = Identity {
+        vm: me.vm,
+        zone: me.zone,
+        incarnation: me.incarnation,
+        callers: me.callers,
+        peers: me.address,
+        origin: me.origin,
+    };
+    let keys = TicketKeys::new(TicketKey([7; 32]), Vec::new());
+    let mut engine = Engine::new(EngineSettings::default(), identity, keys, 7, Time(0));
+    engine.on_vms(&fleet.list, Time(0));
+    engine.on_heartbeat(&heartbeat(fleet, 1, Time(0), fleet.records.len()), Time(0));
+    engine.apply(bundle, Time(0));
+    engine
+}
+
+/// Processor time and messages of a VM at rest.
+#[derive(Debug, Default)]
+struct Rest {
+    us: f64,
+    tick_us: f64,
+    longest_us: f64,
+    probes: f64,
+}
+
+struct Bench<'a> {
+    fleet: &'a Fleet,
+    index: BTreeMap<th_protocol::VmId, usize>,
+    engine: Engine<()>,
+    spent: Duration,
+    ticks: Vec<f64>,
+    probes: u64,
+}
+
+impl Bench<'_> {
+    fn timed<T>(&mut self, run: impl FnOnce(&mut Engine<()>) -> T) -> T {
+        let start = Instant::now();
+        let found = run(&mut self.engine);
+        self.spent += start.elapsed();
+        found
+    }
+
+    /// A tick, and the answers to what it asks for.
+    fn tick(&mut self, now: Time) {
+        let before = self.spent;
+        let actions = self.timed(|engine| engine.tick(now));
+        self.ticks.push((self.spent - before).as_secs_f64() * 1e6);
+        let mut answers = 0;
+        for action in actions {
+            match action {
+                Action::Member(MemberAction::Heartbeat { to, .. }) => {
+                    let answer = heartbeat(self.fleet, self.index[&to], now, 5);
+                    self.timed(|engine| engine.on_answer(&answer, now));
+                    answers += 1;
+                }
+                Action::Shard(ShardAction::Read) => self.claim(now),
+                Action::Probe { backend, .. } => {
+                    self.probes += 1;
+                    self.timed(|engine| engine.on_probe(&backend, true, now));
+                }
+                _ => {}
+            }
+        }
+        // Each answer makes the process tick once more.
+        for _ in 0..answers {
+            self.timed(|engine| engine.tick(now));
+        }
+    }
+
+    fn claim(&mut self, now: Time) {
+        let list = &self.fleet.list;
+        let writes = self.engine.on_shard_read(Some(&Claims::new()), list, now);
+        for write in writes {
+            if let ShardAction::Write(index, ..) = write {
+                self.engine.on_shard_write(index, &Answer::Applied(Revision(1)), now);
+            }
+        }
+    }
+}
+
+fn rest(shape: &Shape) -> Result<Rest> {
+    let bundle = Arc::new(bundle(shape));
+    let fleet = fleet(&bundle, shape.members);
+    let mut index = BTreeMap::new();
+    for (i, record) in fleet.records.iter().enumerate() {
+        index.insert(record.vm.clone(), i);
+    }
+    let engine = engine(&fleet, bundle);
+    let mut bench =
+        Bench { fleet: &fleet, index, engine, spent: Duration::ZERO, ticks: Vec::new(), probes: 0 };
+    for now in (0..END).step_by(TICK as usize) {
+        if now == START {
+            (bench.spent, bench.probes) = (Duration::ZERO, 0);
+            bench.ticks.clear();
+        }
+        if now.is_multiple_of(1_000 / ARRIVALS) {
+            let from = 1 + (now as usize / 100) % (shape.members - 1);
+            let message = heartbeat(&fleet, from, Time(now), 5);
+            bench.timed(|engine| engine.on_heartbeat(&message, Time(now)));
+            bench.timed(|engine| engine.tick(Time(now)));
+        }
+        bench.tick(Time(now));
+    }
+    ensure!(bench.engine.member_count() == shape.members, "the fleet is known");
+    let seconds = (END - START) as f64 / 1_000.0;
+    bench.ticks.sort_by(f64::total_cmp);
+    Ok(Rest {
+        us: bench.spent.as_secs_f64() * 1e6 / seconds,
+        tick_us: bench.ticks[bench.ticks.len() / 2],
+        longest_us: bench.ticks[bench.ticks.len() - 1],
+        probes: bench.probes as f64 / seconds,
+    })
+}
+
+/// Memory of a VM, and while it takes another bundle over.
+struct Memory {
+    engine: f64,
+    bundle: f64,
+    apply_ms: f64,
+    peak: f64,
+}
+
+fn memory(shape: &Shape) -> Memory {
+    let mut parsed = None;
+    let parsing = allocation_counter::measure(|| parsed = Some(Arc::new(bundle(shape))));
+    let first = parsed.expect("it was made");
+    let fleet = fleet(&first, shape.members);
+    let mut made = None;
+    let building = allocation_counter::measure(|| made = Some(engine(&fleet, Arc::clone(&first))));
+    let mut engine = made.expect("it was made");
+    let next = Arc::new(Bundle { version: Version(2), ..Bundle::clone(&first) });
+    let start = Instant::now();
+    let applying = allocation_counter::measure(|| {
+        engine.apply(next, Time(1_000));
+    });
+    Memory {
+        engine: building.bytes_current as f64,
+        bundle: parsing.bytes_current as f64,
+        apply_ms: start.elapsed().as_secs_f64() * 1e3,
+        peak: applying.bytes_max as f64,
+    }
+}
+
+/// Time of whole look-ups at the full size, with their reasons and tickets.
+fn lookups() -> Result<()> {
+    const COUNT: usize = 100_000;
+    let shape = Shape { members: 2_500, eighths: 8, copies: FULL_COPIES };
+    let bundle = Arc::new(bundle(&shape));
+    let fleet = fleet(&bundle, shape.members);
+    let mut engine = engine(&fleet, Arc::clone(&bundle));
+    engine.tick(Time(1_000));
+    let services: Vec<_> = bundle.services.keys().cloned().collect();
+    for operation in ["check", "book"] {
+        let id = operation.parse().expect("it is an id");
+        let start = Instant::now();
+        for i in 0..COUNT {
+            let source = world::address(i * 7_919 % 130_000);
+            let found = engine.lookup(&services[i % services.len()], &id, source, Time(1_500));
+            ensure!(found.is_ok(), "the look-up was answered: {found:?}");
+        }
+        let ns = start.elapsed().as_secs_f64() * 1e9 / COUNT as f64;
+        eprintln!("engines: a whole look-up for `{operation}` takes {ns:.0} ns at the full size");
+    }
+    Ok(())
+}
+
+/// Figures of one entry VM's decisions.
+pub(crate) fn measure() -> Result<Vec<Slope>> {
+    let mut slopes = Vec::new();
+    let (mut by_members, mut by_blocks, mut by_backends) = (Vec::new(), Vec::new(), Vec::new());
+    let full = Size::default();
+    for members in MEMBERS {
+        eprintln!("engines: {members} entry VMs");
+        let shape = Shape { members, ..SMALL };
+        by_members.push((members as f64, rest(&shape)?, memory(&shape)));
+    }
+    for eighths in EIGHTHS {
+        eprintln!("engines: {eighths}/8 of the blocks and classes");
+        let shape = Shape { eighths, ..SMALL };
+        let blocks = (full.blocks * eighths / 8) as f64;
+        by_blocks.push((blocks, rest(&shape)?, memory(&shape)));
+    }
+    for copies in COPIES {
+        eprintln!("engines: {copies} backend servers at each site");
+        let shape = Shape { copies, ..SMALL };
+        by_backends.push(((full.sites * copies) as f64, rest(&shape)?, memory(&shape)));
+    }
+    let sets = [
+        ("entry VM", &by_members, full.vms as f64),
+        ("block", &by_blocks, full.blocks as f64),
+        ("backend server", &by_backends, (full.sites * FULL_COPIES) as f64),
+    ];
+    for (per, set, at) in sets {
+        let mut add = |name, unit, y: fn(&Rest, &Memory) -> f64| {
+            let points = set.iter().map(|(x, rest, memory)| (*x, y(rest, memory))).collect();
+            slopes.push(Slope::new((name, unit, per), points, at));
+        };
+        add("decisions at rest", "us/s", |rest, _| rest.us);
+        add("tick, median", "us", |rest, _| rest.tick_us);
+        add("tick, longest", "us", |rest, _| rest.longest_us);
+        add("probes", "1/s", |rest, _| rest.probes);
+        add("decisions", "bytes", |_, memory| memory.engine);
+        add("bundle, parsed", "bytes", |_, memory| memory.bundle);
+        add("bundle put in force", "ms", |_, memory| memory.apply_ms);
+        add("memory added while put in force", "bytes", |_, memory| memory.peak);
+    }
+    let all = Shape { members: 2_500, eighths: 8, copies: FULL_COPIES };
+    let (rest, memory) = (rest(&all)?, memory(&all));
+    eprintln!(
+        "engines: all at the full size: {rest:?}; decisions {} B, bundle {} B, put in force {:.1} ms and {} B more",
+        memory.engine, memory.bundle, memory.apply_ms, memory.peak
+    );
+    lookups()?;
+    Ok(slopes)
+}
--- /dev/null
+++ b/examples/capacity/main.rs
@@ -0,0 +1,119 @@
+//! Measures how the system's needs grow with its size, on one machine, and fits a line through each
+//! figure.
+//!
+//! `cargo run --release --example capacity -- [--json] [--plot DIR] [--only SECTION]`
+
+mod calls;
+mod changes;
+mod engines;
+mod fleets;
+mod leases;
+mod plot;
+mod slope;
+mod tables;
+mod tickets;
+
+#[allow(dead_code, reason = "the figures that are not fitted here")]
+#[path = "../../crates/th-protocol/examples/bundle_measure/sizes.rs"]
+mod bundles;
+#[allow(dead_code, reason = "the figures that are not fitted here")]
+#[path = "../../crates/th-steer/examples/route_measure/figures.rs"]
+mod figures;
+#[path = "../../crates/th-steer/examples/shared/fit.rs"]
+mod fit;
+#[allow(dead_code, reason = "the figures that are not fitted here")]
+#[path = "../../crates/th-steer/examples/member_measure/fleet.rs"]
+mod fleet;
+#[path = "../../crates/th-steer/examples/member_measure/healing.rs"]
+mod healing;
+#[path = "../../crates/th-steer/examples/member_measure/sample.rs"]
+mod sample;
+#[path = "../../crates/th-steer/tests/world/mod.rs"]
+mod world;
+
+use std::{path::PathBuf, process::ExitCode, time::Instant};
+
+use argh::FromArgs;
+use eyre::Result;
+use slope::Slope;
+
+/// Measures how the system's needs grow with its size.
+#[derive(FromArgs)]
+struct Args {
+    /// write the slopes as JSON
+    #[argh(switch)]
+    json: bool,
+    /// write a picture of each slope into this directory
+    #[argh(option)]
+    plot: Option<PathBuf>,
+    /// measure only this section
+    #[argh(option)]
+    only: Option<String>,
+}
+
+type Section = (&'static str, fn() -> Result<Vec<Slope>>);
+
+/// In this order, so that what is timed runs alone; the last ones count and wait.
+const TIMED: [Section; 4] = [
+    ("tables", tables::measure),
+    ("engines", engines::measure),
+    ("changes", changes::measure),
+    ("tickets", tickets::measure),
+];
+const COUNTED: [Section; 3] =
+    [("calls", calls::measure), ("leases", leases::measure), ("fleets", fleets::measure)];
+
+fn run(section: &Section) -> Result<Vec<Slope>> {
+    let start = Instant::now();
+    eprintln!("{}: measuring", section.0);
+    let slopes = (section.1)()?;
+    eprintln!("{}: done in {:.1} s", section.0, start.elapsed().as_secs_f64());
+    Ok(slopes)
+}
+
+fn measure(only: Option<&str>) -> Result<Vec<Slope>> {
+    let chosen = |it: &&Section| only.is_none_or(|name| name == it.0);
+    let mut slopes = Vec::new();
+    for section in TIMED.iter().filter(chosen) {
+        slopes.extend(run(section)?);
+    }
+    std::thread::scope(|scope| {
+        let mut threads = Vec::new();
+        for section in COUNTED.iter().filter(chosen) {
+            threads.push(scope.spawn(|| run(section)));
+        }
+        for thread in threads {
+            slopes.extend(thread.join().expect("a section panicked")?);
+        }
+        Ok(slopes)
+    })
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match report(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn report(args: &Args) -> Result<()> {
+    let slopes = measure(args.only.as_deref())?;
+    if let Some(dir) = &args.plot {
+        std::fs::create_dir_all(dir)?;
+        for slope in &slopes {
+            std::fs::write(dir.join(format!("{}.svg", slope.file())), plot::plot(slope)?)?;
+        }
+    }
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&slopes)?);
+        return Ok(());
+    }
+    for slope in &slopes {
+        println!("{slope}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/examples/capacity/slope.rs
@@ -0,0 +1,59 @@
+//! A figure at several sizes, with the line through it.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::fit::Fit;
+
+/// A figure at several sizes, with the line through it.
+#[derive(Debug, Serialize)]
+pub(crate) struct Slope {
+    /// What was measured.
+    pub(crate) name: &'static str,
+    /// Its unit.
+    pub(crate) unit: &'static str,
+    /// What the size counts.
+    pub(crate) per: &'static str,
+    /// Sizes and figures.
+    pub(crate) points: Vec<(f64, f64)>,
+    /// The line.
+    pub(crate) fit: Fit,
+    /// The size to design for.
+    pub(crate) full: f64,
+    /// The line's value there.
+    pub(crate) value: f64,
+}
+
+impl Slope {
+    pub(crate) fn new(
+        (name, unit, per): (&'static str, &'static str, &'static str),
+        points: Vec<(f64, f64)>,
+        full: f64,
+    ) -> Slope {
+        let fit = Fit::new(&points);
+        let value = fit.offset + fit.slope * full;
+        Slope { name, unit, per, points, fit, full, value }
+    }
+
+    /// The name of its picture's file.
+    pub(crate) fn file(&self) -> String {
+        format!("{} by {}", self.name, self.per).replace([' ', '/', ','], "-")
+    }
+}
+
+impl fmt::Display for Slope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Slope { name, unit, per, fit, full, value, .. } = self;
+        write!(f, "{name} [{unit}] = {:.4} + {:.4e} per {per}", fit.offset, fit.slope)?;
+        write!(
+            f,
+            "; r2 {:.3}, residual {:.3}; at {full}: {value:.3};",
+            fit.r_squared, fit.residual
+        )?;
+        for (size, figure) in &self.points {
+            write!(f, " {size}: {figure:.3}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/examples/capacity/tables.rs
@@ -0,0 +1,43 @@
+//! Look-ups and the tables behind them.
+
+use eyre::Result;
+
+use crate::{
+    figures::{Figures, measure as measure_tables, size},
+    slope::Slope,
+};
+
+const EIGHTHS: [usize; 4] = [1, 2, 4, 8];
+
+/// Look-up time, table bytes, planning time.
+pub(crate) fn measure() -> Result<Vec<Slope>> {
+    let mut all = Vec::new();
+    for eighths in EIGHTHS {
+        eprintln!("tables: {eighths}/8 of the full size");
+        all.push(measure_tables(&size(eighths)));
+    }
+    let full = size(8);
+    let cells = |it: &Figures| (it.classes * it.sites) as f64;
+    let blocks = |it: &Figures| it.blocks as f64;
+    let sites = |it: &Figures| it.sites as f64;
+    let points = |x: fn(&Figures) -> f64, y: fn(&Figures) -> f64| {
+        all.iter().map(|it| (x(it), y(it))).collect::<Vec<_>>()
+    };
+    let (at_blocks, at_sites) = (full.blocks as f64, full.sites as f64);
+    let at_cells = (full.classes * full.sites) as f64;
+    Ok(vec![
+        Slope::new(("look-up", "ns", "block"), points(blocks, |it| it.lookup_ns), at_blocks),
+        Slope::new(("look-up", "ns", "site"), points(sites, |it| it.lookup_ns), at_sites),
+        Slope::new(
+            ("route tables", "bytes", "class x site"),
+            points(cells, |it| it.table_bytes),
+            at_cells,
+        ),
+        Slope::new(
+            ("parsed bundle", "bytes", "block"),
+            points(blocks, |it| it.bundle_bytes),
+            at_blocks,
+        ),
+        Slope::new(("planning", "ms", "class x site"), points(cells, |it| it.tick_ms), at_cells),
+    ])
+}
