--- a/src/bin/thctl/answer.rs
+++ b/src/bin/thctl/answer.rs
@@ -54,22 +54,21 @@
         Answer { help: Some(help.into()), ..self }
     }
 
-    /// Prints JSON to stdout; or text, to stdout if it is done and else to stderr.
+    /// Prints JSON to stdout; or text, to stdout if it is done and else to stderr. Help goes to
+    /// stderr, so that a script can use the text alone.
     pub(crate) fn print(&self, json: bool) {
         if json {
             println!("{}", self.with_exit());
             return;
         }
-        let mut text = self.text.trim_end().to_owned();
-        if let Some(help) = &self.help {
-            text.push_str("\nhelp: ");
-            text.push_str(help);
+        let text = self.text.trim_end();
+        match self.exit {
+            Exit::Done => println!("{text}"),
+            _ => eprintln!("{text}"),
         }
-        if self.exit == Exit::Done {
-            println!("{text}");
-            return;
+        if let Some(help) = &self.help {
+            eprintln!("help: {help}");
         }
-        eprintln!("{text}");
     }
 
     fn with_exit(&self) -> Value {
