--- a/src/bin/thctl/bundle.rs
+++ b/src/bin/thctl/bundle.rs
@@ -30,7 +30,8 @@
 }
 
 pub(crate) fn list_faults(faults: &[Fault]) -> Answer {
-    let mut text = format!("{} faults\n", faults.len());
+    let noun = if faults.len() == 1 { "fault" } else { "faults" };
+    let mut text = format!("{} {noun}\n", faults.len());
     for fault in faults {
         text.push_str(&format!("{fault}\n"));
     }
--- a/src/bin/thctl/entries.rs
+++ b/src/bin/thctl/entries.rs
@@ -17,6 +17,9 @@
 const REACH_HELP: &str =
     "check the addresses of --entry, and whether `tanagerhollow` runs and listens there";
 
+/// Fields of a record that come first on its line.
+const FIRST: &[&str] = &["time", "service", "outcome", "reason", "rule", "limit"];
+
 fn addresses(given: &[String]) -> Result<Vec<String>, Answer> {
     let split = given.iter().flat_map(|it| it.split(','));
     let addresses: Vec<_> = split.filter(|it| !it.is_empty()).map(str::to_owned).collect();
@@ -146,26 +149,46 @@
             }
         }
     }
-    let help = (records == 0).then(|| {
+    let help = (records == 0 && exit == Exit::Done).then(|| {
         "entry VMs remember only their latest decisions; ask the VM that answered the request"
             .to_owned()
     });
     Ok(Answer { exit, text, help, json: json!({ "entries": rows }) })
 }
 
-/// A record's fields on one line.
+/// A record on one line: the outcome first, then its reasons.
 fn record_line(record: &Value) -> String {
     let Value::Object(fields) = record else { return record.to_string() };
     let mut line = Vec::new();
+    for name in FIRST {
+        if let Some(value) = fields.get(*name) {
+            line.push(format!("{name}={}", plain(value)));
+        }
+    }
     for (name, value) in fields {
         match value {
-            Value::String(text) => line.push(format!("{name}={text}")),
-            value => line.push(format!("{name}={value}")),
+            Value::Null => continue,
+            Value::Array(inputs) if name == "inputs" => line.extend(inputs.iter().map(input_text)),
+            _ if FIRST.contains(&name.as_str()) => continue,
+            _ => line.push(format!("{name}={}", plain(value))),
         }
     }
     line.join(" ")
 }
 
+/// A number that a decision was taken on, with its age where it is not fresh.
+fn input_text(input: &Value) -> String {
+    let text = format!("{}={}", plain(&input["name"]), input["value"]);
+    match input["age"].as_u64() {
+        None | Some(0) => text,
+        Some(age) => format!("{text} ({age}ms old)"),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
+
 pub(crate) async fn lookup(args: &Lookup) -> Result<Answer> {
     let client = EntryClient::new(&args.entry);
     let found = match client.lookup(&args.service, &args.operation, args.block).await {
--- a/src/bin/thctl/roll.rs
+++ b/src/bin/thctl/roll.rs
@@ -14,8 +14,12 @@
     bundle::{list_faults, read, write},
 };
 
+/// The platform's service; `http://` may be left out of its URL.
 fn open_store(url: &str) -> Arc<dyn Platform> {
-    Arc::new(HttpPlatform::new(url))
+    if url.contains("://") {
+        return Arc::new(HttpPlatform::new(url));
+    }
+    Arc::new(HttpPlatform::new(&format!("http://{url}")))
 }
 
 pub(crate) async fn roll_file(args: &Roll) -> Result<Answer> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! The entry process: one on each entry VM.
 
 use std::{
-    fs,
+    env, fs,
     path::{Path, PathBuf},
     process::ExitCode,
     sync::Arc,
@@ -13,6 +13,8 @@
 use th_platform::HttpPlatform;
 use tokio::signal::unix::{SignalKind, signal};
 
+const NAME: &str = "tanagerhollow";
+
 /// The process was started wrongly, or its settings are faulty.
 const EXIT_USAGE: u8 = 2;
 /// The stop cut requests, or something failed.
@@ -32,7 +34,10 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
+    let arguments = match arguments() {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
     let settings = match read(&arguments.settings) {
         Ok(settings) => settings,
         Err(code) => return code,
@@ -54,6 +59,22 @@
     }
 }
 
+/// The command line; an error is the code to exit with, once the user has been told why.
+fn arguments() -> Result<Arguments, ExitCode> {
+    let args: Vec<String> = env::args().skip(1).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    Arguments::from_args(&[NAME], &args).map_err(|early| match early.status {
+        Ok(()) => {
+            println!("{}", early.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}\n`{NAME} --help` lists the options", early.output.trim_end());
+            ExitCode::from(EXIT_USAGE)
+        }
+    })
+}
+
 fn read(path: &Path) -> Result<Settings, ExitCode> {
     let text = fs::read_to_string(path).map_err(|error| {
         eprintln!("error: reading {}: {error}", path.display());
@@ -69,7 +90,8 @@
     for fault in faults {
         eprintln!("{}: {fault}", path.display());
     }
-    eprintln!("{} faults; docs/SETTINGS.md lists every field", faults.len());
+    let noun = if faults.len() == 1 { "fault" } else { "faults" };
+    eprintln!("{} {noun}; docs/SETTINGS.md lists every field", faults.len());
 }
 
 /// Runs until it is told to stop. Gives how many requests the stop cut.
