--- a/examples/fakes/main.rs
+++ b/examples/fakes/main.rs
@@ -17,12 +17,12 @@
 /// server began.
 #[derive(FromArgs)]
 struct Arguments {
-    /// where the fake platform listens, such as 127.0.0.1:7000
+    /// where the fake platform listens, such as 127.0.0.1:7000; without it there is none
     #[argh(option)]
-    store: SocketAddr,
+    store: Option<SocketAddr>,
 
     /// where the backend servers listen, separated by commas; they are called backend-1, backend-2 and so on
-    #[argh(option)]
+    #[argh(option, default = "Addresses(Vec::new())")]
     backends: Addresses,
 
     /// slots of each backend server (default: 4)
@@ -92,17 +92,9 @@
 }
 
 async fn serve(arguments: Arguments) -> Result<()> {
-    let platform = FakePlatform::default();
-    for record in listed(&arguments)? {
-        println!(
-            "fakes: the platform lists {} in {} at {}",
-            record.vm, record.zone, record.address
-        );
-        platform.list_vm(record);
+    if let Some(address) = arguments.store {
+        serve_platform(address, listed(&arguments)?).await?;
     }
-    let server = PlatformServer::start(platform, arguments.store).await;
-    let server = server.wrap_err_with(|| format!("listening at {}", arguments.store))?;
-    println!("fakes: the platform's service listens at {}", server.url());
     let ledger = Ledger::default();
     let mut backends = Vec::new();
     for (i, address) in (1..).zip(&arguments.backends.0) {
@@ -117,6 +109,22 @@
     Ok(())
 }
 
+/// Serves the platform until the process ends.
+async fn serve_platform(address: SocketAddr, vms: Vec<VmRecord>) -> Result<()> {
+    let platform = FakePlatform::default();
+    for record in vms {
+        println!(
+            "fakes: the platform lists {} in {} at {}",
+            record.vm, record.zone, record.address
+        );
+        platform.list_vm(record);
+    }
+    let server = PlatformServer::start(platform, address).await;
+    let server = server.wrap_err_with(|| format!("listening at {address}"))?;
+    println!("fakes: the platform's service listens at {}", server.url());
+    Ok(())
+}
+
 /// The VMs that the command line and the file name.
 fn listed(arguments: &Arguments) -> Result<Vec<VmRecord>> {
     let mut records: Vec<_> = arguments.entry.iter().map(|it| it.0.clone()).collect();
