--- a/src/bin/thctl/entries.rs
+++ b/src/bin/thctl/entries.rs
@@ -136,7 +136,8 @@
         match answer {
             Ok(found) => {
                 records += found.len();
-                text.push_str(&format!("{address}: {} records\n", found.len()));
+                let noun = if found.len() == 1 { "record" } else { "records" };
+                text.push_str(&format!("{address}: {} {noun}\n", found.len()));
                 for record in found {
                     text.push_str(&format!("  {}\n", record_line(record)));
                 }
