--- /dev/null
+++ b/tests/operate_pages.rs
@@ -0,0 +1,104 @@
+//! The operators' pages name each code and each metric, and no other.
+
+use std::collections::BTreeSet;
+
+use th_protocol::{Reason, Verdict};
+
+const REFUSALS: &str = include_str!("../docs/operate/explain-a-refusal.md");
+const METRICS: &str = include_str!("../docs/operate/metrics.md");
+const ALERTS: &str = include_str!("../docs/operate/alerts.md");
+/// The code that names the metrics, and the code that names the numbers of `th_state`.
+const METRICS_CODE: &str = include_str!("../crates/th-entry/src/metrics.rs");
+const STATE_CODE: &str = include_str!("../crates/th-entry/src/task/sample.rs");
+
+/// The first column of the table whose heading row begins with `title`.
+fn column(page: &str, title: &str) -> BTreeSet<String> {
+    let heading = format!("| {title} |");
+    let rows = page.lines().skip_while(|it| !it.starts_with(&heading)).skip(2);
+    let mut names = BTreeSet::new();
+    for row in rows.take_while(|it| it.starts_with("| `")) {
+        let name = row.split('`').nth(1).unwrap();
+        assert!(names.insert(name.to_owned()), "{name} is listed twice");
+    }
+    names
+}
+
+/// What stands between `before` and the next quote, at each place.
+fn quoted(code: &str, before: &str) -> BTreeSet<String> {
+    let parts = code.split(before).skip(1);
+    parts.map(|it| it.split('"').next().unwrap().to_owned()).collect()
+}
+
+fn codes<T: ToString>(all: &[T]) -> BTreeSet<String> {
+    all.iter().map(T::to_string).collect()
+}
+
+fn metrics_of_code() -> BTreeSet<String> {
+    quoted(METRICS_CODE, "\"th_").into_iter().map(|it| format!("th_{it}")).collect()
+}
+
+fn state_of_code() -> BTreeSet<String> {
+    let (_, rest) = STATE_CODE.split_once("let numbers = [").unwrap();
+    quoted(rest.split_once("];").unwrap().0, "(\"")
+}
+
+#[test]
+fn each_code_is_explained() {
+    assert_eq!(column(REFUSALS, "verdict"), codes(Verdict::ALL));
+    assert_eq!(column(REFUSALS, "reason"), codes(Reason::ALL));
+}
+
+#[test]
+fn each_metric_is_listed() {
+    let (metrics, state) = (metrics_of_code(), state_of_code());
+    assert_eq!((metrics.len(), state.len()), (11, 10), "{metrics:?} {state:?}");
+    assert_eq!(column(METRICS, "metric"), metrics);
+    assert_eq!(column(METRICS, "name"), state);
+}
+
+/// A row gone from a page, or one too many, is seen.
+#[test]
+fn a_difference_is_seen() {
+    let page = REFUSALS.replace("| `no-slot` |", "| `no-slots` |");
+    assert_ne!(column(&page, "reason"), codes(Reason::ALL));
+    let page = METRICS.replace("| `th_state` |", "| `th_states` |");
+    assert_ne!(column(&page, "metric"), metrics_of_code());
+    let page = METRICS.replace("| `waiting` |", "| `waits` |");
+    assert_ne!(column(&page, "name"), state_of_code());
+}
+
+/// Alerts stand on metrics that exist.
+#[test]
+fn alerts_name_known_metrics() {
+    let (metrics, state) = (metrics_of_code(), state_of_code());
+    for part in ALERTS.split("`th_").skip(1) {
+        let name: String =
+            part.chars().take_while(|it| it.is_ascii_lowercase() || *it == '_').collect();
+        let name = format!("th_{}", name.trim_end_matches("_count"));
+        assert!(metrics.contains(&name), "{name}");
+        let Some(rest) = part.split('`').next().unwrap().strip_prefix("state{name=\"") else {
+            continue;
+        };
+        let name = rest.split('"').next().unwrap();
+        assert!(state.contains(name), "{name}");
+    }
+}
+
+/// Each file that a page names as the place of a decision exists.
+#[test]
+fn files_on_the_pages_exist() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/crates");
+    let rows = REFUSALS.lines().filter(|it| it.starts_with("| `") && it.matches(" |").count() == 7);
+    let mut seen = 0;
+    for row in rows {
+        let last = row.trim_end_matches(" |").rsplit(" | ").next().unwrap();
+        for path in last.split('`').skip(1).step_by(2) {
+            let found = ["", "th-steer/src/engine/", "th-entry/src/call/"]
+                .iter()
+                .any(|it| std::path::Path::new(&format!("{root}/{it}{path}")).is_file());
+            assert!(found, "{path}");
+            seen += 1;
+        }
+    }
+    assert!(Reason::ALL.len() <= seen, "{seen}");
+}
