--- a/examples/local/summary.rs
+++ b/examples/local/summary.rs
@@ -1,5 +1,7 @@
 //! The figures of a run, and what of them breaks a promise.
 
+use std::collections::BTreeMap;
+
 use eyre::Result;
 use serde::Serialize;
 use th_operator::EntryClient;
@@ -33,6 +35,7 @@
     store_writes_s: f64,
     store_reads_s: f64,
     lookups: u64,
+    reasons: BTreeMap<&'static str, u64>,
 }
 
 impl Summary {
@@ -67,6 +70,7 @@
             store_writes_s: taken.writes as f64 / seconds,
             store_reads_s: taken.reads as f64 / seconds,
             lookups: records.lookups(),
+            reasons: audit.reasons,
         })
     }
 
