Count a request once, whoever waits for it

Cause: the test of a stop at its limit found 3 requests cut where there were 2: a booking was counted by its caller's wait and by its own task. Change: both hold one count, which ends with the later of them. Measured: cargo test -p tanagerhollow passes. Conclusion: a stop waits for both, and counts what it cuts exactly.

--- a/crates/th-entry/src/call/flow.rs
+++ b/crates/th-entry/src/call/flow.rs
@@ -8,7 +8,7 @@
 
 use super::{Incoming, owner, run::carry_out};
 use crate::{
-    entry::{Entry, InFlight},
+    entry::{Entry, Passage},
     io::Reply,
 };
 
@@ -24,7 +24,12 @@
 }
 
 /// What a request comes to.
-pub(crate) async fn answer(entry: &Arc<Entry>, incoming: Incoming, origin: Origin) -> Reply {
+pub(crate) async fn answer(
+    entry: &Arc<Entry>,
+    incoming: Incoming,
+    origin: Origin,
+    passage: &Passage,
+) -> Reply {
     loop {
         // Registered before asking, so that an end in between is not missed.
         let mut ended = pin!(entry.ended.notified());
@@ -32,7 +37,7 @@
         let call = incoming.call.clone();
         let received = entry.decide(|engine, now| engine.receive(call, now));
         match received {
-            Receive::Run(run) => return start(entry, run, incoming).await,
+            Receive::Run(run) => return start(entry, run, incoming, passage).await,
             Receive::Kept(kept) => return kept.reply(),
             Receive::Notice(notice) => return Reply::notice(&notice),
             Receive::Forward { .. } if origin != Origin::Caller => {
@@ -51,16 +56,18 @@
 }
 
 /// Carries a request out. A non-idempotent one goes on when its caller goes away: whether it ran must be known.
-async fn start(entry: &Arc<Entry>, run: Run, incoming: Incoming) -> Reply {
+async fn start(entry: &Arc<Entry>, run: Run, incoming: Incoming, passage: &Passage) -> Reply {
     if run.spec.idempotent {
         return carry_out(entry, run, &incoming).await;
     }
     let task = {
         let entry = Arc::clone(entry);
+        let passage = passage.clone();
         tokio::spawn(async move {
+            let reply = carry_out(&entry, run, &incoming).await;
             // A planned stop waits for it, even where its caller does not.
-            let _passage = InFlight::join(&entry);
-            carry_out(&entry, run, &incoming).await
+            drop(passage);
+            reply
         })
     };
     match task.await {
--- a/crates/th-entry/src/caller/call.rs
+++ b/crates/th-entry/src/caller/call.rs
@@ -32,7 +32,7 @@
         None => Reply::notice(&notices::refused(Reason::Overloaded, entry.settings.pace.call)),
         Some(passage) => {
             let reply = match read(&entry, req).await {
-                Ok(incoming) => answer(&entry, incoming, Origin::Caller).await,
+                Ok(incoming) => answer(&entry, incoming, Origin::Caller, &passage).await,
                 Err(notice) => Reply::notice(&notice),
             };
             reply.until_sent(passage)
--- a/crates/th-entry/src/entry.rs
+++ b/crates/th-entry/src/entry.rs
@@ -266,16 +266,10 @@
     /// Counts a request; `None` where there are `most` already.
     pub(crate) fn enter(entry: &Arc<Entry>, most: u32) -> Option<Passage> {
         let before = entry.in_flight.count.fetch_add(1, Ordering::SeqCst);
-        let passage = Passage(Arc::clone(entry));
+        let passage = Passage(Arc::new(Counting(Arc::clone(entry))));
         (before < most).then_some(passage)
     }
 
-    /// Counts a request that goes on in any case.
-    pub(crate) fn join(entry: &Arc<Entry>) -> Passage {
-        entry.in_flight.count.fetch_add(1, Ordering::SeqCst);
-        Passage(Arc::clone(entry))
-    }
-
     pub(crate) fn count(&self) -> u32 {
         self.count.load(Ordering::SeqCst)
     }
@@ -292,10 +286,13 @@
     }
 }
 
-/// One request in progress; it ends when this is dropped.
-pub(crate) struct Passage(Arc<Entry>);
+/// One request in progress; it ends when the last clone of this is dropped.
+#[derive(Clone)]
+pub(crate) struct Passage(#[expect(dead_code, reason = "held for its drop")] Arc<Counting>);
+
+struct Counting(Arc<Entry>);
 
-impl Drop for Passage {
+impl Drop for Counting {
     fn drop(&mut self) {
         let in_flight = &self.0.in_flight;
         if in_flight.count.fetch_sub(1, Ordering::SeqCst) == 1 {
--- a/crates/th-entry/src/peer/requests.rs
+++ b/crates/th-entry/src/peer/requests.rs
@@ -54,7 +54,7 @@
     };
     let forwarded = origin == Origin::Placer;
     let reply = match wire.incoming(forwarded, entry.now()) {
-        Some(incoming) => answer(entry, incoming, origin).await,
+        Some(incoming) => answer(entry, incoming, origin, &passage).await,
         None => Reply::notice(&notices::not_run(Reason::BadRequest)),
     };
     if let Some(charge) = link {
