Try grants over the floor on real entry processes

Cause: leased grants were proved in the model and in parts, but never asked for by a running entry process. Change: two tests with a floor of 4 of 16 slots.

--- /dev/null
+++ b/tests/grants.rs
@@ -0,0 +1,73 @@
+//! What a data centre may spend over its floor is granted through the platform's service.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Ask, backend_id, small, started, until};
+use th_protocol::{Permille, Slots};
+use th_testing::Faults;
+
+/// The share of the region's cap that the data centre may always spend: 4 of 16 slots.
+const FLOOR: Permille = Permille(250);
+const FLOOR_SLOTS: u32 = 4;
+
+/// Sends requests that never end until so many run at once, or for a while.
+async fn press(deployment: &th_testing::Deployment, most: u32, tries: u32) -> u32 {
+    let address = deployment.callers()[0];
+    let backend = &deployment.backends[&backend_id(0)];
+    for i in 0..tries {
+        if most <= backend.busy() {
+            break;
+        }
+        let ask = Ask::check(&format!("press-{i}"));
+        tokio::spawn(async move { ask.send(address).await });
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    backend.busy()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn more_than_the_floor_runs_once_it_is_granted() {
+    let mut deployment = started(small(1, 1)).await;
+    deployment
+        .change(|bundle| {
+            let region = bundle.regions.values_mut().next().unwrap();
+            region.floors.insert("north-a".parse().unwrap(), FLOOR);
+        })
+        .await
+        .unwrap();
+    let version = deployment.bundle.version;
+    deployment.in_force(version, th_protocol::Millis(10_000)).await.unwrap();
+    deployment.backends[&backend_id(0)].behave(|it| it.mute = true);
+    let busy = press(&deployment, FLOOR_SLOTS + 1, 500).await;
+    assert!(FLOOR_SLOTS < busy, "{busy} run, with a floor of {FLOOR_SLOTS}");
+    assert_eq!(deployment.ledger.overruns(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_floor_stays_while_the_store_is_down_and_nothing_more() {
+    let mut spec = small(1, 1);
+    spec.slots = Slots(16);
+    let mut deployment = started(spec).await;
+    deployment
+        .change(|bundle| {
+            let region = bundle.regions.values_mut().next().unwrap();
+            region.floors.insert("north-a".parse().unwrap(), FLOOR);
+        })
+        .await
+        .unwrap();
+    let version = deployment.bundle.version;
+    deployment.in_force(version, th_protocol::Millis(10_000)).await.unwrap();
+    deployment.platform.set_faults(Faults { down: true, ..Faults::default() });
+    let backend = &deployment.backends[&backend_id(0)];
+    backend.behave(|it| it.mute = true);
+    let address = deployment.callers()[0];
+    until("the floor is in use", || {
+        let ask = Ask::check("fill");
+        tokio::spawn(async move { ask.send(address).await });
+        backend.busy() == FLOOR_SLOTS
+    })
+    .await;
+    assert_eq!(press(&deployment, FLOOR_SLOTS + 1, 100).await, FLOOR_SLOTS);
+}
