--- a/crates/th-entry/src/caller/status.rs
+++ b/crates/th-entry/src/caller/status.rs
@@ -1,7 +1,7 @@
 //! `GET /v1/status`.
 
 use salvo::{Depot, Response, handler, writing::Json};
-use th_protocol::{Digest, Status};
+use th_protocol::Status;
 
 use crate::{entry::Entry, peer::entry};
 
@@ -17,7 +17,7 @@
         let ready = engine.ready();
         let version = engine.bundle().map(|it| it.version);
         let age = version.map(|_| engine.age(now));
-        let digest = ready.as_ref().ok().map(|it| Digest::from_bytes(it.digest.0));
+        let digest = ready.as_ref().ok().map(|it| it.digest);
         let reason = match &ready {
             Err(error) => Some(error.to_string()),
             Ok(_) if stopping => Some("it is stopping".to_owned()),
--- a/crates/th-entry/src/library.rs
+++ b/crates/th-entry/src/library.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use th_protocol::{
-    Bundle, BundleHead, ContentHash, Digest, Fault, Manifest, ManifestError, SignedManifest,
-    assemble, check_bundle,
+    Bundle, BundleHead, Digest, Fault, Manifest, ManifestError, SignedManifest, assemble,
+    check_bundle,
 };
 use th_steer::member::ManifestInfo;
 use thiserror::Error;
@@ -38,7 +38,7 @@
 
 /// The head that a signed manifest stands for.
 pub(crate) fn head_of(signed: &SignedManifest, manifest: &Manifest) -> BundleHead {
-    let digest = ContentHash(*signed.digest().bytes());
+    let digest = signed.digest();
     BundleHead { version: manifest.version, digest }
 }
 
@@ -52,7 +52,7 @@
         let head = head_of(&signed, &manifest);
         let mut parts = Vec::new();
         for digest in manifest.parts.values() {
-            parts.push(ContentHash(*digest.bytes()));
+            parts.push(*digest);
         }
         self.manifests.insert(head, (signed, manifest));
         ManifestInfo { head, parts }
@@ -69,8 +69,8 @@
     }
 
     /// A part's bytes.
-    pub(crate) fn part(&self, hash: &ContentHash) -> Option<&Bytes> {
-        self.parts.get(&Digest::from_bytes(hash.0))
+    pub(crate) fn part(&self, hash: &Digest) -> Option<&Bytes> {
+        self.parts.get(hash)
     }
 
     /// Whether every part of a bundle is at hand.
@@ -82,8 +82,8 @@
     }
 
     /// Bundles that a part belongs to.
-    pub(crate) fn users(&self, hash: &ContentHash) -> Vec<BundleHead> {
-        let digest = Digest::from_bytes(hash.0);
+    pub(crate) fn users(&self, hash: &Digest) -> Vec<BundleHead> {
+        let digest = *hash;
         let mut users = Vec::new();
         for (head, (_, manifest)) in &self.manifests {
             if manifest.parts.values().any(|it| *it == digest) {
@@ -102,8 +102,8 @@
     }
 
     /// Forgets manifests of other bundles and a part that the one in force does not use.
-    pub(crate) fn forget(&mut self, hash: &ContentHash) {
-        self.parts.remove(&Digest::from_bytes(hash.0));
+    pub(crate) fn forget(&mut self, hash: &Digest) {
+        self.parts.remove(hash);
     }
 
     /// Forgets the manifests of bundles older than the one in force.
--- a/crates/th-entry/src/task/bundles.rs
+++ b/crates/th-entry/src/task/bundles.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use th_platform::{Key, Platform};
 use th_protocol::{
-    BundleAnswer, BundleHead, BundleRequest, ContentHash, Digest, OperatorId, SignedManifest,
-    layout,
+    BundleAnswer, BundleHead, BundleRequest, Digest, OperatorId, SignedManifest, layout,
 };
 use th_steer::member::{Fetched, ManifestInfo, Source, SpreadAction};
 
@@ -87,7 +86,7 @@
     head: BundleHead,
     signed: SignedManifest,
 ) -> Fetched<ManifestInfo> {
-    if *signed.digest().bytes() != head.digest.0 {
+    if signed.digest() != head.digest {
         return Fetched::Corrupt;
     }
     let held = entry.decide(|engine, _| engine.bundle().map(|it| it.version)).unwrap_or_default();
@@ -120,13 +119,13 @@
     }
 }
 
-async fn fetch_part(entry: &Arc<Entry>, hash: ContentHash, from: Source) {
+async fn fetch_part(entry: &Arc<Entry>, hash: Digest, from: Source) {
     let fetched = match &from {
         Source::Store => Ok(stored_part(entry, &hash).await),
         Source::Peer(_) => ask_peer(entry, &from, &BundleRequest::Part(hash)).await,
     };
     let fetched = match fetched {
-        Ok(Some(bytes)) if *Digest::of(&bytes).bytes() == hash.0 => {
+        Ok(Some(bytes)) if Digest::of(&bytes) == hash => {
             entry.library().add_part(bytes);
             Fetched::Good(())
         }
@@ -143,7 +142,7 @@
 }
 
 /// Refuses each bundle that this part completes and whose content is faulty.
-fn refuse_faulty(entry: &Entry, hash: &ContentHash, from: &Source) {
+fn refuse_faulty(entry: &Entry, hash: &Digest, from: &Source) {
     let users = entry.library().users(hash);
     for head in users {
         if is_faulty(entry, &head) {
@@ -152,8 +151,8 @@
     }
 }
 
-async fn stored_part(entry: &Entry, hash: &ContentHash) -> Option<Bytes> {
-    let key = Key::new(layout::part_key(&Digest::from_bytes(hash.0)));
+async fn stored_part(entry: &Entry, hash: &Digest) -> Option<Bytes> {
+    let key = Key::new(layout::part_key(hash));
     let found = entry.store.read(&key).await.ok()??;
     found.value.map(Bytes::from)
 }
--- a/crates/th-model/src/spread.rs
+++ b/crates/th-model/src/spread.rs
@@ -3,7 +3,7 @@
 //! A roll is one compare-and-swap of the version; its answer may be lost, and a lost write may
 //! still take effect later. Entry VMs judge heads with the decision crate's own `judge`.
 
-use th_protocol::{BundleHead, ContentHash, Version};
+use th_protocol::{BundleHead, Digest, Version};
 use th_steer::member::{Meaning, judge};
 
 use crate::Model;
@@ -112,7 +112,7 @@
 }
 
 fn head(place: (u8, u8)) -> BundleHead {
-    BundleHead { version: Version(u64::from(place.0)), digest: ContentHash([place.1; 32]) }
+    BundleHead { version: Version(u64::from(place.0)), digest: Digest::from_bytes([place.1; 32]) }
 }
 
 impl SpreadPlace {
--- a/crates/th-model/tests/spread.rs
+++ b/crates/th-model/tests/spread.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use th_model::{Outcome, SpreadModel, SpreadVariant, explore};
-use th_protocol::{BundleHead, ContentHash, Millis, Time, Version};
+use th_protocol::{BundleHead, Digest, Millis, Time, Version};
 use th_steer::member::{
     Fetched, ManifestInfo, Meaning, Source, Spread, SpreadAction, SpreadSettings, judge,
 };
@@ -33,7 +33,7 @@
 }
 
 fn head(version: u64, content: u8) -> BundleHead {
-    BundleHead { version: Version(version), digest: ContentHash([content; 32]) }
+    BundleHead { version: Version(version), digest: Digest::from_bytes([content; 32]) }
 }
 
 proptest! {
--- a/crates/th-protocol/src/bundle/digest.rs
+++ b/crates/th-protocol/src/bundle/digest.rs
@@ -2,7 +2,8 @@
 
 use std::{fmt, str::FromStr};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
+use serde_bytes::ByteArray;
 use sha2::{Digest as _, Sha256};
 use thiserror::Error;
 
@@ -14,9 +15,8 @@
 #[error("a digest is 64 hex digits: {0}")]
 pub struct DigestError(#[from] hex::FromHexError);
 
-/// A SHA-256 digest, shown in hex.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
+/// A SHA-256 digest, shown in hex. In binary messages it is its 32 bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Digest([u8; 32]);
 
 impl Digest {
@@ -52,16 +52,22 @@
     }
 }
 
-impl TryFrom<String> for Digest {
-    type Error = DigestError;
-
-    fn try_from(text: String) -> Result<Digest> {
-        text.parse()
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        serializer.serialize_bytes(&self.0)
     }
 }
 
-impl From<Digest> for String {
-    fn from(digest: Digest) -> String {
-        digest.to_string()
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Digest, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            return text.parse().map_err(D::Error::custom);
+        }
+        let bytes = ByteArray::<32>::deserialize(deserializer)?;
+        Ok(Digest(bytes.into_array()))
     }
 }
--- a/crates/th-protocol/src/lib.rs
+++ b/crates/th-protocol/src/lib.rs
@@ -26,8 +26,8 @@
 pub use load::LoadReport;
 pub use lookup::{EntryAddress, LookupAnswer};
 pub use peer::{
-    BundleAnswer, BundleHead, BundleRequest, CheckAnswer, ContentHash, HeadroomDigest, Heartbeat,
-    IndirectCheck, LeavingNotice, LeavingSource, MemberState, PeerRecord,
+    BundleAnswer, BundleHead, BundleRequest, CheckAnswer, HeadroomDigest, Heartbeat, IndirectCheck,
+    LeavingNotice, LeavingSource, MemberState, PeerRecord,
 };
 pub use status::Status;
 pub use units::{
--- a/crates/th-protocol/src/peer.rs
+++ b/crates/th-protocol/src/peer.rs
@@ -1,58 +1,12 @@
 //! What entry VMs tell each other: heartbeats, indirect checks and bundle fetches.
 
-use std::{fmt, net::SocketAddr};
+use std::net::SocketAddr;
 
-use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use serde::{Deserialize, Serialize};
 
-use crate::{BackendId, Incarnation, Millis, Permille, RegionId, Time, Version, VmId, ZoneId};
-
-/// The SHA-256 hash of a manifest or of a part of a bundle.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ContentHash(pub [u8; 32]);
-
-impl fmt::Display for ContentHash {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for byte in self.0 {
-            write!(f, "{byte:02x}")?;
-        }
-        Ok(())
-    }
-}
-
-impl Serialize for ContentHash {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_bytes(&self.0)
-    }
-}
-
-struct HashVisitor;
-
-impl<'de> de::Visitor<'de> for HashVisitor {
-    type Value = ContentHash;
-
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("32 bytes")
-    }
-
-    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<ContentHash, E> {
-        let array = bytes.try_into();
-        array.map(ContentHash).map_err(|_| E::invalid_length(bytes.len(), &self))
-    }
-
-    fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<ContentHash, A::Error> {
-        let mut array = [0; 32];
-        for (i, byte) in array.iter_mut().enumerate() {
-            *byte = seq.next_element()?.ok_or_else(|| de::Error::invalid_length(i, &self))?;
-        }
-        Ok(ContentHash(array))
-    }
-}
-
-impl<'de> Deserialize<'de> for ContentHash {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<ContentHash, D::Error> {
-        deserializer.deserialize_bytes(HashVisitor)
-    }
-}
+use crate::{
+    BackendId, Digest, Incarnation, Millis, Permille, RegionId, Time, Version, VmId, ZoneId,
+};
 
 /// Which bundle a VM holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -60,7 +14,7 @@
     /// Its version.
     pub version: Version,
     /// The hash of its manifest.
-    pub digest: ContentHash,
+    pub digest: Digest,
 }
 
 /// How an entry VM stands; at the same incarnation and beat a later case replaces an earlier one.
@@ -183,7 +137,7 @@
     /// The manifest of the bundle with this head.
     Manifest(BundleHead),
     /// The part with this hash.
-    Part(ContentHash),
+    Part(Digest),
 }
 
 /// The answer: the signed manifest's or the part's bytes, if the peer holds them.
--- a/crates/th-steer/examples/member_measure/fleet.rs
+++ b/crates/th-steer/examples/member_measure/fleet.rs
@@ -10,8 +10,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use th_protocol::{
-    BundleHead, Bytes, CheckAnswer, ContentHash, Heartbeat, Incarnation, IndirectCheck,
-    LeavingNotice, PeerRecord, Time, VmId,
+    BundleHead, Bytes, CheckAnswer, Digest, Heartbeat, Incarnation, IndirectCheck, LeavingNotice,
+    PeerRecord, Time, VmId,
 };
 use th_steer::{
     backend::Drain,
@@ -69,7 +69,7 @@
     Checked { to: usize, record: PeerRecord },
     Head { to: usize, head: BundleHead },
     Manifest { to: usize, from: Source, head: BundleHead },
-    Part { to: usize, from: Source, hash: ContentHash },
+    Part { to: usize, from: Source, hash: Digest },
 }
 
 pub(crate) struct Node {
--- a/crates/th-steer/examples/member_measure/sample.rs
+++ b/crates/th-steer/examples/member_measure/sample.rs
@@ -1,18 +1,18 @@
 //! Names and contents that the fleet is made of.
 
 use th_protocol::{
-    BundleHead, ContentHash, HeadroomDigest, Incarnation, MemberState, Millis, PeerRecord,
-    Permille, RegionId, Time, Version, ZoneId,
+    BundleHead, Digest, HeadroomDigest, Incarnation, MemberState, Millis, PeerRecord, Permille,
+    RegionId, Time, Version, ZoneId,
 };
 use th_steer::member::ManifestInfo;
 
 pub(crate) const ZONES: usize = 26;
 pub(crate) const REGIONS: usize = 12;
 
-pub(crate) fn hash(version: u64, part: u8) -> ContentHash {
+pub(crate) fn hash(version: u64, part: u8) -> Digest {
     let mut bytes = [part; 32];
     bytes[..8].copy_from_slice(&version.to_be_bytes());
-    ContentHash(bytes)
+    Digest::from_bytes(bytes)
 }
 
 pub(crate) fn head(version: u64) -> BundleHead {
@@ -20,7 +20,7 @@
 }
 
 pub(crate) fn manifest(head: BundleHead, parts: u8) -> ManifestInfo {
-    let mut parts: Vec<ContentHash> = (1..parts).map(|part| hash(0, part)).collect();
+    let mut parts: Vec<Digest> = (1..parts).map(|part| hash(0, part)).collect();
     parts.push(hash(head.version.0, 0));
     ManifestInfo { head, parts }
 }
--- a/crates/th-steer/src/engine/bundles.rs
+++ b/crates/th-steer/src/engine/bundles.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use th_protocol::{
-    BackendId, BundleHead, CheckAnswer, ContentHash, Heartbeat, Incarnation, IndirectCheck,
-    LoadReport, Millis, PeerRecord, Time, VmId,
+    BackendId, BundleHead, CheckAnswer, Digest, Heartbeat, Incarnation, IndirectCheck, LoadReport,
+    Millis, PeerRecord, Time, VmId,
 };
 
 use super::Engine;
@@ -28,13 +28,7 @@
     }
 
     /// Takes the end of a part's fetch.
-    pub fn on_bundle_part(
-        &mut self,
-        hash: ContentHash,
-        from: &Source,
-        fetched: Fetched<()>,
-        now: Time,
-    ) {
+    pub fn on_bundle_part(&mut self, hash: Digest, from: &Source, fetched: Fetched<()>, now: Time) {
         self.spread.on_part(hash, from, fetched, now, &mut self.rng);
     }
 
--- a/crates/th-steer/src/member/spread/job.rs
+++ b/crates/th-steer/src/member/spread/job.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use th_protocol::{BundleHead, ContentHash, Time, VmId};
+use th_protocol::{BundleHead, Digest, Time, VmId};
 
 /// Where to fetch from.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -19,7 +19,7 @@
     /// Its version and its own hash.
     pub head: BundleHead,
     /// The hashes of its parts.
-    pub parts: Vec<ContentHash>,
+    pub parts: Vec<Digest>,
 }
 
 /// How a fetch ended.
@@ -52,7 +52,7 @@
     /// The fetch of the manifest.
     pub(crate) asked: Option<Asked>,
     /// The fetches of parts.
-    pub(crate) parts: BTreeMap<ContentHash, Asked>,
+    pub(crate) parts: BTreeMap<Digest, Asked>,
     /// Counts fetches, to take sources in turn.
     pub(crate) turn: usize,
     /// No fetch before this time.
@@ -65,7 +65,7 @@
     }
 
     /// The parts that are still missing, or `None` before the manifest came.
-    pub(crate) fn missing(&self, held: &BTreeSet<ContentHash>) -> Option<Vec<ContentHash>> {
+    pub(crate) fn missing(&self, held: &BTreeSet<Digest>) -> Option<Vec<Digest>> {
         let manifest = self.manifest.as_ref()?;
         let mut missing = BTreeSet::new();
         for hash in &manifest.parts {
--- a/crates/th-steer/src/member/spread/state.rs
+++ b/crates/th-steer/src/member/spread/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::Rng;
-use th_protocol::{BundleHead, ContentHash, Millis, Time};
+use th_protocol::{BundleHead, Digest, Millis, Time};
 use thiserror::Error;
 
 use super::{
@@ -34,14 +34,14 @@
     /// Fetch a part, check its hash, keep its bytes, and tell `Spread::on_part`.
     FetchPart {
         /// Which one.
-        hash: ContentHash,
+        hash: Digest,
         /// From where.
         from: Source,
     },
     /// Put the bundle in force: all its parts are here.
     Apply(BundleHead),
     /// Forget the bytes of a part that the bundle in force does not use.
-    Drop(ContentHash),
+    Drop(Digest),
 }
 
 /// A head that was refused, and why.
@@ -82,7 +82,7 @@
 pub struct Spread {
     settings: SpreadSettings,
     held: Option<ManifestInfo>,
-    parts: BTreeSet<ContentHash>,
+    parts: BTreeSet<Digest>,
     offers: BTreeMap<BundleHead, Vec<Source>>,
     refused: Vec<RefusedHead>,
     job: Option<Job>,
@@ -191,7 +191,7 @@
     /// Takes the end of a part's fetch.
     pub fn on_part(
         &mut self,
-        hash: ContentHash,
+        hash: Digest,
         from: &Source,
         fetched: Fetched<()>,
         now: Time,
@@ -275,7 +275,7 @@
             return;
         }
         let head = manifest.head;
-        let used: BTreeSet<ContentHash> = manifest.parts.iter().copied().collect();
+        let used: BTreeSet<Digest> = manifest.parts.iter().copied().collect();
         self.held = Some(manifest);
         self.job = None;
         self.offers.retain(|offer, _| judge(Some(head), *offer) == Meaning::Newer);
--- a/crates/th-steer/tests/member.rs
+++ b/crates/th-steer/tests/member.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use th_protocol::{
-    BundleHead, CheckAnswer, ContentHash, HeadroomDigest, Heartbeat, Incarnation, LeavingNotice,
+    BundleHead, CheckAnswer, Digest, HeadroomDigest, Heartbeat, Incarnation, LeavingNotice,
     LeavingSource, MemberState, Millis, PeerRecord, Permille, Time, Version, VmId,
 };
 use th_steer::member::{Headroom, MemberAction, MemberSettings, Members, Seed, watchers};
@@ -277,7 +277,7 @@
         Heartbeat {
             from,
             clock: Time(age),
-            head: Some(BundleHead { version: Version(version), digest: ContentHash(digest) }),
+            head: Some(BundleHead { version: Version(version), digest: Digest::from_bytes(digest) }),
             headroom: Vec::new(),
             leaving: vec![LeavingNotice { backend, source: LeavingSource::Own, age: Millis(age) }],
             records,
--- a/crates/th-steer/tests/spread.rs
+++ b/crates/th-steer/tests/spread.rs
@@ -3,7 +3,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use th_protocol::{BundleHead, Bytes, ContentHash, Millis, Time, Version};
+use th_protocol::{BundleHead, Bytes, Digest, Millis, Time, Version};
 use th_steer::member::{
     Budget, Fetched, ManifestInfo, NotReady, RefusedHead, Source, Spread, SpreadAction,
     SpreadSettings,
@@ -14,15 +14,15 @@
 }
 
 fn head(version: u64, content: u8) -> BundleHead {
-    BundleHead { version: Version(version), digest: ContentHash([content; 32]) }
+    BundleHead { version: Version(version), digest: Digest::from_bytes([content; 32]) }
 }
 
 fn peer(i: usize) -> Source {
     Source::Peer(format!("entry-{i}").parse().unwrap())
 }
 
-fn part(i: u8) -> ContentHash {
-    ContentHash([i; 32])
+fn part(i: u8) -> Digest {
+    Digest::from_bytes([i; 32])
 }
 
 fn start(rng: &mut ChaCha8Rng) -> Spread {
@@ -31,7 +31,7 @@
 }
 
 /// Fetches all that is asked for; gives the parts that were fetched.
-fn serve(spread: &mut Spread, parts: &[u8], now: Time, rng: &mut ChaCha8Rng) -> Vec<ContentHash> {
+fn serve(spread: &mut Spread, parts: &[u8], now: Time, rng: &mut ChaCha8Rng) -> Vec<Digest> {
     let mut fetched = Vec::new();
     for _ in 0..8 {
         for action in spread.tick(false, now, rng) {
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -11,7 +11,7 @@
 use reqwest::StatusCode;
 use rstest::rstest;
 use th_protocol::{
-    BundleAnswer, BundleHead, BundleRequest, CheckAnswer, ContentHash, Heartbeat, IndirectCheck,
+    BundleAnswer, BundleHead, BundleRequest, CheckAnswer, Digest, Heartbeat, IndirectCheck,
     MemberState, PeerRecord, Time, Version, header,
 };
 use th_testing::Deployment;
@@ -45,7 +45,7 @@
         beat: 1,
         state: MemberState::Live,
     };
-    let head = Some(BundleHead { version: Version(99), digest: ContentHash([1; 32]) });
+    let head = Some(BundleHead { version: Version(99), digest: Digest::from_bytes([1; 32]) });
     let (headroom, leaving, records) = (Vec::new(), Vec::new(), Vec::new());
     Heartbeat { from, clock: Time(0), head, headroom, leaving, records }
 }
