--- a/src/main.rs
+++ b/src/main.rs
@@ -49,7 +49,8 @@
     match run(settings) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(cut) => {
-            eprintln!("the stop cut {cut} requests");
+            let noun = if cut == 1 { "request" } else { "requests" };
+            eprintln!("the stop cut {cut} {noun}");
             ExitCode::from(EXIT_FAILED)
         }
         Err(error) => {
