--- a/crates/th-steer/examples/member_measure/sample.rs
+++ b/crates/th-steer/examples/member_measure/sample.rs
@@ -7,8 +7,7 @@
 use th_steer::member::ManifestInfo;
 
 pub(crate) const ZONES: usize = 26;
-/// Parts of each bundle; a roll changes one.
-const PARTS: u8 = 8;
+pub(crate) const REGIONS: usize = 12;
 
 pub(crate) fn hash(version: u64, part: u8) -> ContentHash {
     let mut bytes = [part; 32];
@@ -20,8 +19,8 @@
     BundleHead { version: Version(version), digest: hash(version, 255) }
 }
 
-pub(crate) fn manifest(head: BundleHead) -> ManifestInfo {
-    let mut parts: Vec<ContentHash> = (1..PARTS).map(|part| hash(0, part)).collect();
+pub(crate) fn manifest(head: BundleHead, parts: u8) -> ManifestInfo {
+    let mut parts: Vec<ContentHash> = (1..parts).map(|part| hash(0, part)).collect();
     parts.push(hash(head.version.0, 0));
     ManifestInfo { head, parts }
 }
