--- a/tests/thctl.rs
+++ b/tests/thctl.rs
@@ -70,19 +70,35 @@
     lines.map(|it| it.split_whitespace().map(str::to_owned).collect()).collect()
 }
 
+/// Addresses on the pages.
+const ADDRESSES: [&str; 6] = [
+    "10.0.0.1:7000",
+    "10.0.0.2:8080",
+    "10.0.0.3:8080",
+    "127.0.0.1:7000",
+    "127.0.0.1:8081",
+    "127.0.0.1:8082",
+];
+
 /// The page's addresses lead nowhere here, but none of its commands is a wrong one.
 #[rstest]
-fn commands_on_the_pages_are_well_formed(#[files("docs/operate/*.md")] page: PathBuf) {
+fn commands_on_the_pages_are_well_formed(
+    #[files("README.md")]
+    #[files("docs/operate/*.md")]
+    page: PathBuf,
+) {
     let text = fs::read_to_string(&page).unwrap();
-    let folder = Folder::new(&format!("page-{}", page.file_stem().unwrap().display()));
+    let name = page.strip_prefix(env!("CARGO_MANIFEST_DIR")).unwrap().display().to_string();
+    let folder = Folder::new(&format!("page-{}", name.replace('/', "-")));
     let digest = "0".repeat(64);
     for command in commands(&text) {
         let mut args = Vec::new();
         for arg in &command {
-            let arg = arg.replace("10.0.0.1:7000", "127.0.0.1:1").replace("DIGEST", &digest);
-            args.push(
-                arg.replace("10.0.0.2:8080", "127.0.0.1:1").replace("10.0.0.3:8080", "127.0.0.1:1"),
-            );
+            let mut arg = arg.replace("DIGEST", &digest);
+            for address in ADDRESSES {
+                arg = arg.replace(address, "127.0.0.1:1");
+            }
+            args.push(arg);
         }
         let output = Command::new(env!("CARGO_BIN_EXE_thctl"))
             .args(&args)
