--- a/crates/th-entry/src/caller/call.rs
+++ b/crates/th-entry/src/caller/call.rs
@@ -64,7 +64,7 @@
         entry.metrics.notices.with_label_values(&[service, verdict.code(), reason.code()]).inc();
     }
     if let Some(id) = &known {
-        entry.note_request(id, verdict, waited);
+        entry.note_request(id, verdict.zip(reason), waited);
     }
 }
 
--- a/crates/th-entry/src/entry.rs
+++ b/crates/th-entry/src/entry.rs
@@ -11,7 +11,7 @@
 
 use reqwest::Client;
 use th_platform::{Calls, Clock, Counted};
-use th_protocol::{BackendId, Bytes, Incarnation, Millis, ServiceId, Time, Verdict};
+use th_protocol::{BackendId, Bytes, Incarnation, Millis, Reason, ServiceId, Time, Verdict};
 use th_report::{BurnRing, Count, Measure, Sample};
 use th_steer::{
     backend::Outcome,
@@ -50,6 +50,8 @@
     pub(crate) clients: Clients,
     /// Connections to other entry VMs.
     pub(crate) peers: Client,
+    /// Probes of backend servers.
+    pub(crate) probes: Client,
     pub(crate) library: Mutex<Library>,
     pub(crate) metrics: Metrics,
     pub(crate) burn: Mutex<BurnRing>,
@@ -102,6 +104,7 @@
             waiters: Mutex::default(),
             clients: Clients::default(),
             peers: client(ClientSettings::default()),
+            probes: client(ClientSettings::default()),
             library: Mutex::default(),
             metrics: Metrics::default(),
             burn: Mutex::new(BurnRing::new(now)),
@@ -211,14 +214,14 @@
     pub(crate) fn note_request(
         &self,
         service: &ServiceId,
-        verdict: Option<Verdict>,
+        told: Option<(Verdict, Reason)>,
         waited: Millis,
     ) {
         let slo = self.decide(|engine, _| {
             engine.bundle().and_then(|it| Some(it.services.get(service)?.slo.clone()))
         });
-        if let Some(slo) = slo {
-            self.count(service, Measure::Latency, is_good(&slo, verdict, waited));
+        if let Some(good) = slo.and_then(|it| is_good(&it, told, waited)) {
+            self.count(service, Measure::Latency, good);
         }
     }
 
--- a/crates/th-entry/src/settings/fields.rs
+++ b/crates/th-entry/src/settings/fields.rs
@@ -59,9 +59,14 @@
         }
     }
 
+    /// Whether the field `name` is there and was not read yet.
+    pub(crate) fn has(&self, name: &str) -> bool {
+        self.rest.contains_key(name)
+    }
+
     /// The field `name`; its absence is a fault.
     pub(crate) fn require<T: DeserializeOwned>(&mut self, name: &str, stand_in: T) -> T {
-        if !self.rest.contains_key(name) {
+        if !self.has(name) {
             self.fault(name, "this field is required");
         }
         self.read(name, stand_in)
--- a/crates/th-entry/src/settings/read.rs
+++ b/crates/th-entry/src/settings/read.rs
@@ -85,10 +85,12 @@
 }
 
 fn keys(mut fields: Fields<'_>) -> Keys {
+    let stated = fields.has("peer");
     let peer: String = fields.require("peer", String::new());
-    if !peer.is_empty() && peer.len() < MIN_PEER_KEY_BYTES {
+    if stated && peer.len() < MIN_PEER_KEY_BYTES {
         fields.fault("peer", format!("at least {MIN_PEER_KEY_BYTES} bytes, not {}", peer.len()));
     }
+    let stated = fields.has("tickets");
     let texts: Vec<String> = fields.require("tickets", Vec::new());
     let mut tickets = Vec::new();
     for (i, text) in texts.iter().enumerate() {
@@ -99,7 +101,7 @@
             Err(_) => fields.fault(&format!("tickets.{i}"), "expected 64 hex digits"),
         }
     }
-    if texts.is_empty() {
+    if stated && texts.is_empty() {
         fields.fault("tickets", "at least one key is needed");
     }
     let operators = fields.read("operators", Default::default());
--- a/crates/th-entry/src/task/actions.rs
+++ b/crates/th-entry/src/task/actions.rs
@@ -12,7 +12,6 @@
 use super::{bundles, grants};
 use crate::{
     entry::Entry,
-    io::{ClientSettings, client},
     peer::{Route, client::call},
 };
 
@@ -62,7 +61,7 @@
 /// Asks a backend server for its health and its load.
 async fn probe(entry: &Arc<Entry>, backend: BackendId, address: SocketAddr) {
     let asked = entry.now();
-    let client = client(ClientSettings::default());
+    let client = &entry.probes;
     let health = client.get(format!("http://{address}/health")).timeout(PROBE_TIMEOUT).send().await;
     let good = health.is_ok_and(|it| it.status().is_success());
     entry.decide(|engine, now| engine.on_probe(&backend, good, now));
--- a/crates/th-entry/src/task/grants.rs
+++ b/crates/th-entry/src/task/grants.rs
@@ -112,12 +112,17 @@
         }
         StoreAction::ReadLead(zone, _) => {
             let found = store.read(&lead_key(&zone)).await;
-            let shown = found.ok().map(|it| it.and_then(|it| read::<Lease>(&it)));
+            // A value that cannot be read says nothing of the lease.
+            let shown = match found {
+                Ok(None) => Some(None),
+                Ok(Some(it)) => read::<Lease>(&it).map(Some),
+                Err(_) => None,
+            };
             entry.decide(|engine, now| engine.holder().on_lead(shown, now));
         }
         StoreAction::ReadLedger(cap) => {
             let found = store.read(&ledger_key(&cap)).await;
-            let ledger = found.ok().map(|it| ledger(it.as_ref()));
+            let ledger = found.ok().and_then(|it| ledger(it.as_ref()));
             entry.decide(|engine, _| engine.holder().on_read(&cap, ledger));
         }
         StoreAction::WriteLedger(cap, Revisioned { revision, ledger }) => {
@@ -132,10 +137,11 @@
     serde_json::from_slice(found.value.as_ref()?).ok()
 }
 
-fn ledger(found: Option<&Stored>) -> Revisioned {
+/// The ledger; `None` where it cannot be read, since its grants may still be in use.
+fn ledger(found: Option<&Stored>) -> Option<Revisioned> {
     let Some(found) = found else {
-        return Revisioned::default();
+        return Some(Revisioned::default());
     };
-    let ledger = read::<Ledger>(found).unwrap_or_default();
-    Revisioned { revision: Some(found.revision), ledger }
+    let ledger = read::<Ledger>(found)?;
+    Some(Revisioned { revision: Some(found.revision), ledger })
 }
--- a/crates/th-entry/src/task/sample.rs
+++ b/crates/th-entry/src/task/sample.rs
@@ -4,7 +4,7 @@
 
 use rustix::time::{ClockId, clock_gettime};
 use th_platform::Step;
-use th_protocol::{Millis, Permille, Slo, Verdict};
+use th_protocol::{Millis, Permille, Reason, Slo, Verdict};
 use th_report::{Measure, Scope};
 use th_steer::engine::View;
 
@@ -116,7 +116,11 @@
     f64::from(share.0) / f64::from(Permille::WHOLE.0)
 }
 
-/// Whether an answer kept the promise on latency.
-pub(crate) fn is_good(slo: &Slo, verdict: Option<Verdict>, waited: Millis) -> bool {
-    verdict.is_none() && waited <= slo.latency
+/// Whether an answer kept the promise on latency; `None` where the caller itself was at fault.
+pub(crate) fn is_good(slo: &Slo, told: Option<(Verdict, Reason)>, waited: Millis) -> Option<bool> {
+    match told {
+        None => Some(waited <= slo.latency),
+        Some((Verdict::NotRun, reason)) if reason.is_caller_fault() => None,
+        Some(_) => Some(false),
+    }
 }
--- a/crates/th-protocol/src/verdict.rs
+++ b/crates/th-protocol/src/verdict.rs
@@ -125,6 +125,23 @@
     }
 }
 
+impl Reason {
+    /// Whether the caller's own request is at fault, and not the system.
+    pub fn is_caller_fault(self) -> bool {
+        matches!(
+            self,
+            Reason::NoService
+                | Reason::NoOperation
+                | Reason::NoTicket
+                | Reason::BadTicket
+                | Reason::NoKey
+                | Reason::KeyReused
+                | Reason::BadRequest
+                | Reason::SlowCaller
+        )
+    }
+}
+
 /// The body of an answer of the system's own.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
--- a/crates/th-steer/src/engine/lookup.rs
+++ b/crates/th-steer/src/engine/lookup.rs
@@ -111,7 +111,7 @@
         let routing = self.routing.as_mut().expect("the answer comes from it");
         let retry = routing.next_step(service, now).max(self.settings.refresh);
         let decision = (Limit::ShiftCap, Rule::Divert, Outcome::Refused);
-        self.record(service, None, Inputs::default(), decision, now);
+        self.record(service, None, Inputs::default(), decision, Some(Reason::ShiftCap), now);
         notices::refused(Reason::ShiftCap, retry)
     }
 
@@ -130,6 +130,13 @@
         }
         let mut inputs = Inputs::default();
         inputs.push(Quantity::Usable, usable as f64, self.settings.refresh);
-        self.record(service, None, inputs, (Limit::None, Rule::Nearest, Outcome::Accepted), now);
+        self.record(
+            service,
+            None,
+            inputs,
+            (Limit::None, Rule::Nearest, Outcome::Accepted),
+            None,
+            now,
+        );
     }
 }
--- a/crates/th-steer/src/engine/place.rs
+++ b/crates/th-steer/src/engine/place.rs
@@ -174,8 +174,8 @@
         Ok(routing.try_move(&run.call.service, home, region, now)?)
     }
 
-    /// Other data centres that serve the service and were lately seen with room, this region's
-    /// first, then those with the most room.
+    /// Data centres that serve the service and were lately seen with room, this region's first,
+    /// then those with the most room.
     fn zones_with_room(&self, run: &Run, home: &RegionId, now: Time) -> Vec<(ZoneId, RegionId)> {
         let Some(bundle) = &self.bundle else {
             return Vec::new();
@@ -191,10 +191,14 @@
         }
         let mut zones = Vec::new();
         for (zone, spec) in &bundle.zones {
-            let elsewhere = *zone != self.me.zone && !run.refused.contains(zone);
             let target = service.regions.get(&spec.region);
             let serves = service.backends.values().any(|it| it.zone == *zone && !it.leaving);
-            if !elsewhere || !serves || target.is_none_or(|it| it.weight == 0) {
+            if run.refused.contains(zone) || !serves || target.is_none_or(|it| it.weight == 0) {
+                continue;
+            }
+            // Another VM of this data centre may own the shard that this one lacks.
+            let own = *zone == self.me.zone;
+            if own && !self.capacity.holdings(now).is_empty() {
                 continue;
             }
             let room = free.get(zone).copied().unwrap_or(Permille::ZERO);
--- a/crates/th-steer/src/engine/receive.rs
+++ b/crates/th-steer/src/engine/receive.rs
@@ -135,7 +135,8 @@
         inputs.push(Quantity::Headroom, free, Default::default());
         let (limit, rule) = binding(notice.reason);
         let decision = (limit, rule, Outcome::Refused);
-        self.record(&call.service.clone(), Some(call.number), inputs, decision, now);
+        let reason = Some(notice.reason);
+        self.record(&call.service.clone(), Some(call.number), inputs, decision, reason, now);
     }
 }
 
--- a/crates/th-steer/src/engine/settings.rs
+++ b/crates/th-steer/src/engine/settings.rs
@@ -5,7 +5,7 @@
 use crate::{
     backend::BackendSettings,
     explain,
-    limit::{HolderSettings, OrphanSettings},
+    limit::HolderSettings,
     member::{MemberSettings, SpreadSettings},
     queue::QueueSettings,
     retry::RetrySettings,
@@ -32,8 +32,6 @@
     pub spread: SpreadSettings,
     /// Leased grants.
     pub holder: HolderSettings,
-    /// Backend servers whose entry VM is gone.
-    pub orphan: OrphanSettings,
     /// Explanations.
     pub explain: explain::Settings,
     /// Time between tries to own a shard.
@@ -60,7 +58,6 @@
             member: MemberSettings::default(),
             spread: SpreadSettings::default(),
             holder: HolderSettings::default(),
-            orphan: OrphanSettings::default(),
             explain: explain::Settings::default(),
             claim: Millis(1_000),
             adopt: Millis(10_000),
--- a/crates/th-steer/src/engine/tick.rs
+++ b/crates/th-steer/src/engine/tick.rs
@@ -66,7 +66,9 @@
 
     /// Sets what heartbeats carry.
     fn publish(&mut self, now: Time) {
-        if let Some(region) = self.capacity.region().cloned() {
+        // A VM that owns nothing measures nothing.
+        let owns = !self.capacity.holdings(now).is_empty();
+        if let Some(region) = self.capacity.region().filter(|_| owns).cloned() {
             let free = self.capacity.free(now);
             let zone = self.me.zone.clone();
             let own = HeadroomDigest { region, zone, free, age: Default::default() };
--- a/crates/th-steer/src/engine/view.rs
+++ b/crates/th-steer/src/engine/view.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use th_protocol::{
-    AttemptId, BackendId, Bytes, LinkId, Millis, Permille, RegionId, ServiceId, Slots, Time, VmId,
+    AttemptId, BackendId, Bytes, LinkId, Millis, Permille, Reason, RegionId, ServiceId, Slots,
+    Time, VmId,
 };
 
 use super::Engine;
@@ -81,11 +82,13 @@
         request: Option<u64>,
         inputs: Inputs,
         (limit, rule, outcome): (Limit, Rule, Outcome),
+        reason: Option<Reason>,
         now: Time,
     ) {
         let service = service.clone();
         let attempt: Option<AttemptId> = None;
-        let record = Record { time: now, service, request, attempt, inputs, limit, rule, outcome };
+        let record =
+            Record { time: now, service, request, attempt, inputs, limit, rule, outcome, reason };
         self.journal.record(record);
     }
 
--- a/crates/th-steer/src/explain/record.rs
+++ b/crates/th-steer/src/explain/record.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use th_protocol::{AttemptId, Millis, ServiceId, Time};
+use th_protocol::{AttemptId, Millis, Reason, ServiceId, Time};
 
 /// Most inputs kept with one decision.
 pub const MAX_INPUTS: usize = 6;
@@ -197,6 +197,9 @@
     pub rule: Rule,
     /// How it ended.
     pub outcome: Outcome,
+    /// The reason that the caller was told, where it was refused.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reason: Option<Reason>,
 }
 
 impl fmt::Display for Record {
--- a/crates/th-steer/src/route/reason.rs
+++ b/crates/th-steer/src/route/reason.rs
@@ -27,6 +27,7 @@
         limit,
         rule,
         outcome: if refused { Outcome::Refused } else { Outcome::Accepted },
+        reason: None,
     };
     let list = &mut record.inputs;
     let demand = inputs.demand.age(service, now).unwrap_or(Millis(now.0));
--- a/crates/th-steer/tests/explain.rs
+++ b/crates/th-steer/tests/explain.rs
@@ -20,6 +20,7 @@
         limit: Limit::ShiftCap,
         rule: Rule::Spill,
         outcome,
+        reason: None,
     }
 }
 
--- /dev/null
+++ b/tests/shardless_entry.rs
@@ -0,0 +1,43 @@
+//! An entry VM that owns no shard of its data centre still gets its callers' requests answered.
+
+use std::time::Duration;
+
+use th_protocol::{Millis, header};
+use th_testing::{Deployment, DeploymentSpec, ZoneSpec};
+use tokio::time::{sleep, timeout};
+
+/// How long a data centre may take to settle after a bundle that changes its shards: the time in
+/// which a bundle is in force everywhere, and the wait after it before larger shares are spent.
+const SETTLED: Duration = Duration::from_secs(20);
+/// Between two tries.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Two entry VMs share one shard, so one of them owns none. Backend servers are idle.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_either_vm_are_answered() {
+    let zones = vec![ZoneSpec { name: "north-a", region: "north", entries: 2, backends: 2 }];
+    let spec = DeploymentSpec { zones, ..DeploymentSpec::default() };
+    let mut deployment = Deployment::start(spec).await.unwrap();
+    let one_shard = |bundle: &mut th_protocol::Bundle| {
+        for zone in bundle.zones.values_mut() {
+            zone.shards = 1;
+        }
+    };
+    deployment.change(one_shard).await.unwrap();
+    deployment.in_force(deployment.bundle.version, Millis(7_000)).await.unwrap();
+    for (vm, running) in &deployment.entries {
+        let url = format!("http://{}/v1/call/roster/check", running.callers());
+        let mut last = String::new();
+        let answered = timeout(SETTLED, async {
+            loop {
+                let answer = reqwest::get(&url).await.unwrap();
+                if answer.status().is_success() {
+                    return;
+                }
+                last = format!("{} {:?}", answer.status(), answer.headers().get(header::REASON));
+                sleep(POLL).await;
+            }
+        });
+        assert!(answered.await.is_ok(), "{vm}: {last}");
+    }
+}
