--- a/crates/th-entry/src/peer/codec.rs
+++ b/crates/th-entry/src/peer/codec.rs
@@ -8,9 +8,9 @@
 /// Largest control message that is read, in bytes; a bundle's part fits.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 2 << 20;
 
-/// The message as bytes.
+/// The message as bytes; fields go by their order, not by their names.
 pub(crate) fn encode<T: Serialize>(message: &T) -> Vec<u8> {
-    rmp_serde::to_vec_named(message).expect("messages are plain data")
+    rmp_serde::to_vec(message).expect("messages are plain data")
 }
 
 /// Reads a message.
