--- a/crates/th-entry/src/library.rs
+++ b/crates/th-entry/src/library.rs
@@ -1,11 +1,11 @@
 //! The bytes of bundles: what peers may fetch, and what a bundle is put together from.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use bytes::Bytes;
 use th_protocol::{
     Bundle, BundleHead, ContentHash, Digest, Fault, Manifest, ManifestError, SignedManifest,
-    assemble, check_bundle,
+    assemble, check_bundle, check_rules, update,
 };
 use th_steer::member::ManifestInfo;
 use thiserror::Error;
@@ -29,11 +29,21 @@
     lines.join("; ")
 }
 
+/// A bundle that was put together and found good.
+#[derive(Debug)]
+struct Made {
+    head: BundleHead,
+    manifest: Manifest,
+    bundle: Arc<Bundle>,
+}
+
 /// Manifests and parts at hand.
 #[derive(Debug, Default)]
 pub(crate) struct Library {
     manifests: BTreeMap<BundleHead, (SignedManifest, Manifest)>,
     parts: BTreeMap<Digest, Bytes>,
+    /// The last one: the next is made from it and the parts that differ.
+    made: Option<Made>,
 }
 
 /// The head that a signed manifest stands for.
@@ -94,11 +104,29 @@
     }
 
     /// Puts a bundle together and checks what it says.
-    pub(crate) fn bundle(&self, head: &BundleHead) -> Result<Bundle> {
+    pub(crate) fn bundle(&mut self, head: &BundleHead) -> Result<Arc<Bundle>> {
+        if let Some(made) = self.made.as_ref().filter(|it| it.head == *head) {
+            return Ok(Arc::clone(&made.bundle));
+        }
         let (_, manifest) = self.manifests.get(head).ok_or(LibraryError::Unknown(*head))?;
-        let bundle = assemble(manifest, &self.parts)?;
-        let faults = check_bundle(&bundle);
-        if faults.is_empty() { Ok(bundle) } else { Err(LibraryError::Faults(faults)) }
+        let (bundle, faults) = match &self.made {
+            Some(made) => {
+                let bundle = update(&made.bundle, &made.manifest, manifest, &self.parts)?;
+                let faults = check_rules(&bundle);
+                (bundle, faults)
+            }
+            None => {
+                let bundle = assemble(manifest, &self.parts)?;
+                let faults = check_bundle(&bundle);
+                (bundle, faults)
+            }
+        };
+        if !faults.is_empty() {
+            return Err(LibraryError::Faults(faults));
+        }
+        let (manifest, bundle) = (manifest.clone(), Arc::new(bundle));
+        self.made = Some(Made { head: *head, manifest, bundle: Arc::clone(&bundle) });
+        Ok(bundle)
     }
 
     /// Forgets manifests of other bundles and a part that the one in force does not use.
--- a/crates/th-entry/src/task/bundles.rs
+++ b/crates/th-entry/src/task/bundles.rs
@@ -107,7 +107,7 @@
 
 /// Whether all parts of a bundle are at hand and what they say is faulty.
 fn is_faulty(entry: &Entry, head: &BundleHead) -> bool {
-    let library = entry.library();
+    let mut library = entry.library();
     if !library.is_complete(head) {
         return false;
     }
@@ -185,7 +185,7 @@
         library.bundle(&head)
     };
     let bundle = match bundle {
-        Ok(bundle) => Arc::new(bundle),
+        Ok(bundle) => bundle,
         Err(error) => {
             log::error!(target: "bundle", "Version {} cannot be applied: {error}.", head.version);
             return;
--- a/crates/th-steer/src/engine/capacity.rs
+++ b/crates/th-steer/src/engine/capacity.rs
@@ -6,8 +6,8 @@
 };
 
 use th_protocol::{
-    AttemptId, BackendId, Bundle, Bytes, Connections, LinkId, Millis, Permille, RegionId, Revision,
-    ServiceId, Slots as Count, Time, VmId, ZoneId,
+    AttemptId, Backend, BackendId, Bundle, Bytes, Connections, LinkId, Millis, Permille, RegionId,
+    Revision, ServiceId, Slots as Count, Time, VmId, ZoneId,
 };
 
 use super::{
@@ -30,6 +30,34 @@
     asked: Option<Time>,
 }
 
+/// What is kept of a bundle after the next one is in force.
+#[derive(Debug)]
+struct Before {
+    caps: CapTable,
+    /// Shards of this data centre, which it may have lacked.
+    shards: Option<u32>,
+    /// As it had them, the backend servers that the next one has in this data centre.
+    backends: BTreeMap<BackendId, Backend>,
+    /// Its smaller shares bind until then.
+    until: Time,
+}
+
+impl Before {
+    fn new(old: &Bundle, caps: CapTable, next: &Bundle, zone: &ZoneId, until: Time) -> Before {
+        let mut backends = BTreeMap::new();
+        for (id, backend) in next.services.values().flat_map(|it| &it.backends) {
+            if backend.zone != *zone {
+                continue;
+            }
+            if let Some(found) = old.services.values().find_map(|it| it.backends.get(id)) {
+                backends.insert(id.clone(), found.clone());
+            }
+        }
+        let shards = old.zones.get(zone).map(|it| it.shards);
+        Before { caps, shards, backends, until }
+    }
+}
+
 /// What this VM may spend, and what it has spent.
 #[derive(Debug)]
 pub(crate) struct Capacity {
@@ -37,8 +65,8 @@
     vm: VmId,
     region: Option<RegionId>,
     bundle: Option<Arc<Bundle>>,
-    /// The bundle before, whose smaller shares still bind until then.
-    before: Option<(Arc<Bundle>, CapTable, Time)>,
+    /// The bundle before, whose smaller shares still bind for a while.
+    before: Option<Before>,
     caps: CapTable,
     shards: Shards,
     uses: BTreeMap<CapId, Use>,
@@ -77,7 +105,7 @@
     pub(crate) fn on_bundle(&mut self, bundle: &Arc<Bundle>, now: Time) {
         if let Some(old) = self.bundle.take() {
             let caps = std::mem::take(&mut self.caps);
-            self.before = Some((old, caps, now.after(self.settle)));
+            self.before = Some(Before::new(&old, caps, bundle, &self.zone, now.after(self.settle)));
         }
         self.caps = CapTable::new(bundle);
         self.region = bundle.zones.get(&self.zone).map(|it| it.region.clone());
@@ -106,12 +134,11 @@
         let count = self.shards.count();
         let mut floor = 0;
         let mut earlier = 0;
-        let before = self.before.as_ref().filter(|(.., until)| now < *until);
-        let before = before.and_then(|(old, caps, _)| Some((old, caps.get(id)?)));
+        let before = self.before.as_ref().filter(|it| now < it.until);
+        let before = before.and_then(|it| Some((it.shards.unwrap_or(0), it.caps.get(id)?)));
         for shard in self.shards.usable(now) {
             floor += self.caps.get(id).map_or(0, |cap| cap.floor(&self.zone, count, shard));
-            if let Some((old, cap)) = before {
-                let count = old.zones.get(&self.zone).map_or(0, |it| it.shards);
+            if let Some((count, cap)) = before {
                 earlier += cap.floor(&self.zone, count, shard);
             }
         }
@@ -132,7 +159,7 @@
         };
         let usable = self.shards.usable(now);
         let count = self.shards.count();
-        let before = self.before.as_ref().filter(|(.., until)| now < *until);
+        let before = self.before.as_ref().filter(|it| now < it.until);
         let mut allowances = Vec::new();
         for service in bundle.services.values() {
             for (id, backend) in &service.backends {
@@ -140,10 +167,9 @@
                     continue;
                 }
                 let mut share = backend_share(id, backend, &usable, count);
-                let earlier = before.and_then(|(old, ..)| {
-                    let count = old.zones.get(&self.zone)?.shards;
-                    let found = old.services.values().find_map(|it| it.backends.get(id))?;
-                    Some(backend_share(id, found, &usable, count))
+                let earlier = before.and_then(|before| {
+                    let found = before.backends.get(id)?;
+                    Some(backend_share(id, found, &usable, before.shards?))
                 });
                 if let Some(earlier) = earlier {
                     share = (share.0.min(earlier.0), share.1.min(earlier.1));
@@ -411,7 +437,7 @@
 /// Servers start at different shards, so that the units left over are spread.
 fn backend_share(
     id: &BackendId,
-    backend: &th_protocol::Backend,
+    backend: &Backend,
     shards: &[u32],
     count: u32,
 ) -> (Count, Connections) {
--- /dev/null
+++ b/tests/bundle_update.rs
@@ -0,0 +1,49 @@
+//! Bundles that entry processes make from the one in force and the parts that differ.
+
+use eyre::{OptionExt, Result, ensure};
+use th_platform::{Key, Platform, Write};
+use th_protocol::{Bundle, Millis, Signer, Slots, Version, ZoneId, layout};
+use th_testing::{Deployment, DeploymentSpec};
+
+const SOON: Millis = Millis(10_000);
+
+fn first_backend(bundle: &mut Bundle) -> &mut th_protocol::Backend {
+    let service = bundle.services.values_mut().next().expect("there is a service");
+    service.backends.values_mut().next().expect("it has a backend server")
+}
+
+/// Puts a bundle at the head as a tool would that checks nothing.
+async fn force(deployment: &Deployment, bundle: &Bundle) -> Result<()> {
+    let store = &deployment.platform;
+    let signed = Signer::new("ana".parse()?, [7; 32]).sign_bundle(bundle, None);
+    for (digest, text) in &signed.parts {
+        let key = Key::new(layout::part_key(digest));
+        store.cas(&key, None, Some(text.as_bytes().to_vec()), None).await;
+    }
+    let head = Key::new(layout::HEAD);
+    let found = store.read(&head).await?.ok_or_eyre("there is a head")?;
+    let ended = store.cas(&head, Some(found.revision), Some(signed.head.write()), None).await;
+    ensure!(matches!(ended, Write::Applied(_)), "the head was not written: {ended:?}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_faulty_change_is_refused_and_the_next_good_one_is_in_force() -> Result<()> {
+    let mut deployment = Deployment::start(DeploymentSpec::default()).await?;
+    deployment.change(|it| first_backend(it).slots = Slots(3)).await?;
+    deployment.in_force(Version(2), SOON).await?;
+
+    let mut faulty = deployment.bundle.clone();
+    let unknown: ZoneId = "nowhere".parse()?;
+    first_backend(&mut faulty).zone = unknown;
+    faulty.version = Version(3);
+    force(&deployment, &faulty).await?;
+    let taken = deployment.in_force(Version(3), Millis(3_000)).await;
+    assert!(taken.is_err(), "a bundle with a backend server in no data centre is in force");
+
+    let mut good = deployment.bundle.clone();
+    first_backend(&mut good).slots = Slots(2);
+    good.version = Version(4);
+    force(&deployment, &good).await?;
+    deployment.in_force(Version(4), SOON).await
+}
