--- a/crates/th-protocol/examples/bundle_measure/sizes.rs
+++ b/crates/th-protocol/examples/bundle_measure/sizes.rs
@@ -102,7 +102,8 @@
     new.map(|(_, text)| text.len()).sum()
 }
 
-fn drain(it: &mut Bundle) {
+/// Marks one backend server as leaving.
+pub(crate) fn drain(it: &mut Bundle) {
     let service = it.services.values_mut().next().expect("there is a service");
     service.backends.values_mut().next().expect("it has a backend server").leaving = true;
 }
--- /dev/null
+++ b/crates/th-steer/benches/ticket.rs
@@ -0,0 +1,47 @@
+//! The time of one operation in the table of tickets, from its begin to its answer.
+
+use std::hint::black_box;
+
+use criterion::Criterion;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use th_protocol::{Bytes, Incarnation, Millis, Time, VmId};
+use th_steer::ticket::{
+    Begin, Checkpoint, Fingerprint, IdempotencyKey, Ticket, TicketSettings, Tickets,
+};
+
+const LIFETIME: Millis = Millis(60_000);
+/// Time between two operations, in milliseconds: some 12,000 are held at once.
+const PACE: u64 = 5;
+const SWEEP: u64 = 20;
+const ANSWER: Bytes = Bytes(100);
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let vm: VmId = "entry-0001".parse().expect("it is an id");
+    let owner = (vm.clone(), Incarnation(1));
+    let target = ("roster".parse().expect("it is an id"), "book".parse().expect("it is an id"));
+    let mut tickets = Tickets::new(vm, Incarnation(1), TicketSettings::default());
+    let print = Fingerprint::of(&[b"body"]);
+    let (mut number, mut now) = (0u64, Time(1));
+    criterion.bench_function("ticket operation", |b| {
+        b.iter(|| {
+            number += 1;
+            now = Time(1 + number * PACE);
+            let ticket = Ticket::issue(owner.clone(), target.clone(), now, LIFETIME, &mut rng);
+            let key: IdempotencyKey = format!("{number:036}").parse().expect("it is a key");
+            if number.is_multiple_of(SWEEP) {
+                tickets.sweep(now);
+            }
+            let Begin::Fresh(operation) = tickets.begin(&ticket, key, print, now) else {
+                panic!("operation {number} is fresh");
+            };
+            let deadline = now.after(LIFETIME);
+            let checkpoint = Checkpoint { now, incarnation: Incarnation(1), deadline };
+            let operation = tickets.dispatch(operation.admit(), checkpoint).expect("it may go");
+            tickets.answer(operation, black_box(7u8), ANSWER);
+        });
+    });
+    criterion.final_summary();
+}
--- a/crates/th-steer/examples/member_measure/fleet.rs
+++ b/crates/th-steer/examples/member_measure/fleet.rs
@@ -53,11 +53,14 @@
     pub(crate) parts: u8,
     /// Size of each part.
     pub(crate) bytes: Bytes,
+    /// Records of other VMs on each heartbeat.
+    pub(crate) records: usize,
 }
 
 impl Default for FleetSettings {
     fn default() -> FleetSettings {
-        FleetSettings { count: 50, holders: None, parts: 8, bytes: Bytes::ZERO }
+        let records = MemberSettings::default().records;
+        FleetSettings { count: 50, holders: None, parts: 8, bytes: Bytes::ZERO, records }
     }
 }
 
@@ -119,7 +122,8 @@
             (0..ZONES).map(|i| watchers(records.iter(), &zone(i), 2)).collect();
         let mut nodes = Vec::new();
         for i in 0..count {
-            let mut members = Members::new(MemberSettings::default(), record(i), Time(0));
+            let own = MemberSettings { records: settings.records, ..MemberSettings::default() };
+            let mut members = Members::new(own, record(i), Time(0));
             members.on_list(&seeds, Time(0));
             members.on_records(&records, Time(0));
             let watcher = chosen[i % ZONES].contains(&record(i).vm);
--- a/examples/capacity/changes.rs
+++ b/examples/capacity/changes.rs
@@ -1,6 +1,7 @@
 //! What one change of the bundle costs.
 
-use eyre::Result;
+use eyre::{Result, eyre};
+use th_protocol::{split, update};
 
 use crate::{
     bundles::{self, Row},
@@ -9,17 +10,42 @@
 
 const EIGHTHS: [u32; 4] = [1, 2, 4, 8];
 
+/// Bytes of a parsed bundle, and those that the next one adds to them when a server leaves.
+fn memory(eighths: u32) -> Result<(f64, f64)> {
+    let mut made = None;
+    let parsed = allocation_counter::measure(|| made = Some(bundles::bundle(eighths)));
+    let bundle = made.ok_or_else(|| eyre!("no bundle was made"))?;
+    let from = split(&bundle, None);
+    let mut next = bundle.clone();
+    bundles::drain(&mut next);
+    let to = split(&next, None);
+    drop(next);
+    let mut updated = None;
+    let added = allocation_counter::measure(|| {
+        updated = Some(update(&bundle, &from.manifest, &to.manifest, &to.parts));
+    });
+    updated.ok_or_else(|| eyre!("no bundle was made"))??;
+    Ok((parsed.bytes_current as f64, added.bytes_current as f64))
+}
+
 /// Bytes that travel and processor time at an entry VM, for a bundle of many small services.
 pub(crate) fn measure() -> Result<Vec<Slope>> {
-    let mut rows = Vec::new();
+    let (mut rows, mut sums) = (Vec::new(), Vec::new());
     for eighths in EIGHTHS {
         eprintln!("changes: {eighths}/8 of the full size");
         rows.push(bundles::measure(&bundles::bundle(eighths)));
+        sums.push(memory(eighths)?);
     }
     let points = |y: fn(&Row) -> f64| rows.iter().map(|it| (f64::from(it.blocks), y(it))).collect();
     let full = rows.last().map_or(0.0, |it| f64::from(it.blocks));
     let of = |name, unit, y| Slope::new((name, unit, "block"), points(y), full);
+    let bytes = |name, y: fn(&(f64, f64)) -> f64| {
+        let sizes = rows.iter().map(|it| f64::from(it.blocks));
+        Slope::new((name, "bytes", "block"), sizes.zip(sums.iter().map(y)).collect(), full)
+    };
     Ok(vec![
+        bytes("bundle, parsed, 430 services", |it| it.0),
+        bytes("added by the next bundle, 430 services", |it| it.1),
         of("parts", "", |it| it.parts as f64),
         of("whole bundle", "bytes", |it| it.whole_bytes as f64),
         of("manifest and head", "bytes", |it| it.head_bytes as f64),
--- a/examples/capacity/fleets.rs
+++ b/examples/capacity/fleets.rs
@@ -21,6 +21,8 @@
 const PARTS: u8 = 200;
 const PART_BYTES: Bytes = Bytes(26_000);
 const RACK: usize = 20;
+/// Records of other VMs on each heartbeat.
+const RECORDS: [usize; 4] = [1, 3, 5, 8];
 /// Only each VM of this number serves, where few serve.
 const FEW: usize = 4;
 const RESTART_END: u64 = 120_000;
@@ -36,8 +38,9 @@
     reads: f64,
 }
 
-fn steady(count: usize, holders: Option<usize>) -> Result<Steady> {
-    let mut fleet = Fleet::new(FleetSettings { count, holders, ..FleetSettings::default() });
+fn steady(settings: FleetSettings) -> Result<Steady> {
+    let count = settings.count;
+    let mut fleet = Fleet::new(settings);
     fleet.run_until(START);
     let before = (fleet.messages, fleet.bytes, fleet.cpu + fleet.codec, fleet.reads);
     fleet.run_until(STEADY);
@@ -99,17 +102,27 @@
     let mut all = Vec::new();
     for count in SIZES {
         eprintln!("fleets: {count} entry VMs at rest, and a roll");
-        all.push((count as f64, steady(count, None)?));
+        all.push((count as f64, steady(FleetSettings { count, ..FleetSettings::default() })?));
     }
     let points = |y: fn(&Steady) -> f64| all.iter().map(|(x, it)| (*x, y(it))).collect();
     let of = |name, unit, y| Slope::new((name, unit, "entry VM"), points(y), FULL);
     let mut few = Vec::new();
     for count in SIZES {
-        few.push((count as f64, steady(count, Some(FEW))?));
+        few.push((
+            count as f64,
+            steady(FleetSettings { count, holders: Some(FEW), ..FleetSettings::default() })?,
+        ));
     }
     let holders = |y: fn(&Steady) -> f64| few.iter().map(|(x, it)| (*x, y(it))).collect();
     let of_few = |name, unit, y| Slope::new((name, unit, "entry VM"), holders(y), FULL);
+    let mut by_records = Vec::new();
+    for records in RECORDS {
+        let settings = FleetSettings { count: SIZES[1], records, ..FleetSettings::default() };
+        by_records.push((records as f64, steady(settings)?.bytes));
+    }
+    let now = FleetSettings::default().records as f64;
     Ok(vec![
+        Slope::new(("heartbeat payload", "bytes/s a VM", "record"), by_records, now),
         of("heartbeat payload", "bytes/s a VM", |it| it.bytes),
         of("heartbeat messages", "1/s a VM", |it| it.messages),
         of("membership and codec", "us/s a VM", |it| it.cpu),
--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -28,6 +28,8 @@
 mod healing;
 #[path = "../../crates/th-steer/examples/member_measure/sample.rs"]
 mod sample;
+#[path = "../../crates/th-steer/examples/shared/vm.rs"]
+mod vm;
 #[path = "../../crates/th-steer/tests/world/mod.rs"]
 mod world;
 
