--- a/crates/th-entry/src/server.rs
+++ b/crates/th-entry/src/server.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 use salvo::{Router, Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use th_platform::{BootClock, Clock, Counted, Platform};
-use th_protocol::{Incarnation, Status, Time};
+use th_protocol::{Incarnation, PeerRecord, Status, Time};
 use th_steer::engine::EngineSettings;
 use tokio::{
     net::TcpListener,
@@ -127,8 +127,9 @@
     Ok(Listener { handle, task })
 }
 
-/// Makes the peers of the settings known, until one has answered.
+/// Makes the peers of the settings known, and takes the records of the first that answers.
 async fn seed(entry: Arc<Entry>) {
+    let mut known = false;
     for address in entry.settings.peers.clone() {
         if address == entry.decide(|engine, _| engine.me().peers) {
             continue;
@@ -142,9 +143,31 @@
         );
         match answer.await {
             Ok(answer) => entry.decide(|engine, now| engine.on_answer(&answer, now)),
-            Err(error) => log::debug!(target: "peer", "No greeting: {error}."),
+            Err(error) => {
+                log::debug!(target: "peer", "No greeting: {error}.");
+                continue;
+            }
         }
         entry.hurry.notify_one();
+        if !known {
+            known = take_records(&entry, address).await;
+        }
+    }
+}
+
+/// Takes the records that a peer has; `false` where it did not give them.
+async fn take_records(entry: &Entry, address: SocketAddr) -> bool {
+    let answer =
+        peer::client::call::<_, Vec<PeerRecord>>(entry, peer::Route::Records, address, &());
+    match answer.await {
+        Ok(records) => {
+            entry.decide(|engine, now| engine.on_records(&records, now));
+            true
+        }
+        Err(error) => {
+            log::debug!(target: "peer", "No records: {error}.");
+            false
+        }
     }
 }
 
@@ -172,8 +195,8 @@
     /// Ends at once, as if the VM were lost.
     pub fn kill(self) {
         for listener in &self.listeners {
+            // The listener's task ends itself, and the connections with it.
             listener.handle.stop_forcible();
-            listener.task.abort();
         }
         for task in &self.tasks {
             task.abort();
@@ -185,8 +208,12 @@
         let stop = self.entry.settings.stop;
         log::info!(target: "stop", "Leaving look-ups.");
         let entry = &self.entry;
-        entry.decide(|engine, now| engine.leave(now));
+        let ttl = entry.decide(|engine, now| {
+            engine.leave(now);
+            engine.longest_ttl()
+        });
         entry.hurry.notify_one();
+        let began = entry.now();
         sleep(Duration::from_millis(stop.linger.0)).await;
         log::info!(target: "stop", "Taking no new requests; {} are in flight.", entry.in_flight.count());
         entry.stopping.store(true, Ordering::SeqCst);
@@ -196,6 +223,9 @@
         let cut = if quiet { 0 } else { entry.in_flight.count() };
         if quiet {
             self.release().await;
+            // Until their look-ups' answers have ended callers are told to look up another entry VM.
+            let open = ttl.min(stop.limit).minus(entry.now().since(began));
+            sleep(Duration::from_millis(open.0)).await;
         }
         self.close(quiet).await;
         log::info!(target: "stop", "Stopped; {cut} requests were cut.");
--- a/crates/th-steer/src/engine/bundles.rs
+++ b/crates/th-steer/src/engine/bundles.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use th_protocol::{
-    BackendId, BundleHead, CheckAnswer, ContentHash, Heartbeat, IndirectCheck, LoadReport, Millis,
-    Time, VmId,
+    BackendId, BundleHead, CheckAnswer, Digest, Heartbeat, Incarnation, IndirectCheck, LoadReport,
+    Millis, PeerRecord, Time, VmId,
 };
 
 use super::Engine;
@@ -28,13 +28,7 @@
     }
 
     /// Takes the end of a part's fetch.
-    pub fn on_bundle_part(
-        &mut self,
-        hash: ContentHash,
-        from: &Source,
-        fetched: Fetched<()>,
-        now: Time,
-    ) {
+    pub fn on_bundle_part(&mut self, hash: Digest, from: &Source, fetched: Fetched<()>, now: Time) {
         self.spread.on_part(hash, from, fetched, now, &mut self.rng);
     }
 
@@ -63,6 +57,11 @@
         self.members.record(vm).map(|it| it.address)
     }
 
+    /// Takes all records of a peer, as a VM does once after its start.
+    pub fn on_records(&mut self, records: &[PeerRecord], now: Time) {
+        self.members.on_records(records, now);
+    }
+
     /// The number of entry VMs that are known, this one included.
     pub fn member_count(&self) -> usize {
         self.members.records().count() + 1
@@ -83,6 +82,11 @@
         now.since(self.since)
     }
 
+    /// A later start of this VM's process, if one is known: this one must take nothing more.
+    pub fn replaced(&self) -> Option<Incarnation> {
+        self.members.replaced()
+    }
+
     /// Whether requests are no longer taken.
     pub fn stopping(&self) -> bool {
         self.stopping
--- a/crates/th-steer/src/engine/place.rs
+++ b/crates/th-steer/src/engine/place.rs
@@ -52,22 +52,25 @@
             return self.no_place(&run.call, Reason::Deadline, USUAL_RETRY, now);
         };
         let waiting = self.queues.get(&run.call.service).is_some_and(|it| !it.is_empty());
-        let mut obstacle = Obstacle { reason: Reason::NoSlot, retry: USUAL_RETRY };
+        let mut here = Obstacle { reason: Reason::NoSlot, retry: USUAL_RETRY };
         if !waiting || run.call.forwarded {
             match self.place_here(&run.call, run.spec.idempotent, left, now) {
                 Ok(place) => return place,
-                Err(it) => obstacle = it,
+                Err(it) => here = it,
             }
         }
         if run.call.forwarded {
-            return self.no_place(&run.call, obstacle.reason, obstacle.retry, now);
+            return self.no_place(&run.call, here.reason, here.retry, now);
         }
-        match self.place_elsewhere(run, now) {
+        let elsewhere = match self.place_elsewhere(run, now) {
             Ok(place) => return place,
-            Err(Some(it)) => obstacle = it,
-            Err(None) => {}
+            Err(it) => it,
+        };
+        if self.frees_up(here, now) {
+            return self.enqueue(run, now);
         }
-        self.enqueue(run, obstacle, now)
+        let binding = elsewhere.unwrap_or(here);
+        self.no_place(&run.call, binding.reason, binding.retry, now)
     }
 
     /// A backend server of this data centre for a second try of a slow request.
@@ -97,9 +100,8 @@
     ) -> Result<Place, Obstacle> {
         let limit = match self.capacity.room(&call.service, left, now) {
             Ok(limit) => limit,
-            Err(CapId::Link(_)) => unreachable!("a slot is no link"),
-            Err(_) if self.capacity.shards().usable(now).is_empty() => {
-                return self.place_unowned(call, idempotent, now);
+            Err(_) if self.capacity.holdings(now).is_empty() => {
+                return Err(Obstacle { reason: Reason::NoSlot, retry: USUAL_RETRY });
             }
             Err(_) => return Err(Obstacle { reason: Reason::RegionCap, retry: USUAL_RETRY }),
         };
@@ -107,7 +109,9 @@
         let choice = match chosen {
             Ok(choice) => choice,
             Err(Refusal::NoBackend) => {
-                return Err(Obstacle { reason: Reason::NoBackend, retry: USUAL_RETRY });
+                let rest = self.backends.rest_until(&call.service, now);
+                let retry = rest.map_or(USUAL_RETRY, |until| until.since(now));
+                return Err(Obstacle { reason: Reason::NoBackend, retry });
             }
             Err(Refusal::NoSlot) => {
                 let retry = self.usual_time(call);
@@ -119,11 +123,6 @@
         Ok(Place::Backend(choice))
     }
 
-    /// A VM that owns no shard has no slots of its own.
-    fn place_unowned(&mut self, _: &Call, _: bool, _: Time) -> Result<Place, Obstacle> {
-        Err(Obstacle { reason: Reason::NoSlot, retry: USUAL_RETRY })
-    }
-
     fn usual_time(&self, call: &Call) -> Millis {
         self.retry.hedge_after(&call.service).unwrap_or(UNKNOWN_SERVICE)
     }
@@ -219,14 +218,14 @@
         live.choose(&mut self.rng).map(|it| (*it).clone())
     }
 
+    /// Whether what stands in a request's way here is the work of other requests, which ends.
+    fn frees_up(&self, obstacle: Obstacle, now: Time) -> bool {
+        let busy = matches!(obstacle.reason, Reason::NoSlot | Reason::RegionCap);
+        busy && !self.capacity.holdings(now).is_empty()
+    }
+
     /// Lets a request wait for a slot here.
-    fn enqueue(&mut self, run: &Run, obstacle: Obstacle, now: Time) -> Place {
-        // Waiting helps only where a slot will come free here.
-        let waits = matches!(obstacle.reason, Reason::NoSlot | Reason::RegionCap)
-            || self.queues.get(&run.call.service).is_some_and(|it| !it.is_empty());
-        if !waits || self.capacity.shards().usable(now).is_empty() {
-            return self.no_place(&run.call, obstacle.reason, obstacle.retry, now);
-        }
+    fn enqueue(&mut self, run: &Run, now: Time) -> Place {
         let usual = self.usual_time(&run.call);
         let slots = self.service_slots(run, now);
         self.waiters += 1;
@@ -244,7 +243,7 @@
             item,
         };
         let Some(queue) = self.queues.get_mut(&run.call.service) else {
-            return self.no_place(&run.call, obstacle.reason, obstacle.retry, now);
+            return self.no_place(&run.call, Reason::NoService, USUAL_RETRY, now);
         };
         let pushed = queue.push(request, slots, now);
         let number = self.waiters;
--- a/crates/th-steer/src/engine/tick.rs
+++ b/crates/th-steer/src/engine/tick.rs
@@ -53,6 +53,12 @@
 
     fn tick_members(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.publish(now);
+        if self.backends.take_news() {
+            // The other VMs of the data centre must stop sending work there, too.
+            for it in self.members.announce(ANNOUNCEMENTS, Some(&self.me.zone), &mut self.rng) {
+                actions.push(Action::Member(it));
+            }
+        }
         for it in self.members.tick(now, &mut self.rng) {
             actions.push(Action::Member(it));
         }
@@ -93,6 +99,9 @@
         for it in self.members.announce(ANNOUNCEMENTS, None, &mut self.rng) {
             self.pending.push(Action::Member(it));
         }
+        for it in self.members.announce(1, Some(&self.me.zone), &mut self.rng) {
+            self.pending.push(Action::Member(it));
+        }
     }
 
     /// Leaves look-up answers; requests are still taken.
--- a/examples/capacity/engines.rs
+++ b/examples/capacity/engines.rs
@@ -7,7 +7,7 @@
 };
 
 use eyre::{Result, ensure};
-use th_protocol::{Bundle, Revision, Time, Version};
+use th_protocol::{Bundle, Revision, Time, Version, ZoneId};
 use th_steer::{
     engine::{Action, Claims, Engine, ShardAction},
     limit::Answer,
@@ -72,7 +72,7 @@
                     self.timed(|engine| engine.on_answer(&answer, now));
                     answers += 1;
                 }
-                Action::Shard(ShardAction::Read) => self.claim(now),
+                Action::Shard(ShardAction::Read(zone)) => self.claim(&zone, now),
                 Action::Probe { backend, .. } => {
                     self.probes += 1;
                     self.timed(|engine| engine.on_probe(&backend, true, now));
@@ -86,12 +86,12 @@
         }
     }
 
-    fn claim(&mut self, now: Time) {
+    fn claim(&mut self, zone: &ZoneId, now: Time) {
         let list = &self.fleet.list;
-        let writes = self.engine.on_shard_read(Some(&Claims::new()), list, now);
+        let writes = self.engine.on_shard_read(zone, Some(&Claims::new()), list, now);
         for write in writes {
-            if let ShardAction::Write(index, ..) = write {
-                self.engine.on_shard_write(index, &Answer::Applied(Revision(1)), now);
+            if let ShardAction::Write(zone, index, ..) = write {
+                self.engine.on_shard_write(&zone, index, &Answer::Applied(Revision(1)), now);
             }
         }
     }
