--- a/crates/th-entry/src/settings/fields.rs
+++ b/crates/th-entry/src/settings/fields.rs
@@ -27,7 +27,9 @@
         let rest = match value {
             Value::Object(rest) => rest,
             other => {
-                let cause = format!("expected an object, found {other}");
+                // What stands there may hold secrets, so the message does not show it.
+                let cause = format!("expected an object, found {}", kind(&other));
+                let path = if path.is_empty() { "settings" } else { path };
                 faults.push(SettingsFault { path: path.to_owned(), cause });
                 Map::new()
             }
@@ -36,6 +38,7 @@
     }
 
     fn path_of(&self, name: &str) -> String {
+        let name = if name.is_empty() { "\"\"" } else { name };
         if self.path.is_empty() { name.to_owned() } else { format!("{}.{name}", self.path) }
     }
 
@@ -67,6 +70,19 @@
         self.read(name, stand_in)
     }
 
+    /// As [`Fields::require`], for a secret: the message does not show it.
+    pub(crate) fn secret<T: DeserializeOwned>(&mut self, name: &str, stand_in: T) -> T {
+        if !self.rest.contains_key(name) {
+            return self.require(name, stand_in);
+        }
+        let value = self.rest.remove(name).unwrap_or_default();
+        let found = kind(&value);
+        serde_json::from_value(value).unwrap_or_else(|_| {
+            self.fault(name, format!("the value, {found}, has a wrong form"));
+            stand_in
+        })
+    }
+
     /// The fields of the object `name`; none where it is absent.
     pub(crate) fn inner(&mut self, name: &str) -> Fields<'_> {
         let value = self.rest.remove(name).unwrap_or_else(|| Value::Object(Map::new()));
@@ -80,3 +96,15 @@
         }
     }
 }
+
+/// What sort of JSON value it is.
+fn kind(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "null",
+        Value::Bool(_) => "a boolean",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a string",
+        Value::Array(_) => "a list",
+        Value::Object(_) => "an object",
+    }
+}
--- a/crates/th-entry/src/settings/read.rs
+++ b/crates/th-entry/src/settings/read.rs
@@ -85,11 +85,11 @@
 }
 
 fn keys(mut fields: Fields<'_>) -> Keys {
-    let peer: String = fields.require("peer", String::new());
+    let peer: String = fields.secret("peer", String::new());
     if !peer.is_empty() && peer.len() < MIN_PEER_KEY_BYTES {
         fields.fault("peer", format!("at least {MIN_PEER_KEY_BYTES} bytes, not {}", peer.len()));
     }
-    let texts: Vec<String> = fields.require("tickets", Vec::new());
+    let texts: Vec<String> = fields.secret("tickets", Vec::new());
     let mut tickets = Vec::new();
     for (i, text) in texts.iter().enumerate() {
         let mut key = [0; 32];
--- /dev/null
+++ b/tests/process.rs
@@ -0,0 +1,214 @@
+//! The real binary: its settings, its start and its end by signals.
+
+mod common;
+#[allow(dead_code, reason = "only its folder is used here")]
+mod tool;
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::mpsc::{Receiver, channel},
+};
+
+use common::*;
+use serde_json::{Value, json};
+use th_entry::Settings;
+use th_protocol::{Millis, Signer, VmRecord, VmRole, VmState};
+use th_testing::{Deployment, DeploymentSpec, PlatformServer};
+use tool::Folder;
+
+fn good(store: &str) -> Value {
+    let ana = Signer::new("ana".parse().unwrap(), [7; 32]);
+    json!({
+        "vm": "process",
+        "zone": "north-a",
+        "listen": { "callers": "127.0.0.1:0", "peers": "127.0.0.1:0" },
+        "store": store,
+        "keys": {
+            "peer": PEER_KEY,
+            "tickets": [hex::encode([9; 32])],
+            "operators": { "ana": ana.public() },
+        },
+        "stop": { "linger": 100, "limit": 60_000 },
+    })
+}
+
+/// Runs `--check`, and gives the exit code and the lines of standard error.
+fn check(test: &str, settings: &str) -> (i32, Vec<String>) {
+    let folder = Folder::new(test);
+    let path = folder.file("settings.json");
+    std::fs::write(&path, settings).unwrap();
+    let command = Command::new(env!("CARGO_BIN_EXE_tanagerhollow"))
+        .args([&path, "--check"])
+        .output()
+        .unwrap();
+    let text = String::from_utf8(command.stderr).unwrap();
+    (command.status.code().unwrap(), text.lines().map(str::to_owned).collect())
+}
+
+#[test]
+fn check_lists_every_fault_with_its_path() {
+    assert_eq!(check("good", &good("http://127.0.0.1:1").to_string()), (0, Vec::new()));
+    let mut bad = good("ftp://127.0.0.1:1");
+    bad["vm"] = "no id!".into();
+    bad["listen"]["callers"] = "0.0.0.0:1".into();
+    bad["keys"]["tickets"] = json!(["short"]);
+    bad["limits"] = json!({ "requests": 0 });
+    let (code, lines) = check("five", &bad.to_string());
+    assert_eq!(code, 2, "{lines:?}");
+    let paths = ["vm: ", "listen.callers: ", "keys.tickets.0: ", "limits.requests: ", "store: "];
+    assert_eq!(lines.len(), paths.len() + 1, "{lines:?}");
+    for path in paths {
+        let found = lines.iter().filter(|it| it.contains(&format!("settings.json: {path}")));
+        assert_eq!(found.count(), 1, "{path}: {lines:?}");
+    }
+    assert!(lines[paths.len()].starts_with("5 faults"), "{lines:?}");
+    let text = lines.join("\n");
+    assert!(!text.contains("short") && !text.contains(PEER_KEY), "no secret is shown: {text}");
+
+    for (place, path) in [("/extra", "extra: "), ("/keys/extra", "keys.extra: ")] {
+        let mut unknown = good("http://127.0.0.1:1");
+        let (outer, name) = place.rsplit_once('/').unwrap();
+        unknown.pointer_mut(outer).unwrap()[name] = 1.into();
+        let (code, lines) = check("unknown", &unknown.to_string());
+        assert_eq!((code, lines.len()), (2, 2), "{lines:?}");
+        assert!(lines[0].contains(path), "{lines:?}");
+    }
+    for text in ["", "[]", "{\"vm\":", "7"] {
+        let (code, lines) = check("text", text);
+        assert_eq!(code, 2, "{text}: {lines:?}");
+    }
+    for (place, value) in
+        [("/keys/tickets", "secret"), ("/keys/peer/0", "secret"), ("/keys", "secret")]
+    {
+        let mut secret = good("http://127.0.0.1:1");
+        match secret.pointer_mut(place) {
+            Some(it) => *it = value.into(),
+            None => secret["keys"]["peer"] = json!([value]),
+        }
+        let faults = Settings::read(&secret.to_string()).unwrap_err();
+        assert!(faults.iter().all(|it| !it.to_string().contains(value)), "{faults:?}");
+    }
+}
+
+/// A running process, killed when dropped.
+struct Process {
+    child: Child,
+    lines: Receiver<String>,
+    callers: SocketAddr,
+    _folder: Folder,
+}
+
+impl Process {
+    fn start(test: &str, settings: &Value) -> Process {
+        let folder = Folder::new(test);
+        let path = folder.file("settings.json");
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_tanagerhollow"))
+            .arg(&path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (sender, lines) = channel();
+        let reader = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || {
+            for line in reader.lines().map_while(Result::ok) {
+                let _ = sender.send(line);
+            }
+        });
+        let mut process =
+            Process { child, lines, callers: SocketAddr::from(([0; 4], 0)), _folder: folder };
+        let line = process.line("Listening for callers at ");
+        let rest = line.split("callers at ").nth(1).unwrap();
+        process.callers = rest.split(',').next().unwrap().parse().unwrap();
+        process
+    }
+
+    /// The next line that has `part`.
+    fn line(&self, part: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(BOUND).unwrap_or_else(|e| panic!("{part}: {e}"));
+            if line.contains(part) {
+                return line;
+            }
+        }
+    }
+
+    fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    async fn ended(&mut self) -> ExitStatus {
+        let mut status = None;
+        let ended = || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        };
+        until("the process ended", ended).await;
+        status.unwrap()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A deployment whose only entry VM is a process of its own.
+async fn with_process(test: &str) -> (Deployment, PlatformServer, Process) {
+    let spec = DeploymentSpec { deadline: Millis(60_000), ..small(0, 1) };
+    let deployment = Deployment::start(spec).await.unwrap();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = PlatformServer::start(deployment.platform.clone(), any).await.unwrap();
+    let process = Process::start(test, &good(&server.url()));
+    deployment.platform.list_vm(VmRecord {
+        vm: "process".parse().unwrap(),
+        zone: zone(),
+        address: process.callers,
+        state: VmState::Live,
+        role: VmRole::Entry,
+    });
+    warm(process.callers).await;
+    (deployment, server, process)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_term_signal_ends_it_and_cuts_nothing() {
+    let (deployment, _server, mut process) = with_process("term").await;
+    let backend = &deployment.backends[&backend_id(0)];
+    backend.behave(|it| it.service = Millis(1_000));
+    let ticket = lookup(process.callers, "book").await.ticket.unwrap();
+    let flying = [
+        ("check", Ask::check("check").spawn(process.callers)),
+        ("book", Ask::book("book", &ticket).spawn(process.callers)),
+    ];
+    until("they run", || runs(&deployment, "check") + runs(&deployment, "book") == 2).await;
+    process.terminate();
+    for (request, told) in flying {
+        told.await.unwrap().is_answer_to(request);
+    }
+    let line = process.line("requests were cut");
+    assert!(line.contains("0 requests were cut"), "{line}");
+    assert_eq!(process.ended().await.code(), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_term_signal_ends_it_at_once_with_a_count() {
+    let (deployment, _server, mut process) = with_process("twice").await;
+    deployment.backends[&backend_id(0)].behave(|it| it.mute = true);
+    let address = process.callers;
+    let held = tokio::spawn(async move {
+        client().post(format!("http://{address}/v1/call/roster/check")).send().await.is_err()
+    });
+    until("it runs", || runs(&deployment, "") == 1).await;
+    process.terminate();
+    process.line("Taking no new requests; 1 are in flight");
+    process.terminate();
+    process.line("the stop cut 1 requests");
+    assert_eq!(process.ended().await.code(), Some(1));
+    assert!(held.await.unwrap(), "its connection broke");
+}
