--- a/crates/th-entry/src/peer/client.rs
+++ b/crates/th-entry/src/peer/client.rs
@@ -27,6 +27,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Route {
     Heartbeat,
+    Records,
     Check,
     Bundle,
     Part,
@@ -40,6 +41,7 @@
     pub(crate) fn path(self) -> &'static str {
         match self {
             Route::Heartbeat => "/peer/heartbeat",
+            Route::Records => "/peer/records",
             Route::Check => "/peer/check",
             Route::Bundle => "/peer/bundle",
             Route::Part => "/peer/part",
@@ -50,7 +52,7 @@
 
     fn bound(self) -> Millis {
         match self {
-            Route::Bundle => BUNDLE_TIMEOUT,
+            Route::Bundle | Route::Records => BUNDLE_TIMEOUT,
             _ => CONTROL_TIMEOUT,
         }
     }
--- a/crates/th-testing/src/caller/record.rs
+++ b/crates/th-testing/src/caller/record.rs
@@ -68,6 +68,8 @@
     pub refused: u64,
     /// Requests whose connection broke at the end.
     pub broken: u64,
+    /// Notices by reason code.
+    pub reasons: BTreeMap<&'static str, u64>,
 }
 
 impl Records {
@@ -123,6 +125,9 @@
     fn add(&mut self, record: &Record, counts: &BTreeMap<String, u32>) {
         let runs = counts.get(&record.request).copied().unwrap_or(0);
         self.requests += 1;
+        if let End::Told(_, reason) = record.end {
+            *self.reasons.entry(reason.code()).or_default() += 1;
+        }
         if !record.idempotent && 1 < runs {
             self.doubled += 1;
         }
