Refuse a forwarded request whose path could name another host, and try random ones

Cause: the path of a request from another entry VM was put after the backend server's address unchecked. Before: such a path was taken. Conclusion: a peer's request reaches only the backend server that was chosen.

--- a/crates/th-entry/src/call/incoming.rs
+++ b/crates/th-entry/src/call/incoming.rs
@@ -73,9 +73,13 @@
         self.region.as_ref()
     }
 
-    /// The request as it continues here; `None` where its method or a header is none.
+    /// The request as it continues here; `None` where its method, its path or a header is none.
     pub(crate) fn incoming(self, forwarded: bool, now: Time) -> Option<Incoming> {
         let method: Method = self.method.parse().ok()?;
+        // Anything else could name another host.
+        if !self.path.starts_with('/') {
+            return None;
+        }
         let mut headers = HeaderMap::new();
         for (name, value) in &self.headers {
             let name: HeaderName = name.parse().ok()?;
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -11,7 +11,7 @@
 };
 use serde_json::{Value, json};
 use th_entry::Settings;
-use th_protocol::{Signer, assemble, check, header};
+use th_protocol::{Reason, Signer, Verdict, assemble, check, header};
 
 const SEED: u8 = 17;
 
@@ -211,3 +211,46 @@
     }
     Ask::check("after").send(address).await.is_answer_to("after");
 }
+
+fn wire_json(number: usize, operation: &str) -> Value {
+    json!({
+        "service": "roster", "operation": operation, "customer": null, "source": [10, 0, 0, 1],
+        "ticket": null, "key": "k", "left": 2000, "tries": 0, "number": number, "region": "north",
+        "method": "POST", "path": format!("/{operation}"),
+        "headers": [["x-request", format!("wire-{number}").into_bytes()]],
+        "body": b"body".to_vec(),
+    })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn random_forwarded_requests_are_answered_and_run_at_most_once() {
+    const CASES: usize = 200;
+    let (deployment, address) = alone(small(0, 1), |_| {}).await;
+    let peers = deployment.entries.values().next().unwrap().peers();
+    let mut runner = runner(1);
+    let input = (prop::sample::select(vec!["check", "book"]), vec(change(), 0..4));
+    let mut answered = 0;
+    for i in 0..CASES {
+        let (operation, changes) = input.new_tree(&mut runner).unwrap().current();
+        let wire = rmp_serde::to_vec_named(&changed(&wire_json(i, operation), &changes)).unwrap();
+        for route in ["execute", "own"] {
+            let call = client().post(format!("http://{peers}/peer/{route}")).body(wire.clone());
+            let told =
+                Told::read(call.header(header::PEER_KEY, PEER_KEY).send().await.unwrap()).await;
+            assert_ne!(told.status, 500, "case {i}: {told:?}");
+            let ran = runs(&deployment, &format!("wire-{i}"));
+            // The first of the two routes may run it, the second may repeat an idempotent one.
+            assert!(ran <= 1 + u32::from(operation == "check"), "case {i}: {told:?}");
+            answered += u32::from(told.notice().is_none());
+        }
+    }
+    assert!(0 < answered, "some of them run");
+    let mut elsewhere = wire_json(CASES, "check");
+    elsewhere["path"] = "@127.0.0.2:9/check".into();
+    let call =
+        client().post(format!("http://{peers}/peer/execute")).header(header::PEER_KEY, PEER_KEY);
+    let call = call.body(rmp_serde::to_vec_named(&elsewhere).unwrap());
+    let told = Told::read(call.send().await.unwrap()).await;
+    told.says(Verdict::NotRun, Reason::BadRequest);
+    Ask::check("after").send(address).await.is_answer_to("after");
+}
