Make sure that the shedding server is tried before asking whether it was

Cause: with one request at a time both servers are idle, and the one that answered faster may be chosen each time. Conclusion: a fault of the test, not of the choice of servers.

--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -114,19 +114,28 @@
     deployment.backends[&backend_id(0)].behave(bad);
     let mut shed = Behaviour::default();
     bad(&mut shed);
-    let mut answered = 0;
-    for i in 0..12 {
+    // What shows that the bad server was tried at all.
+    let counted = if shed.shed { "outcome=\"shed\"" } else { "th_attempts_total" };
+    let (mut answered, end) = (0, Instant::now() + BOUND);
+    for i in 0.. {
+        if 12 <= i && text(address, "/metrics").await.contains(counted) {
+            break;
+        }
+        assert!(Instant::now() < end, "the bad server was never tried");
         let request = format!("check-{i}");
-        let told = Ask::check(&request).send(address).await;
+        // The two at once spread over the servers.
+        let check = Ask::check(&request).spawn(address);
+        let ask = Ask::of("book", &format!("book-{i}"), running);
+        let book = ask.spawn(address);
+        let told = check.await.unwrap();
         // The budget of retries bounds how often the other server is asked.
         match told.notice() {
             None => told.is_answer_to(&request),
             Some(notice) => assert_eq!(notice.verdict, V::Unknown, "{told:?}"),
         }
         answered += u32::from(told.notice().is_none());
-        let request = format!("book-{i}");
-        let ask = Ask::of("book", &request, running);
-        let told = ask.send(address).await;
+        let request = ask.request.clone();
+        let told = book.await.unwrap();
         if told.notice().is_none() {
             told.is_answer_to(&request);
         } else {
@@ -137,9 +146,7 @@
         }
         assert_eq!(runs(&deployment, &request), 1);
     }
-    assert!(6 <= answered, "{answered} of 12 were answered");
-    let counted = if shed.shed { "outcome=\"shed\"" } else { "th_attempts_total" };
-    assert!(text(address, "/metrics").await.contains(counted));
+    assert!(6 <= answered, "{answered} were answered");
 }
 
 #[rstest]
