--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,15 +1,13 @@
 //! Helpers that the tests on real sockets share.
 
-#![allow(dead_code, reason = "each test file uses its own part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+mod raw;
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+pub(crate) use raw::RawBackend;
 use reqwest::{Client, RequestBuilder, Response, StatusCode, header::HeaderMap};
 use th_entry::{Keys, Limits, Listen, Logs, Pace, Running, Settings, Stop, start};
 use th_platform::{BootClock, Clock};
@@ -21,7 +19,7 @@
 use th_testing::{Deployment, DeploymentSpec, REQUEST, ZoneSpec};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     task::JoinHandle,
     time::{Instant, sleep, timeout},
 };
@@ -319,85 +317,3 @@
     timeout(BOUND, read).await.expect("the other side ends the exchange");
     String::from_utf8_lossy(&got).into_owned()
 }
-
-/// A backend server that sends exactly these bytes for each request and then closes or resets the connection.
-pub(crate) struct RawBackend {
-    pub(crate) address: SocketAddr,
-    heads: Arc<Mutex<Vec<String>>>,
-    task: JoinHandle<()>,
-}
-
-impl RawBackend {
-    pub(crate) async fn start(script: impl Into<Vec<u8>>, resets: bool) -> RawBackend {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let heads = Arc::new(Mutex::new(Vec::new()));
-        let (script, kept) = (script.into(), Arc::clone(&heads));
-        let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve_raw(stream, script.clone(), resets, Arc::clone(&kept)));
-            }
-        });
-        RawBackend { address, heads, task }
-    }
-
-    /// Heads of the requests that it got, probes aside.
-    pub(crate) fn heads(&self) -> Vec<String> {
-        self.heads.lock().unwrap().clone()
-    }
-
-    /// Puts this one in the place of the deployment's only backend server.
-    pub(crate) async fn join(&self, deployment: &mut Deployment) {
-        let address = self.address;
-        let change = |bundle: &mut th_protocol::Bundle| {
-            for service in bundle.services.values_mut() {
-                for backend in service.backends.values_mut() {
-                    backend.address = address;
-                }
-            }
-        };
-        deployment.change(change).await.unwrap();
-        deployment.in_force(deployment.bundle.version, Millis(20_000)).await.unwrap();
-    }
-}
-
-impl Drop for RawBackend {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-async fn serve_raw(
-    mut stream: TcpStream,
-    script: Vec<u8>,
-    resets: bool,
-    heads: Arc<Mutex<Vec<String>>>,
-) {
-    let mut got = Vec::new();
-    while !got.ends_with(b"\r\n\r\n") {
-        let Ok(byte) = stream.read_u8().await else {
-            return;
-        };
-        got.push(byte);
-    }
-    let head = String::from_utf8_lossy(&got).to_ascii_lowercase();
-    let length = head.split("content-length: ").nth(1).and_then(|it| it.lines().next());
-    let length: usize = length.map_or(0, |it| it.parse().unwrap());
-    // Closing with unread bytes resets the connection.
-    if !resets && stream.read_exact(&mut vec![0; length]).await.is_err() {
-        return;
-    }
-    let load = r#"{"busy":0,"slots":4,"leaving":false}"#;
-    let probe = if head.starts_with("get /health") {
-        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n".to_owned()
-    } else if head.starts_with("get /load") {
-        let size = load.len();
-        let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close";
-        format!("{head}\r\ncontent-length: {size}\r\n\r\n{load}")
-    } else {
-        heads.lock().unwrap().push(head);
-        let _ = stream.write_all(&script).await;
-        return;
-    };
-    let _ = stream.write_all(probe.as_bytes()).await;
-}
