--- a/crates/th-entry/src/task/bundles.rs
+++ b/crates/th-entry/src/task/bundles.rs
@@ -53,6 +53,12 @@
         log::warn!(target: "bundle", "The store's head is refused: its manifest is malformed.");
         return;
     };
+    let held = entry.decide(|engine, _| engine.bundle().map(|it| it.version)).unwrap_or_default();
+    if manifest.version < held {
+        let version = manifest.version;
+        log::warn!(target: "bundle", "The store's head is refused: version {version} is older than {held}.");
+        return;
+    }
     let head = head_of(&signed, &manifest);
     entry.decide(|engine, _| engine.on_head(Source::Store, head));
     entry.hurry.notify_one();
--- a/tests/bad_bundle.rs
+++ b/tests/bad_bundle.rs
@@ -104,13 +104,10 @@
         refused(&deployment, reason).await;
     }
 
-    // An older version is no news; the store's next reading has it.
     let older = ana.sign_bundle(&version(&bundle, 1), None);
     put_parts(&platform, &older).await;
     put(&platform, layout::HEAD, older.head.write()).await;
-    let reads = platform.taken().reads;
-    until("the store was read", || reads + 3 < platform.taken().reads).await;
-    refused(&deployment, "").await;
+    refused(&deployment, "version 1 is older than 2").await;
 
     let mut equal = bundle.clone();
     equal.regions.values_mut().for_each(|it| it.cap = Slots(99));
