Expect the singular in the count of cut requests

Cause: the tool's message says "1 request" since its wording was mended, and the test of a second SIGTERM, written beside it, waited for "1 requests". Change: the test waits for the message as it is; it is as strict. Conclusion: wording only.

--- a/tests/process.rs
+++ b/tests/process.rs
@@ -208,7 +208,7 @@
     process.terminate();
     process.line("Taking no new requests; 1 are in flight");
     process.terminate();
-    process.line("the stop cut 1 requests");
+    process.line("the stop cut 1 request");
     assert_eq!(process.ended().await.code(), Some(1));
     assert!(held.await.unwrap(), "its connection broke");
 }
