Play scripted scenarios in virtual time

A scenario states a topology, load, events and bounds. The runner drives the real decisions of each entry VM through small fakes: one executor with one queue of timers, one seeded generator, backend servers with slots and service times, a network with delays and cuts, and the pure store. A test variant that sends again what may have run is caught as doubled; a run is equal to itself under the same seed.

--- a/crates/th-testing/src/lib.rs
+++ b/crates/th-testing/src/lib.rs
@@ -6,6 +6,7 @@
 mod listen;
 mod platform;
 mod relay;
+pub mod scenario;
 
 pub use backend::{BackendSettings, Behaviour, FakeBackend, Ledger, REQUEST, Run};
 pub use caller::{Audit, Caller, CallerSettings, End, Record, Records};
--- /dev/null
+++ b/crates/th-testing/src/scenario/exec.rs
@@ -0,0 +1,175 @@
+//! Tasks in virtual time: one queue of timers in milliseconds, tasks polled in the order in which they woke.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    sync::{Arc, Mutex},
+    task::{Context, Poll, Waker},
+};
+
+use futures_util::{
+    future::LocalBoxFuture,
+    task::{ArcWake, waker},
+};
+
+type Ready = Arc<Mutex<VecDeque<u64>>>;
+
+/// A task's process, and what is left to do; nothing while it is polled.
+type Task = (Process, Option<LocalBoxFuture<'static, ()>>);
+
+/// A process whose tasks end and pause together; zero stands for the network and the callers.
+pub(crate) type Process = u64;
+
+struct Wake {
+    task: u64,
+    ready: Ready,
+}
+
+impl ArcWake for Wake {
+    fn wake_by_ref(it: &Arc<Wake>) {
+        it.ready.lock().expect("no holder of this lock panics").push_back(it.task);
+    }
+}
+
+/// The executor. Two runs that spawn and sleep alike go alike.
+#[derive(Default)]
+pub(crate) struct Exec {
+    now: Cell<u64>,
+    last: Cell<u64>,
+    ready: Ready,
+    tasks: RefCell<BTreeMap<u64, Task>>,
+    timers: RefCell<BTreeMap<(u64, u64), Waker>>,
+    paused: RefCell<BTreeSet<Process>>,
+    parked: RefCell<Vec<u64>>,
+}
+
+impl Exec {
+    pub(crate) fn now(&self) -> u64 {
+        self.now.get()
+    }
+
+    fn next(&self) -> u64 {
+        self.last.set(self.last.get() + 1);
+        self.last.get()
+    }
+
+    pub(crate) fn spawn(&self, process: Process, task: impl Future<Output = ()> + 'static) {
+        let id = self.next();
+        self.tasks.borrow_mut().insert(id, (process, Some(Box::pin(task))));
+        self.wake(id);
+    }
+
+    fn wake(&self, id: u64) {
+        self.ready.lock().expect("no holder of this lock panics").push_back(id);
+    }
+
+    pub(crate) fn sleep(self: &Rc<Self>, span: u64) -> Sleep {
+        Sleep { exec: Rc::clone(self), until: self.now() + span, key: None }
+    }
+
+    /// Drops all tasks of a process.
+    pub(crate) fn kill(&self, process: Process) {
+        self.paused.borrow_mut().remove(&process);
+        let mut dropped = Vec::new();
+        for (owner, task) in self.tasks.borrow_mut().values_mut() {
+            if *owner == process {
+                dropped.push(task.take());
+            }
+        }
+    }
+
+    pub(crate) fn pause(&self, process: Process) {
+        self.paused.borrow_mut().insert(process);
+    }
+
+    pub(crate) fn resume(&self, process: Process) {
+        self.paused.borrow_mut().remove(&process);
+        for id in self.parked.take() {
+            self.wake(id);
+        }
+    }
+
+    /// Drops all tasks, which hold the world and are held by it.
+    pub(crate) fn clear(&self) {
+        drop(self.tasks.take());
+    }
+
+    /// Runs until that time.
+    pub(crate) fn run(&self, until: u64) {
+        loop {
+            while let Some(id) = self.pop() {
+                self.poll(id);
+            }
+            let Some(timer) = self.timers.borrow_mut().first_entry().map(|it| *it.key()) else {
+                return;
+            };
+            if until < timer.0 {
+                return;
+            }
+            self.now.set(timer.0);
+            let woken = self.timers.borrow_mut().remove(&timer);
+            if let Some(it) = woken {
+                it.wake();
+            }
+        }
+    }
+
+    fn pop(&self) -> Option<u64> {
+        self.ready.lock().expect("no holder of this lock panics").pop_front()
+    }
+
+    fn poll(&self, id: u64) {
+        let Some((process, task)) =
+            self.tasks.borrow_mut().get_mut(&id).map(|it| (it.0, it.1.take()))
+        else {
+            return;
+        };
+        let Some(mut task) = task else {
+            return;
+        };
+        if self.paused.borrow().contains(&process) {
+            self.parked.borrow_mut().push(id);
+            self.tasks.borrow_mut().insert(id, (process, Some(task)));
+            return;
+        }
+        let waker = waker(Arc::new(Wake { task: id, ready: Arc::clone(&self.ready) }));
+        let done = task.as_mut().poll(&mut Context::from_waker(&waker)).is_ready();
+        let mut tasks = self.tasks.borrow_mut();
+        match done {
+            true => drop(tasks.remove(&id)),
+            false => drop(tasks.insert(id, (process, Some(task)))),
+        }
+    }
+}
+
+/// Ends once virtual time has come.
+pub(crate) struct Sleep {
+    exec: Rc<Exec>,
+    until: u64,
+    key: Option<(u64, u64)>,
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.until <= self.exec.now() {
+            return Poll::Ready(());
+        }
+        let key = self.key.unwrap_or_else(|| (self.until, self.exec.next()));
+        self.key = Some(key);
+        self.exec.timers.borrow_mut().insert(key, cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            self.exec.timers.borrow_mut().remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/th-testing/src/scenario/store.rs
@@ -0,0 +1,196 @@
+//! The platform's service and the operators who roll bundles through it.
+
+use std::sync::Arc;
+
+use th_platform::{Key, LeaseId};
+use th_protocol::{
+    Bundle, BundleHead, ContentHash, Revision, Time, VmId, VmRecord, VmRole, VmState, layout,
+};
+
+use super::{
+    script::{Roll, StoreFault},
+    world::{Sim, address},
+};
+use crate::Store;
+
+/// Longest time that an entry process waits for a call, in milliseconds.
+pub(crate) const CALL: u64 = 1_000;
+/// Time between two looks of a waiting watch, in milliseconds.
+const LOOK: u64 = 50;
+/// Tries of an operator to roll a bundle.
+const ROLLS: u32 = 5;
+
+/// Makes a call from a host. Nothing where it failed or its answer was lost; it may have taken effect then.
+pub(crate) async fn call<T>(
+    sim: &Sim,
+    host: usize,
+    write: bool,
+    act: impl FnOnce(&mut Store, Time) -> T,
+) -> Option<T> {
+    let keeper = sim.state.borrow().hosts.iter().position(|it| it.name == "store")?;
+    let fault = sim.state.borrow().fault;
+    let (delay, slow) =
+        (sim.delay(host, keeper) + 1, if let StoreFault::Slow(it) = fault { it.0 } else { 0 });
+    if sim.lost(host, keeper, u64::MAX) || fault == StoreFault::Deaf {
+        sim.sleep(CALL).await;
+        return None;
+    }
+    sim.sleep(delay + slow).await;
+    if fault == StoreFault::Down {
+        return None;
+    }
+    let lost = match fault {
+        StoreFault::Lost(share) => write && sim.draw() < share,
+        _ => CALL < 2 * delay + slow || sim.lost(keeper, host, u64::MAX),
+    };
+    let done = {
+        let now = Time(sim.now());
+        let mut state = sim.state.borrow_mut();
+        state.tally.calls[usize::from(write)] += 1;
+        state.store.expire(now);
+        act(&mut state.store, now)
+    };
+    sim.sleep(if lost { CALL } else { delay }).await;
+    (!lost).then_some(done)
+}
+
+/// Waits for a change of the head, or for `wait`; nothing where the watch broke off. It counts as one call.
+pub(crate) async fn watch(sim: &Sim, host: usize, seen: Revision, wait: u64) -> Option<Revision> {
+    let began = sim.now();
+    let look = |store: &Store| store.changes(layout::HEAD, seen).last().map(|it| it.revision);
+    call(sim, host, false, |_, _| ()).await?;
+    loop {
+        let fault = sim.state.borrow().fault;
+        let changed = look(&sim.state.borrow().store).filter(|_| fault != StoreFault::Silent);
+        match changed {
+            Some(last) if fault != StoreFault::Down => return Some(last),
+            _ if fault == StoreFault::Down => return None,
+            _ if began + wait < sim.now() => return Some(seen),
+            _ => sim.sleep(LOOK).await,
+        }
+    }
+}
+
+/// The head that the store names.
+pub(crate) async fn head(sim: &Sim, host: usize) -> Option<(BundleHead, Revision)> {
+    let found = call(sim, host, false, |store, _| store.read(&Key::new(layout::HEAD)).cloned());
+    let found = found.await??;
+    let head = serde_json::from_slice(found.value.as_deref()?).ok()?;
+    Some((head, found.revision))
+}
+
+pub(crate) async fn cas(
+    sim: &Sim,
+    host: usize,
+    key: Key,
+    expected: Option<Revision>,
+    value: Option<Vec<u8>>,
+    lease: Option<LeaseId>,
+) -> Option<Result<Revision, ()>> {
+    call(sim, host, true, |store, _| store.cas(&key, expected, value, lease).map_err(|_| ())).await
+}
+
+/// Rolls a bundle as an operator does: reads the head, changes it, and writes it if nobody else has meanwhile.
+pub(crate) async fn roll(sim: Sim, what: Roll, operator: u64) {
+    let host = 0;
+    for _ in 0..ROLLS {
+        let Some((head, revision)) = head(&sim, host).await else {
+            sim.sleep(CALL).await;
+            continue;
+        };
+        let mut bundle =
+            sim.state.borrow().bundles.get(&head).map(|it| (*it.0).clone()).expect("it was rolled");
+        bundle.version.0 += 1;
+        if let Roll::Drain(name) = &what {
+            mark_leaving(&mut bundle, name);
+        }
+        let next = add(&sim, bundle, what != Roll::Bad, operator);
+        let value = serde_json::to_vec(&next).expect("it is plain data");
+        let key = Key::new(layout::HEAD);
+        let ended = cas(&sim, host, key, Some(revision), Some(value), None).await;
+        let taken = match ended {
+            Some(ended) => ended.is_ok(),
+            None => self::head(&sim, host).await.is_some_and(|it| it.0 == next),
+        };
+        if taken {
+            accepted(&sim, &what, next);
+            return;
+        }
+    }
+}
+
+fn mark_leaving(bundle: &mut Bundle, name: &str) {
+    for service in bundle.services.values_mut() {
+        for (id, backend) in &mut service.backends {
+            backend.leaving |= id.as_str() == name;
+        }
+    }
+}
+
+/// Makes a bundle known to the fakes, under a hash that differs between operators.
+pub(crate) fn add(sim: &Sim, bundle: Bundle, good: bool, operator: u64) -> BundleHead {
+    let mut digest = [0; 32];
+    digest[..8].copy_from_slice(&bundle.version.0.to_be_bytes());
+    digest[8..16].copy_from_slice(&operator.to_be_bytes());
+    digest[16] = u8::from(good);
+    let head = BundleHead { version: bundle.version, digest: ContentHash(digest) };
+    sim.state.borrow_mut().bundles.insert(head, (Arc::new(bundle), good));
+    head
+}
+
+fn accepted(sim: &Sim, what: &Roll, head: BundleHead) {
+    let now = sim.now();
+    let mut state = sim.state.borrow_mut();
+    if *what != Roll::Bad {
+        state.tally.rolled = Some((head.version, now));
+    }
+    if let Roll::Drain(name) = what {
+        let host = state.hosts.iter().position(|it| it.name == *name);
+        if let Some(server) = host.and_then(|it| state.servers.get_mut(&it)) {
+            server.leaving.get_or_insert((now, false));
+        }
+    }
+}
+
+/// Takes VMs off the platform's list.
+pub(crate) fn relist_without(sim: &Sim, gone: &[usize]) {
+    let now = sim.now();
+    let mut state = sim.state.borrow_mut();
+    let mut list = state.lists.last().map(|it| it.1.clone()).unwrap_or_default();
+    list.retain(|it| !gone.iter().any(|host| state.hosts[*host].name == it.vm.as_str()));
+    state.lists.push((now, list));
+}
+
+/// Takes the platform's list of VMs anew; `gone` is no longer on it.
+pub(crate) fn relist(sim: &Sim, gone: &[usize]) {
+    let now = sim.now();
+    let mut state = sim.state.borrow_mut();
+    let mut list = state.lists.last().map(|it| it.1.clone()).unwrap_or_default();
+    list.retain(|it| !gone.iter().any(|host| state.hosts[*host].name == it.vm.as_str()));
+    for (row, host) in state.hosts.iter().enumerate() {
+        let Some(zone) = host.zone.filter(|_| host.process.is_some() && host.name != "store")
+        else {
+            continue;
+        };
+        let vm: VmId = host.name.parse().expect("names in a scenario are ids");
+        list.retain(|it| it.vm != vm);
+        let server = state.servers.get(&row);
+        let leaving = server.is_some_and(|it| it.leaving.is_some_and(|it| it.1));
+        list.push(VmRecord {
+            vm,
+            zone: sim.zones[zone].0.parse().expect("names in a scenario are ids"),
+            address: address(row),
+            state: if leaving { VmState::Leaving } else { VmState::Live },
+            role: if server.is_some() { VmRole::Backend } else { VmRole::Entry },
+        });
+    }
+    state.lists.push((now, list));
+}
+
+/// The list of VMs as the platform shows it at present.
+pub(crate) async fn list(sim: &Sim, host: usize) -> Option<Vec<VmRecord>> {
+    call(sim, host, false, |_, _| ()).await?;
+    let state = sim.state.borrow();
+    let until = sim.now().saturating_sub(state.lag);
+    state.lists.iter().rev().find(|it| it.0 <= until).map(|it| it.1.clone())
+}
--- /dev/null
+++ b/crates/th-testing/src/scenario/world.rs
@@ -0,0 +1,351 @@
+//! The part of a deployment that a scenario sets up, and the network in it.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    future::Future,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    sync::Arc,
+};
+
+use futures_util::future::{Either, pending, select};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use th_protocol::{Bundle, BundleHead, Version, VmRecord};
+use tokio::sync::oneshot;
+
+use super::{
+    entry::Node,
+    exec::{Exec, Process},
+    report::Tally,
+    script::{Scenario, StoreFault},
+    server::Server,
+};
+use crate::Store;
+
+/// Bound on a connection attempt, in milliseconds.
+const CONNECT: u64 = 500;
+/// What a new connection costs, in milliseconds.
+const OPENING: u64 = 1;
+/// The window in which a link's bytes are counted, in milliseconds.
+const WINDOW: u64 = 100;
+/// Time before the scenario's zero in which the deployment starts, in milliseconds.
+pub(crate) const WARM: u64 = 8_000;
+
+pub(crate) type Sim = Rc<World>;
+
+/// A VM, or the callers of a region.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Host {
+    pub(crate) name: String,
+    /// The data centre; none for callers.
+    pub(crate) zone: Option<usize>,
+    pub(crate) region: usize,
+    /// The process that runs on it, if one does.
+    pub(crate) process: Option<Process>,
+    /// Whether the whole machine is gone, so that connections stay silent.
+    pub(crate) dark: bool,
+}
+
+/// What changes during a run.
+pub(crate) struct State {
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) entries: BTreeMap<usize, Node>,
+    pub(crate) servers: BTreeMap<usize, Server>,
+    /// Pairs of data centres of which the first does not reach the second.
+    pub(crate) cuts: BTreeSet<(usize, usize)>,
+    /// Until when connections between two hosts were opened that are silent now.
+    pub(crate) silenced: BTreeMap<(usize, usize), u64>,
+    /// When idle connections were opened, by both processes and the generation.
+    pools: BTreeMap<(usize, Process, u64), Vec<u64>>,
+    /// Bytes sent lately between two regions.
+    links: BTreeMap<(usize, usize), VecDeque<(u64, u64)>>,
+    pub(crate) store: Store,
+    pub(crate) fault: StoreFault,
+    /// The list of VMs since each time.
+    pub(crate) lists: Vec<(u64, Vec<VmRecord>)>,
+    pub(crate) lag: u64,
+    /// All bundles that were made, and whether they are well signed.
+    pub(crate) bundles: BTreeMap<BundleHead, (Arc<Bundle>, bool)>,
+    pub(crate) last: Process,
+    pub(crate) tally: Tally,
+}
+
+/// A run of a scenario.
+pub(crate) struct World {
+    pub(crate) exec: Rc<Exec>,
+    pub(crate) script: Scenario,
+    /// Name and region of each data centre; the store counts as one more.
+    pub(crate) zones: Vec<(String, usize)>,
+    pub(crate) state: RefCell<State>,
+    /// Set in tests only: repeats a non-idempotent request after a timeout, which must be caught.
+    pub(crate) careless: bool,
+}
+
+/// Why an exchange brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fail {
+    Unsent,
+    Cut,
+    Late,
+}
+
+impl World {
+    pub(crate) fn new(script: Scenario, seed: u64, careless: bool) -> Sim {
+        let mut zones = Vec::new();
+        for (row, region) in script.regions.iter().enumerate() {
+            for (zone, _) in &region.zones {
+                zones.push((zone.clone(), row));
+            }
+        }
+        // The store can be cut off from its own data centre.
+        let home = zones.iter().find(|it| it.0 == script.home()).map_or(0, |it| it.1);
+        zones.push(("store".to_owned(), home));
+        let state = State {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            hosts: Vec::new(),
+            entries: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            silenced: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            links: BTreeMap::new(),
+            store: Store::default(),
+            fault: StoreFault::Up,
+            lists: Vec::new(),
+            lag: 0,
+            bundles: BTreeMap::new(),
+            last: 0,
+            tally: Tally::default(),
+        };
+        let exec = Rc::default();
+        Rc::new(World { exec, script, zones, state: RefCell::new(state), careless })
+    }
+
+    pub(crate) fn now(&self) -> u64 {
+        self.exec.now()
+    }
+
+    pub(crate) async fn sleep(&self, span: u64) {
+        self.exec.sleep(span).await;
+    }
+
+    pub(crate) fn draw(&self) -> f64 {
+        self.state.borrow_mut().rng.random()
+    }
+
+    pub(crate) fn add_host(&self, name: &str, zone: Option<usize>, region: usize) -> usize {
+        let mut state = self.state.borrow_mut();
+        state.hosts.push(Host { name: name.to_owned(), zone, region, ..Host::default() });
+        state.hosts.len() - 1
+    }
+
+    /// A new process on a host.
+    pub(crate) fn start(&self, host: usize) -> Process {
+        let mut state = self.state.borrow_mut();
+        state.last += 1;
+        let process = state.last;
+        state.hosts[host].process = Some(process);
+        state.hosts[host].dark = false;
+        process
+    }
+
+    /// Ends the process of a host; with `dark` the machine is lost as well.
+    pub(crate) fn end(&self, host: usize, dark: bool) {
+        let (process, node) = {
+            let mut state = self.state.borrow_mut();
+            state.hosts[host].dark = dark;
+            (state.hosts[host].process.take(), state.entries.remove(&host))
+        };
+        if let Some(process) = process {
+            self.exec.kill(process);
+        }
+        drop(node);
+    }
+
+    pub(crate) fn delay(&self, a: usize, b: usize) -> u64 {
+        let state = self.state.borrow();
+        let (a, b) = (&state.hosts[a], &state.hosts[b]);
+        let (zones, clients) = self.script.delays.map_or((1, 1), |it| (it.0.0, it.1.0));
+        let edge = if a.zone.is_none() || b.zone.is_none() { clients } else { 0 };
+        match a.region == b.region {
+            true if a.zone == b.zone || 0 < edge => edge,
+            true => zones,
+            false => edge + self.link(a.region, b.region).map_or(0, |(delay, _)| delay),
+        }
+    }
+
+    /// Delay and bytes per window between two regions.
+    pub(crate) fn link(&self, a: usize, b: usize) -> Option<(u64, u64)> {
+        let name = |it: usize| &self.script.regions[it].name;
+        let joins = |ends: &(String, String)| {
+            (&ends.0 == name(a) && &ends.1 == name(b)) || (&ends.0 == name(b) && &ends.1 == name(a))
+        };
+        let link = self.script.links.iter().find(|it| joins(&it.ends))?;
+        Some((link.delay.0, u64::from(link.mbit) * 125 * WINDOW))
+    }
+
+    /// Whether what `a` sends to `b` on a connection opened at `opened` is lost.
+    pub(crate) fn lost(&self, a: usize, b: usize, opened: u64) -> bool {
+        let state = self.state.borrow();
+        let cut = match (state.hosts[a].zone, state.hosts[b].zone) {
+            (Some(from), Some(to)) => state.cuts.contains(&(from, to)),
+            _ => false,
+        };
+        let pair = (a.min(b), a.max(b));
+        cut || state.hosts[b].dark || state.silenced.get(&pair).is_some_and(|it| opened <= *it)
+    }
+
+    /// Counts bytes between regions and holds every window against the cap.
+    fn carry(&self, a: usize, b: usize, bytes: u64) {
+        let mut state = self.state.borrow_mut();
+        let (from, to) = (&state.hosts[a], &state.hosts[b]);
+        if bytes == 0 || from.zone.is_none() || to.zone.is_none() || from.region == to.region {
+            return;
+        }
+        let pair = (from.region, to.region);
+        let Some((_, cap)) = self.link(pair.0, pair.1) else {
+            return;
+        };
+        let now = self.now();
+        let used = state.links.entry(pair).or_default();
+        used.push_back((now, bytes));
+        while used.front().is_some_and(|(at, _)| at + WINDOW <= now) {
+            used.pop_front();
+        }
+        let sum: u64 = used.iter().map(|it| it.1).sum();
+        state.tally.link(sum as f64 / cap as f64, now);
+    }
+
+    /// Holds the bundle of an entry VM against what it had and what was rolled.
+    pub(crate) fn check_bundles(&self, host: usize) {
+        let state = &mut *self.state.borrow_mut();
+        let version = state.entries[&host].engine.bundle().map_or(Version(0), |it| it.version);
+        let zone = state.hosts[host].zone;
+        let reaches = |to: usize| {
+            let there = state.hosts[to].zone;
+            let (Some(a), Some(b)) = (zone, there) else {
+                return false;
+            };
+            !state.cuts.contains(&(a, b)) && !state.cuts.contains(&(b, a))
+        };
+        let rolled = state.tally.rolled.map_or(Version(0), |it| it.0);
+        let has = |it: &Node| it.engine.bundle().is_some_and(|it| rolled <= it.version);
+        let keeper = state.hosts.iter().position(|it| it.name == "store");
+        let store = state.fault == StoreFault::Up || state.fault == StoreFault::Silent;
+        let reached = (store && keeper.is_some_and(reaches))
+            || state.entries.iter().any(|(to, it)| *to != host && has(it) && reaches(*to));
+        let process = state.hosts[host].process.unwrap_or(0);
+        state.tally.version(process, version, reached, self.exec.now());
+    }
+
+    /// Sends a request over a pooled or new connection and waits for the answer. `sizes` are those of the request and
+    /// of the answer. The request is dropped at `b` when the wait at `a` ends, where word of that gets through.
+    pub(crate) async fn exchange<R: 'static, F: Future<Output = R> + 'static>(
+        self: &Rc<Self>,
+        (a, b): (usize, usize),
+        generation: u64,
+        sizes: (u64, u64),
+        left: u64,
+        serve: impl FnOnce() -> F + 'static,
+    ) -> Result<R, Fail> {
+        let began = self.now();
+        let (delay, process) = (self.delay(a, b), self.state.borrow().hosts[b].process);
+        let key = (a, process.unwrap_or(0), generation);
+        let idle = self.state.borrow_mut().pools.get_mut(&key).and_then(Vec::pop);
+        let opened = match idle {
+            Some(opened) => opened,
+            None if self.lost(a, b, u64::MAX) || self.lost(b, a, u64::MAX) => {
+                self.sleep(CONNECT.min(left)).await;
+                return Err(Fail::Unsent);
+            }
+            None => {
+                self.sleep(2 * delay + OPENING).await;
+                if process.is_none() {
+                    return Err(Fail::Unsent);
+                }
+                self.now()
+            }
+        };
+        self.carry(a, b, sizes.0);
+        let (sender, receiver) = oneshot::channel();
+        let sim = Rc::clone(self);
+        self.exec.spawn(0, async move {
+            sim.sleep(delay).await;
+            if sim.lost(a, b, opened) {
+                let _held = sender;
+                return pending().await;
+            }
+            let arrived = sim.state.borrow().hosts[b].process;
+            if let Some(process) = arrived.filter(|_| arrived == process) {
+                let it = Rc::clone(&sim);
+                sim.exec.spawn(process, async move {
+                    it.serve((a, b), (opened, sizes.1), serve(), sender).await;
+                });
+            }
+        });
+        let rest = (began + left).saturating_sub(self.now());
+        let ended = match select(receiver, pin!(self.sleep(rest))).await {
+            Either::Left((ended, timer)) => match ended {
+                Err(_) if self.lost(b, a, opened) || self.state.borrow().hosts[b].dark => {
+                    timer.await;
+                    return Err(Fail::Late);
+                }
+                ended => ended,
+            },
+            Either::Right(_) => return Err(Fail::Late),
+        };
+        let answer = ended.map_err(|_| Fail::Cut)?;
+        self.state.borrow_mut().pools.entry(key).or_default().push(opened);
+        Ok(answer)
+    }
+
+    /// The receiving side of an exchange.
+    async fn serve<R: 'static>(
+        self: &Rc<Self>,
+        (a, b): (usize, usize),
+        (opened, size): (u64, u64),
+        serve: impl Future<Output = R>,
+        mut sender: oneshot::Sender<R>,
+    ) {
+        let delay = self.delay(a, b);
+        let serve = pin!(serve);
+        let closed = async {
+            sender.closed().await;
+            self.sleep(delay).await;
+        };
+        let answer = match select(serve, pin!(closed)).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right((_, serve)) if self.lost(a, b, opened) => serve.await,
+            Either::Right(_) => return,
+        };
+        self.carry(b, a, size);
+        let sim = Rc::clone(self);
+        self.exec.spawn(0, async move {
+            sim.sleep(delay).await;
+            if sim.lost(b, a, opened) {
+                let _held = sender;
+                return pending().await;
+            }
+            let _ = sender.send(answer);
+        });
+    }
+}
+
+/// The address of a host.
+pub(crate) fn address(host: usize) -> SocketAddr {
+    SocketAddr::from(([10, 200, (host >> 8) as u8, host as u8], 1))
+}
+
+/// The host at an address.
+pub(crate) fn host_at(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(it) => {
+            usize::from(u16::from_be_bytes([it.ip().octets()[2], it.ip().octets()[3]]))
+        }
+        SocketAddr::V6(_) => usize::MAX,
+    }
+}
