--- a/crates/th-entry/src/call/flow.rs
+++ b/crates/th-entry/src/call/flow.rs
@@ -7,7 +7,10 @@
 use tokio::time::timeout;
 
 use super::{Incoming, owner, run::carry_out};
-use crate::{entry::Entry, io::Reply};
+use crate::{
+    entry::{Entry, Passage},
+    io::Reply,
+};
 
 /// Who sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,7 +24,12 @@
 }
 
 /// What a request comes to.
-pub(crate) async fn answer(entry: &Arc<Entry>, incoming: Incoming, origin: Origin) -> Reply {
+pub(crate) async fn answer(
+    entry: &Arc<Entry>,
+    incoming: Incoming,
+    origin: Origin,
+    passage: &Passage,
+) -> Reply {
     loop {
         // Registered before asking, so that an end in between is not missed.
         let mut ended = pin!(entry.ended.notified());
@@ -29,7 +37,7 @@
         let call = incoming.call.clone();
         let received = entry.decide(|engine, now| engine.receive(call, now));
         match received {
-            Receive::Run(run) => return start(entry, run, incoming).await,
+            Receive::Run(run) => return start(entry, run, incoming, passage).await,
             Receive::Kept(kept) => return kept.reply(),
             Receive::Notice(notice) => return Reply::notice(&notice),
             Receive::Forward { .. } if origin != Origin::Caller => {
@@ -48,13 +56,19 @@
 }
 
 /// Carries a request out. A non-idempotent one goes on when its caller goes away: whether it ran must be known.
-async fn start(entry: &Arc<Entry>, run: Run, incoming: Incoming) -> Reply {
-    if run.token.is_none() {
+async fn start(entry: &Arc<Entry>, run: Run, incoming: Incoming, passage: &Passage) -> Reply {
+    if run.spec.idempotent {
         return carry_out(entry, run, &incoming).await;
     }
     let task = {
         let entry = Arc::clone(entry);
-        tokio::spawn(async move { carry_out(&entry, run, &incoming).await })
+        let passage = passage.clone();
+        tokio::spawn(async move {
+            let reply = carry_out(&entry, run, &incoming).await;
+            // A planned stop waits for it, even where its caller does not.
+            drop(passage);
+            reply
+        })
     };
     match task.await {
         Ok(reply) => reply,
--- a/crates/th-entry/src/entry.rs
+++ b/crates/th-entry/src/entry.rs
@@ -11,8 +11,8 @@
 
 use reqwest::Client;
 use th_platform::{Calls, Clock, Counted};
-use th_protocol::{BackendId, Bytes, Incarnation, Millis, ServiceId, Time, Verdict};
-use th_report::{BurnRing, Measure};
+use th_protocol::{BackendId, Bytes, Incarnation, Millis, Reason, ServiceId, Time, Verdict};
+use th_report::{BurnRing, Count, Measure, Sample};
 use th_steer::{
     backend::Outcome,
     engine::{Engine, EngineSettings, Identity, Place, Wake},
@@ -26,7 +26,7 @@
     library::Library,
     metrics::Metrics,
     settings::Settings,
-    task::{counted, is_good},
+    task::is_good,
 };
 
 /// Bytes of bundles that peers may fetch each second.
@@ -50,6 +50,8 @@
     pub(crate) clients: Clients,
     /// Connections to other entry VMs.
     pub(crate) peers: Client,
+    /// Probes of backend servers.
+    pub(crate) probes: Client,
     pub(crate) library: Mutex<Library>,
     pub(crate) metrics: Metrics,
     pub(crate) burn: Mutex<BurnRing>,
@@ -63,7 +65,7 @@
     /// Bytes of bundles that peers may still fetch.
     budget: Mutex<Budget>,
     /// Good and all events of each promise since the start.
-    counts: Mutex<BTreeMap<(ServiceId, Measure), (u64, u64)>>,
+    counts: Mutex<BTreeMap<(ServiceId, Measure), Count>>,
     /// Backend servers whose drain was noted.
     quiet: Mutex<BTreeSet<BackendId>>,
     engine: Mutex<Decisions>,
@@ -102,6 +104,7 @@
             waiters: Mutex::default(),
             clients: Clients::default(),
             peers: client(ClientSettings::default()),
+            probes: client(ClientSettings::default()),
             library: Mutex::default(),
             metrics: Metrics::default(),
             burn: Mutex::new(BurnRing::new(now)),
@@ -135,7 +138,12 @@
     }
 
     fn engine(&self) -> MutexGuard<'_, Decisions> {
-        self.engine.lock().expect("no holder of this lock panics")
+        let Ok(engine) = self.engine.lock() else {
+            // A decision broke off half way, so that what may be spent is no longer known.
+            log::error!(target: "entry", "A decision failed; the process ends.");
+            std::process::abort();
+        };
+        engine
     }
 
     fn waiters(&self) -> MutexGuard<'_, Waiters> {
@@ -188,25 +196,32 @@
     pub(crate) fn count(&self, service: &ServiceId, measure: Measure, good: bool) {
         let mut counts = self.counts.lock().expect("no holder of this lock panics");
         let count = counts.entry((service.clone(), measure)).or_default();
-        count.0 += u64::from(good);
-        count.1 += 1;
-        let sample = counted(self.clock.now(), service, measure, *count);
-        drop(counts);
-        self.burn().record(&sample);
+        count.good += u64::from(good);
+        count.total += 1;
+    }
+
+    /// Hands the counts so far to the burn report.
+    pub(crate) fn record_counts(&self) {
+        let at = self.clock.now();
+        let counts = self.counts.lock().expect("no holder of this lock panics").clone();
+        let mut burn = self.burn();
+        for ((service, measure), Count { good, total }) in counts {
+            burn.record(&Sample { at, service, measure, good, total });
+        }
     }
 
     /// Counts an answer to a caller.
     pub(crate) fn note_request(
         &self,
         service: &ServiceId,
-        verdict: Option<Verdict>,
+        told: Option<(Verdict, Reason)>,
         waited: Millis,
     ) {
         let slo = self.decide(|engine, _| {
             engine.bundle().and_then(|it| Some(it.services.get(service)?.slo.clone()))
         });
-        if let Some(slo) = slo {
-            self.count(service, Measure::Latency, is_good(&slo, verdict, waited));
+        if let Some(good) = slo.and_then(|it| is_good(&it, told, waited)) {
+            self.count(service, Measure::Latency, good);
         }
     }
 
@@ -254,7 +269,7 @@
     /// Counts a request; `None` where there are `most` already.
     pub(crate) fn enter(entry: &Arc<Entry>, most: u32) -> Option<Passage> {
         let before = entry.in_flight.count.fetch_add(1, Ordering::SeqCst);
-        let passage = Passage(Arc::clone(entry));
+        let passage = Passage(Arc::new(Counting(Arc::clone(entry))));
         (before < most).then_some(passage)
     }
 
@@ -274,10 +289,13 @@
     }
 }
 
-/// One request in progress; it ends when this is dropped.
-pub(crate) struct Passage(Arc<Entry>);
+/// One request in progress; it ends when the last clone of this is dropped.
+#[derive(Clone)]
+pub(crate) struct Passage(#[expect(dead_code, reason = "held for its drop")] Arc<Counting>);
+
+struct Counting(Arc<Entry>);
 
-impl Drop for Passage {
+impl Drop for Counting {
     fn drop(&mut self) {
         let in_flight = &self.0.in_flight;
         if in_flight.count.fetch_sub(1, Ordering::SeqCst) == 1 {
--- a/crates/th-entry/src/peer/router.rs
+++ b/crates/th-entry/src/peer/router.rs
@@ -14,6 +14,7 @@
     Router::with_hoop(affix_state::inject(Arc::clone(entry)))
         .hoop(check_key)
         .push(at(Route::Heartbeat).post(control::take_heartbeat))
+        .push(at(Route::Records).post(control::give_records))
         .push(at(Route::Check).post(control::run_check))
         .push(at(Route::Bundle).post(control::give_bundle))
         .push(at(Route::Part).post(control::give_part))
--- a/crates/th-entry/src/task/bundles.rs
+++ b/crates/th-entry/src/task/bundles.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use th_platform::{Key, Platform};
 use th_protocol::{
-    BundleAnswer, BundleHead, BundleRequest, ContentHash, Digest, OperatorId, SignedManifest,
-    layout,
+    BundleAnswer, BundleHead, BundleRequest, Digest, OperatorId, SignedManifest, layout,
 };
 use th_steer::member::{Fetched, ManifestInfo, Source, SpreadAction};
 
@@ -87,10 +86,11 @@
     head: BundleHead,
     signed: SignedManifest,
 ) -> Fetched<ManifestInfo> {
-    if *signed.digest().bytes() != head.digest.0 {
+    if signed.digest() != head.digest {
         return Fetched::Corrupt;
     }
-    let manifest = match signed.verify(&operators(entry)) {
+    let held = entry.decide(|engine, _| engine.bundle().map(|it| it.version)).unwrap_or_default();
+    let manifest = match signed.verify_after(held, &operators(entry)) {
         Ok(manifest) => manifest,
         Err(error) => {
             log::warn!(target: "bundle", "Version {} is refused: {error}.", head.version);
@@ -106,7 +106,7 @@
 
 /// Whether all parts of a bundle are at hand and what they say is faulty.
 fn is_faulty(entry: &Entry, head: &BundleHead) -> bool {
-    let library = entry.library();
+    let mut library = entry.library();
     if !library.is_complete(head) {
         return false;
     }
@@ -119,17 +119,20 @@
     }
 }
 
-async fn fetch_part(entry: &Arc<Entry>, hash: ContentHash, from: Source) {
+async fn fetch_part(entry: &Arc<Entry>, hash: Digest, from: Source) {
     let fetched = match &from {
         Source::Store => Ok(stored_part(entry, &hash).await),
         Source::Peer(_) => ask_peer(entry, &from, &BundleRequest::Part(hash)).await,
     };
     let fetched = match fetched {
-        Ok(Some(bytes)) if *Digest::of(&bytes).bytes() == hash.0 => {
+        Ok(Some(bytes)) if Digest::of(&bytes) == hash => {
             entry.library().add_part(bytes);
             Fetched::Good(())
         }
-        Ok(Some(_)) => Fetched::Corrupt,
+        Ok(Some(_)) => {
+            log::warn!(target: "bundle", "Part {hash} is refused: it has wrong bytes.");
+            Fetched::Corrupt
+        }
         Ok(None) => Fetched::Missing,
         Err(ended) => ended,
     };
@@ -139,7 +142,7 @@
 }
 
 /// Refuses each bundle that this part completes and whose content is faulty.
-fn refuse_faulty(entry: &Entry, hash: &ContentHash, from: &Source) {
+fn refuse_faulty(entry: &Entry, hash: &Digest, from: &Source) {
     let users = entry.library().users(hash);
     for head in users {
         if is_faulty(entry, &head) {
@@ -148,8 +151,8 @@
     }
 }
 
-async fn stored_part(entry: &Entry, hash: &ContentHash) -> Option<Bytes> {
-    let key = Key::new(layout::part_key(&Digest::from_bytes(hash.0)));
+async fn stored_part(entry: &Entry, hash: &Digest) -> Option<Bytes> {
+    let key = Key::new(layout::part_key(hash));
     let found = entry.store.read(&key).await.ok()??;
     found.value.map(Bytes::from)
 }
@@ -184,7 +187,7 @@
         library.bundle(&head)
     };
     let bundle = match bundle {
-        Ok(bundle) => Arc::new(bundle),
+        Ok(bundle) => bundle,
         Err(error) => {
             log::error!(target: "bundle", "Version {} cannot be applied: {error}.", head.version);
             return;
--- a/crates/th-entry/src/task/grants.rs
+++ b/crates/th-entry/src/task/grants.rs
@@ -39,17 +39,22 @@
     let mut actions = vec![action];
     while let Some(action) = actions.pop() {
         match action {
-            ShardAction::Read => {
-                let claims = read_claims(entry).await;
-                actions
-                    .extend(entry.decide(|engine, now| engine.on_shard_read(claims.as_ref(), now)));
+            ShardAction::Read(zone) => {
+                let claims = read_claims(entry, &zone).await;
+                // In this order: a list read first may lack a VM that has claimed since.
+                let list = entry.store.vms().await.ok();
+                let read = claims.as_ref().filter(|_| list.is_some());
+                let list = list.unwrap_or_default();
+                let next =
+                    entry.decide(|engine, now| engine.on_shard_read(&zone, read, &list, now));
+                actions.extend(next);
             }
-            ShardAction::Write(index, expected, claim) => {
-                let key = Key::new(format!("{}{index}", shard_prefix(&entry.settings.zone)));
+            ShardAction::Write(zone, index, expected, claim) => {
+                let key = Key::new(format!("{}{index}", shard_prefix(&zone)));
                 let value = claim.map(|it| json(&it));
                 let ended = answer(entry.store.cas(&key, expected, value, None).await);
-                log::info!(target: "store", "The claim of shard {index} ended {ended:?}.");
-                entry.decide(|engine, now| engine.on_shard_write(index, &ended, now));
+                log::info!(target: "store", "The claim of shard {zone}/{index} ended {ended:?}.");
+                entry.decide(|engine, now| engine.on_shard_write(&zone, index, &ended, now));
             }
         }
     }
@@ -59,8 +64,8 @@
     serde_json::to_vec(value).expect("it is plain data")
 }
 
-async fn read_claims(entry: &Entry) -> Option<Claims> {
-    let prefix = shard_prefix(&entry.settings.zone);
+async fn read_claims(entry: &Entry, zone: &ZoneId) -> Option<Claims> {
+    let prefix = shard_prefix(zone);
     let found = entry.store.watch(&prefix, Revision::ZERO, Millis::ZERO).await;
     let found = match found {
         Ok(found) => found,
@@ -107,12 +112,17 @@
         }
         StoreAction::ReadLead(zone, _) => {
             let found = store.read(&lead_key(&zone)).await;
-            let shown = found.ok().map(|it| it.and_then(|it| read::<Lease>(&it)));
+            // A value that cannot be read says nothing of the lease.
+            let shown = match found {
+                Ok(None) => Some(None),
+                Ok(Some(it)) => read::<Lease>(&it).map(Some),
+                Err(_) => None,
+            };
             entry.decide(|engine, now| engine.holder().on_lead(shown, now));
         }
         StoreAction::ReadLedger(cap) => {
             let found = store.read(&ledger_key(&cap)).await;
-            let ledger = found.ok().map(|it| ledger(it.as_ref()));
+            let ledger = found.ok().and_then(|it| ledger(it.as_ref()));
             entry.decide(|engine, _| engine.holder().on_read(&cap, ledger));
         }
         StoreAction::WriteLedger(cap, Revisioned { revision, ledger }) => {
@@ -127,10 +137,11 @@
     serde_json::from_slice(found.value.as_ref()?).ok()
 }
 
-fn ledger(found: Option<&Stored>) -> Revisioned {
+/// The ledger; `None` where it cannot be read, since its grants may still be in use.
+fn ledger(found: Option<&Stored>) -> Option<Revisioned> {
     let Some(found) = found else {
-        return Revisioned::default();
+        return Some(Revisioned::default());
     };
-    let ledger = read::<Ledger>(found).unwrap_or_default();
-    Revisioned { revision: Some(found.revision), ledger }
+    let ledger = read::<Ledger>(found)?;
+    Some(Revisioned { revision: Some(found.revision), ledger })
 }
--- a/crates/th-steer/src/engine/receive.rs
+++ b/crates/th-steer/src/engine/receive.rs
@@ -7,7 +7,6 @@
 use super::{Call, Engine, Receive, Run, notices};
 use crate::{
     explain::{Inputs, Limit, Outcome, Quantity, Rule},
-    limit::Refusal,
     ticket::{Begin, IdempotencyKey, Operation, Received},
 };
 
@@ -38,35 +37,16 @@
                 end => return end,
             },
         };
-        // What is refused is demand as well: a plan that does not see it would move it all at once.
-        if let Some(routing) = &mut self.routing {
-            routing.count(&call.service, call.source);
-        }
-        if let Err(refusal) = self.admit(&call, now) {
-            if let Some(token) = token {
-                self.abandon(token);
-            }
-            let notice = notices::refused(refusal.reason, refusal.retry);
-            return self.refuse(&call, notice, now);
-        }
         if !call.forwarded {
             self.retry.offered(&call.service);
         }
+        if let Some(routing) = &mut self.routing {
+            routing.count(&call.service, call.source);
+        }
         let tries = call.tries;
         Receive::Run(Run { call, spec, token, tries, refused: BTreeSet::new() })
     }
 
-    /// Holds a request that callers bring from another region against the cap on shifts.
-    fn admit(&mut self, call: &Call, now: Time) -> Result<(), Refusal> {
-        let (Some(routing), Some(here)) = (&mut self.routing, self.capacity.region()) else {
-            return Ok(());
-        };
-        match call.forwarded {
-            true => Ok(()),
-            false => routing.admit(&call.service, call.source, here, now),
-        }
-    }
-
     fn spec(&self, call: &Call) -> Result<Spec, Notice> {
         let Some(bundle) = &self.bundle else {
             return Err(notices::refused(Reason::NoBundle, self.settings.spread.poll));
@@ -177,7 +157,8 @@
         inputs.push(Quantity::Headroom, free, Default::default());
         let (limit, rule) = binding(notice.reason);
         let decision = (limit, rule, Outcome::Refused);
-        self.record(&call.service.clone(), Some(call.number), inputs, decision, now);
+        let reason = Some(notice.reason);
+        self.record(&call.service.clone(), Some(call.number), inputs, decision, reason, now);
     }
 }
 
--- a/crates/th-steer/src/engine/settings.rs
+++ b/crates/th-steer/src/engine/settings.rs
@@ -5,7 +5,7 @@
 use crate::{
     backend::BackendSettings,
     explain,
-    limit::{HolderSettings, OrphanSettings},
+    limit::HolderSettings,
     member::{MemberSettings, SpreadSettings},
     queue::QueueSettings,
     retry::RetrySettings,
@@ -32,12 +32,12 @@
     pub spread: SpreadSettings,
     /// Leased grants.
     pub holder: HolderSettings,
-    /// Backend servers whose entry VM is gone.
-    pub orphan: OrphanSettings,
     /// Explanations.
     pub explain: explain::Settings,
     /// Time between tries to own a shard.
     pub claim: Millis,
+    /// The shards of a data centre are taken over when it has had no listed entry VM for so long.
+    pub adopt: Millis,
     /// A larger share that a new bundle gives is spent only after this time, when the bundle is in
     /// force at the VMs whose share it makes smaller.
     pub settle: Millis,
@@ -58,9 +58,9 @@
             member: MemberSettings::default(),
             spread: SpreadSettings::default(),
             holder: HolderSettings::default(),
-            orphan: OrphanSettings::default(),
             explain: explain::Settings::default(),
             claim: Millis(1_000),
+            adopt: Millis(10_000),
             settle: Millis(7_000),
             refresh: Millis(500),
             digest: Millis(10_000),
--- a/crates/th-steer/src/engine/tick.rs
+++ b/crates/th-steer/src/engine/tick.rs
@@ -53,6 +53,12 @@
 
     fn tick_members(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.publish(now);
+        if self.backends.take_news() {
+            // The other VMs of the data centre must stop sending work there, too.
+            for it in self.members.announce(ANNOUNCEMENTS, Some(&self.me.zone), &mut self.rng) {
+                actions.push(Action::Member(it));
+            }
+        }
         for it in self.members.tick(now, &mut self.rng) {
             actions.push(Action::Member(it));
         }
@@ -60,7 +66,9 @@
 
     /// Sets what heartbeats carry.
     fn publish(&mut self, now: Time) {
-        if let Some(region) = self.capacity.region().cloned() {
+        // A VM that owns nothing measures nothing.
+        let owns = !self.capacity.holdings(now).is_empty();
+        if let Some(region) = self.capacity.region().filter(|_| owns).cloned() {
             let free = self.capacity.free(now);
             let zone = self.me.zone.clone();
             let own = HeadroomDigest { region, zone, free, age: Default::default() };
@@ -93,6 +101,9 @@
         for it in self.members.announce(ANNOUNCEMENTS, None, &mut self.rng) {
             self.pending.push(Action::Member(it));
         }
+        for it in self.members.announce(1, Some(&self.me.zone), &mut self.rng) {
+            self.pending.push(Action::Member(it));
+        }
     }
 
     /// Leaves look-up answers; requests are still taken.
--- a/crates/th-testing/src/scenario/call.rs
+++ b/crates/th-testing/src/scenario/call.rs
@@ -2,7 +2,11 @@
 
 use std::{pin::pin, rc::Rc};
 
-use futures_util::future::{Either, LocalBoxFuture, select};
+use futures_util::{
+    StreamExt,
+    future::{Either, LocalBoxFuture, select},
+    stream::FuturesUnordered,
+};
 use th_protocol::{Bytes, Millis, Notice, Reason, ServiceId, Time, Verdict};
 use th_steer::{
     backend::{Choice, Outcome},
@@ -19,7 +23,9 @@
 };
 
 /// Between two looks at whether an attempt makes progress, in milliseconds.
-const SILENCE: u64 = 500;
+const LOOK: u64 = 500;
+/// An attempt without an answer for this long is taken to be on a silent connection.
+const SILENCE: Millis = Millis(1_000);
 /// Time that a request and its answer are taken to spend between two entry VMs.
 const ROUND_TRIP: Millis = Millis(50);
 /// When a request that was refused may come back.
@@ -393,40 +399,73 @@
     }
 }
 
-/// Sends a request to a backend server, and to a second one where the first is slow and it is idempotent.
+/// Sends a request to a backend server and, where that is slow or silent and it is idempotent, once more beside.
 async fn send_here(
     entry: &Entry,
     run: &Run,
     incoming: &Incoming,
     attempt: Attempt,
 ) -> Result<String, Outcome> {
-    let first = one(entry, run, incoming, attempt);
-    let may = run.spec.idempotent && !run.call.forwarded && run.tries <= 1;
-    let wait = entry.decide(|engine, _| engine.hedge_after(&run.call.service)).filter(|_| may);
-    let Some(wait) = wait else {
-        return first.await;
-    };
-    let sent = entry.now();
-    let mut first = pin!(first);
-    if let Either::Left((ended, _)) = select(&mut first, pin!(entry.sim.sleep(wait.0 + 1))).await {
-        return ended;
+    let (id, began) = (attempt.choice.attempt, attempt.began);
+    let mut open = FuturesUnordered::new();
+    open.push(one(entry, run, incoming, attempt));
+    let mut worst = None;
+    for wait in waits(entry, run) {
+        let mut due = pin!(entry.sim.sleep(began.after(wait).since(entry.now()).0 + 1));
+        while let Either::Left((Some(ended), _)) = select(open.next(), &mut due).await {
+            if ended.is_ok() || open.is_empty() {
+                return worse(worst, ended);
+            }
+            worst = Some(worse(worst, ended));
+        }
+        if SILENCE <= wait {
+            entry.decide(|engine, now| engine.on_silence(id, began, now));
+        }
+        if let Some(second) = beside(entry, run, began) {
+            open.push(one(entry, run, incoming, second));
+        }
     }
-    let place = entry.decide(|engine, now| {
-        if engine.hedge(run, sent, now) { engine.place_hedge(run, now) } else { None }
-    });
-    let Some(Place::Backend(choice)) = place else {
-        return first.await;
-    };
-    let second = pin!(one(entry, run, incoming, Attempt::new(entry, run, choice)));
-    match select(first, second).await {
-        Either::Left((Err(failed), second)) => better(failed, second.await),
-        Either::Right((Err(failed), first)) => better(failed, first.await),
-        Either::Left((ended, _)) | Either::Right((ended, _)) => ended,
+    while let Some(ended) = open.next().await {
+        if ended.is_ok() || open.is_empty() {
+            return worse(worst, ended);
+        }
+        worst = Some(worse(worst, ended));
     }
+    unreachable!("the last attempt's end was returned")
 }
 
-fn better(failed: Outcome, last: Result<String, Outcome>) -> Result<String, Outcome> {
-    last.map_err(|it| if it.surely_not_run() { failed } else { it })
+/// When to send an attempt beside the first.
+fn waits(entry: &Entry, run: &Run) -> Vec<Millis> {
+    if !run.spec.idempotent || run.call.forwarded || 1 < run.tries {
+        return Vec::new();
+    }
+    match entry.decide(|engine, _| engine.hedge_after(&run.call.service)) {
+        Some(slow) if SILENCE <= slow => vec![slow],
+        Some(slow) => vec![slow, SILENCE],
+        None => vec![SILENCE],
+    }
+}
+
+type Ended = Result<String, Outcome>;
+
+fn worse(before: Option<Ended>, ended: Ended) -> Ended {
+    match (before, ended) {
+        (Some(before), Err(outcome)) if outcome.surely_not_run() => before,
+        (_, ended) => ended,
+    }
+}
+
+fn beside(entry: &Entry, run: &Run, began: Time) -> Option<Attempt> {
+    let place = entry.decide(|engine, now| {
+        let silent = SILENCE <= now.since(began);
+        let may = engine.hedge(run, began, now)
+            || silent && !matches!(engine.retry(run, false, now), RetryDecision::Stop(_));
+        if may { engine.place_hedge(run, now) } else { None }
+    });
+    match place {
+        Some(Place::Backend(choice)) => Some(Attempt::new(entry, run, choice)),
+        _ => None,
+    }
 }
 
 async fn one(
@@ -448,7 +487,7 @@
     let serve = move || server::run(sim, to, work);
     let mut sending = pin!(entry.sim.exchange((entry.host, to), pool, (0, 0), left, serve));
     let sent = loop {
-        match select(&mut sending, pin!(entry.sim.sleep(SILENCE))).await {
+        match select(&mut sending, pin!(entry.sim.sleep(LOOK))).await {
             Either::Left((sent, _)) => break sent,
             Either::Right(_) => {
                 let began = attempt.began;
--- a/crates/th-testing/src/scenario/entry.rs
+++ b/crates/th-testing/src/scenario/entry.rs
@@ -8,9 +8,7 @@
 
 use futures_util::future::{LocalBoxFuture, select};
 use th_platform::{Key, LeaseId};
-use th_protocol::{
-    BundleHead, CheckAnswer, ContentHash, Incarnation, Millis, Revision, ServiceId, Time,
-};
+use th_protocol::{BundleHead, CheckAnswer, Incarnation, Millis, Revision, ServiceId, Time};
 use th_steer::{
     backend::Outcome,
     engine::{Action, Claims, Engine, EngineSettings, Identity, Place, ShardAction},
@@ -290,10 +288,7 @@
                     Some(_) if !good => Fetched::Unsigned,
                     Some(_) => {
                         self.node(|it| it.held.insert(head));
-                        Fetched::Good(ManifestInfo {
-                            head,
-                            parts: vec![ContentHash(head.digest.0)],
-                        })
+                        Fetched::Good(ManifestInfo { head, parts: vec![head.digest] })
                     }
                 };
                 self.decide(|engine, now| engine.on_manifest(head, &from, fetched, now));
@@ -330,34 +325,34 @@
     }
 
     async fn shard(&self, action: ShardAction) {
-        let zone = self.decide(|engine, _| engine.me().zone.clone());
-        let prefix = format!("shard/{zone}/");
         let mut actions = vec![action];
         while let Some(action) = actions.pop() {
             match action {
-                ShardAction::Read => {
+                ShardAction::Read(zone) => {
+                    let prefix = format!("shard/{zone}/");
                     let read = store::call(&self.sim, self.host, false, |store, _| {
                         store.changes(&prefix, Revision::ZERO)
                     });
-                    let mut claims = Claims::new();
                     let read = read.await;
+                    let list = store::list(&self.sim, self.host).await;
+                    let mut claims = Claims::new();
                     for it in read.iter().flatten() {
-                        let index =
-                            it.key.as_str()[prefix.len()..].parse().expect("it was written so");
+                        let index = it.key.as_str()[prefix.len()..].parse();
                         if let Some(claim) = json::<ShardClaim>(it.value.as_deref()) {
-                            claims.insert(index, (claim, it.revision));
+                            claims.insert(index.expect("it was written so"), (claim, it.revision));
                         }
                     }
-                    let read = read.map(|_| claims);
+                    let read = (read.is_some() && list.is_some()).then_some(&claims);
+                    let list = list.unwrap_or_default();
                     actions.extend(
-                        self.decide(|engine, now| engine.on_shard_read(read.as_ref(), now)),
+                        self.decide(|engine, now| engine.on_shard_read(&zone, read, &list, now)),
                     );
                 }
-                ShardAction::Write(index, expected, claim) => {
+                ShardAction::Write(zone, index, expected, claim) => {
                     let value = claim.map(|it| serde_json::to_vec(&it).expect("it is plain data"));
-                    let key = Key::new(format!("{prefix}{index}"));
+                    let key = Key::new(format!("shard/{zone}/{index}"));
                     let ended = self.cas(key, expected, value, None).await;
-                    self.decide(|engine, now| engine.on_shard_write(index, &ended, now));
+                    self.decide(|engine, now| engine.on_shard_write(&zone, index, &ended, now));
                 }
             }
         }
--- a/crates/th-testing/src/scenario/store.rs
+++ b/crates/th-testing/src/scenario/store.rs
@@ -4,7 +4,7 @@
 
 use th_platform::{Key, LeaseId};
 use th_protocol::{
-    Bundle, BundleHead, ContentHash, Revision, Time, VmId, VmRecord, VmRole, VmState, layout,
+    Bundle, BundleHead, Digest, Revision, Time, VmId, VmRecord, VmRole, VmState, layout,
 };
 
 use super::{
@@ -133,7 +133,7 @@
     digest[..8].copy_from_slice(&bundle.version.0.to_be_bytes());
     digest[8..16].copy_from_slice(&operator.to_be_bytes());
     digest[16] = u8::from(good);
-    let head = BundleHead { version: bundle.version, digest: ContentHash(digest) };
+    let head = BundleHead { version: bundle.version, digest: Digest::from_bytes(digest) };
     sim.state.borrow_mut().bundles.insert(head, (Arc::new(bundle), good));
     head
 }
