Read the claims again after a pause before a shard is spent

Ruled out: a lease on shards, which a cut-off data centre would lose. Change: after 2 s without a tick, or when the list no longer shows this VM, shards are spent only once their claims were read again; a request that comes before the first tick is held to the same. Price: a VM that was paused for so long while the store is down spends nothing until it is back. Measured: th-steer's claims test, two new cases, failed before.

--- a/crates/th-steer/src/engine/capacity.rs
+++ b/crates/th-steer/src/engine/capacity.rs
@@ -46,6 +46,9 @@
     pub(crate) period: Millis,
     settle: Millis,
     pub(crate) drift: Millis,
+    /// A longer time without a tick means that the process was paused.
+    pause: Millis,
+    ticked: Option<Time>,
 }
 
 impl Capacity {
@@ -65,6 +68,28 @@
             period: settings.claim,
             settle: settings.settle,
             drift: settings.holder.drift,
+            pause: settings.pause,
+            ticked: None,
+        }
+    }
+
+    /// Notes a tick. After a pause the shards are spent only once their claims were read again.
+    pub(crate) fn on_tick(&mut self, now: Time) {
+        if self.was_paused(now) {
+            self.doubt();
+        }
+        self.ticked = Some(now);
+    }
+
+    fn was_paused(&self, now: Time) -> bool {
+        self.ticked.is_some_and(|at| self.pause <= now.since(at))
+    }
+
+    /// Spends no shard before its claim was read again.
+    fn doubt(&mut self) {
+        self.shards.doubt();
+        for shards in self.adopted.values_mut() {
+            shards.doubt();
         }
     }
 
@@ -103,7 +128,11 @@
         self.plan.region.as_ref()
     }
 
+    /// Takes the names of all listed VMs. A VM that is no longer listed may have been replaced.
     pub(crate) fn on_list(&mut self, listed: &BTreeSet<VmId>) {
+        if !listed.contains(&self.vm) {
+            self.doubt();
+        }
         self.shards.on_list(listed.clone());
         for shards in self.adopted.values_mut() {
             shards.on_list(listed.clone());
@@ -113,6 +142,10 @@
     /// The shards whose share may be spent.
     pub(crate) fn holdings(&self, now: Time) -> Vec<Holding> {
         let mut holdings = Vec::new();
+        // A request may come before the first tick after a pause.
+        if self.was_paused(now) {
+            return holdings;
+        }
         let own = (&self.zone, &self.shards);
         for (zone, shards) in self.adopted.iter().chain([own]) {
             let usable = shards.usable(now);
--- a/crates/th-steer/src/engine/settings.rs
+++ b/crates/th-steer/src/engine/settings.rs
@@ -36,6 +36,9 @@
     pub explain: explain::Settings,
     /// Time between tries to own a shard.
     pub claim: Millis,
+    /// A longer time without a tick means that the process was paused, and its shards may be
+    /// another VM's.
+    pub pause: Millis,
     /// The shards of a data centre are taken over when it has had no listed entry VM for so long.
     pub adopt: Millis,
     /// A larger share that a new bundle gives is spent only after this time, when the bundle is in
@@ -60,6 +63,7 @@
             holder: HolderSettings::default(),
             explain: explain::Settings::default(),
             claim: Millis(1_000),
+            pause: Millis(2_000),
             adopt: Millis(10_000),
             settle: Millis(7_000),
             refresh: Millis(500),
--- a/crates/th-steer/src/engine/shards.rs
+++ b/crates/th-steer/src/engine/shards.rs
@@ -144,6 +144,17 @@
         }
     }
 
+    /// Spends nothing more before the claims are read again: this VM was paused, or the platform
+    /// no longer lists it, so that another may have taken over.
+    pub(crate) fn doubt(&mut self) {
+        for row in &mut self.rows {
+            if matches!(row.slot, ShardSlot::Owned(_)) {
+                row.slot = ShardSlot::Claiming { taken: false };
+            }
+        }
+        self.read = None;
+    }
+
     /// Whether the claims must still be looked after: one may be this VM's, or is not yet given
     /// back, or they were never read, so that one of an earlier start may stand there.
     pub(crate) fn is_open(&self) -> bool {
--- a/crates/th-steer/src/engine/tick.rs
+++ b/crates/th-steer/src/engine/tick.rs
@@ -23,6 +23,7 @@
     /// Runs each system over its tables. What has to be sent or called is returned.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = std::mem::take(&mut self.pending);
+        self.capacity.on_tick(now);
         self.tick_routing(now);
         self.set_allowances(now);
         self.tick_grants(now, &mut actions);
--- a/crates/th-steer/tests/claims.rs
+++ b/crates/th-steer/tests/claims.rs
@@ -5,12 +5,12 @@
 use rstest::rstest;
 use serde_json::json;
 use th_protocol::{
-    Bundle, Incarnation, Millis, Revision, Time, VmId, VmRecord, VmRole, VmState, ZoneId,
+    Bundle, Bytes, Incarnation, Millis, Revision, Time, VmId, VmRecord, VmRole, VmState, ZoneId,
 };
 use th_steer::{
-    engine::{Action, Claims, Engine, EngineSettings, Identity, ShardAction},
+    engine::{Action, Call, Claims, Engine, EngineSettings, Identity, Place, Receive, ShardAction},
     limit::{Answer, ShardClaim},
-    ticket::{TicketKey, TicketKeys},
+    ticket::{Fingerprint, TicketKey, TicketKeys},
 };
 
 const TICK: Millis = Millis(100);
@@ -199,6 +199,52 @@
     assert_eq!(world.owner("b").as_deref(), Some("b-entry"));
 }
 
+/// Where a request goes that this VM gets now.
+fn place(engine: &mut Engine<()>, now: Time) -> Place {
+    let call = Call {
+        service: "roster".parse().unwrap(),
+        operation: "check".parse().unwrap(),
+        customer: None,
+        source: "10.0.0.1".parse().unwrap(),
+        ticket: None,
+        key: None,
+        print: Fingerprint::of(&[b"body"]),
+        deadline: now.after(Millis(2_000)),
+        size: Bytes(4),
+        forwarded: true,
+        tries: 0,
+        number: 1,
+    };
+    let Receive::Run(mut run) = engine.receive(call, now) else { panic!("it is carried out") };
+    engine.place(&mut run, now)
+}
+
+/// A VM that wakes after others took over, though the platform took it for gone, and one that does
+/// before anybody has.
+#[rstest]
+#[case::taken_over(true)]
+#[case::still_its_own(false)]
+fn a_paused_owner_spends_nothing_before_it_has_read_its_claim(#[case] unlisted: bool) {
+    let mut world = World::new();
+    world.start("a-entry", "a", 1);
+    world.start("b-entry", "b", 1);
+    world.run(Millis(5_000));
+    let id: VmId = "b-entry".parse().unwrap();
+    let mut paused = world.engines.remove(&id).unwrap();
+    assert!(matches!(place(&mut paused, world.now), Place::Backend(_)));
+    if unlisted {
+        world.unlist("b-entry");
+    }
+    world.run(Millis(30_000));
+    let woken = place(&mut paused, world.now);
+    assert!(matches!(woken, Place::Refuse(_)), "{woken:?}");
+    world.engines.insert(id.clone(), paused);
+    world.run(Millis(5_000));
+    let now = world.now;
+    let later = place(world.engines.get_mut(&id).unwrap(), now);
+    assert_eq!(matches!(later, Place::Backend(_)), !unlisted, "{later:?}");
+}
+
 #[test]
 fn an_outage_of_the_store_takes_no_shard_away() {
     let mut world = World::new();
--- a/crates/th-steer/tests/place.rs
+++ b/crates/th-steer/tests/place.rs
@@ -146,6 +146,12 @@
     let mut engine = engine(now);
     let Place::Backend(_) = place(&mut engine, now) else { panic!("there is a slot") };
     let later = now.after(Millis(120_000));
+    let mut at = now;
+    while at < later {
+        // A VM that does not tick is taken for paused, and spends nothing.
+        at = at.after(Millis(1_000));
+        engine.tick(at);
+    }
     engine.on_heartbeat(&heartbeat(), later);
     let Place::Peer(peer) = place(&mut engine, later) else { panic!("south has room") };
     assert_eq!(peer.zone.as_str(), "s");
