Fetch bundles from peers first, and from the store where peers are busy

Cause: a VM without a bundle took its sources in turn, the store among them. A new test fails where the store is one of the sources in turn.

--- a/crates/th-steer/src/member/spread/job.rs
+++ b/crates/th-steer/src/member/spread/job.rs
@@ -57,11 +57,21 @@
     pub(crate) turn: usize,
     /// No fetch before this time.
     pub(crate) wait: Time,
+    /// Whether a peer was busy and no part has come since.
+    pub(crate) busy: bool,
 }
 
 impl Job {
     pub(crate) fn new(head: BundleHead, now: Time) -> Job {
-        Job { head, manifest: None, asked: None, parts: BTreeMap::new(), turn: 0, wait: now }
+        Job {
+            head,
+            manifest: None,
+            asked: None,
+            parts: BTreeMap::new(),
+            turn: 0,
+            wait: now,
+            busy: false,
+        }
     }
 
     /// The parts that are still missing, or `None` before the manifest came.
@@ -76,12 +86,17 @@
         Some(missing.into_iter().collect())
     }
 
-    /// The next source in turn.
+    /// The next source in turn. The store, whose reads are few, only helps out where no peer
+    /// offers the bundle or where peers are busy.
     pub(crate) fn source(&mut self, sources: &[Source]) -> Option<Source> {
-        if sources.is_empty() {
+        let mut usable: Vec<&Source> = sources.iter().collect();
+        if !self.busy && usable.iter().any(|it| **it != Source::Store) {
+            usable.retain(|it| **it != Source::Store);
+        }
+        if usable.is_empty() {
             return None;
         }
         self.turn = self.turn.wrapping_add(1);
-        Some(sources[self.turn % sources.len()].clone())
+        Some(usable[self.turn % usable.len()].clone())
     }
 }
--- a/crates/th-steer/src/member/spread/state.rs
+++ b/crates/th-steer/src/member/spread/state.rs
@@ -202,6 +202,7 @@
         let head = job.head;
         match fetched {
             Fetched::Good(()) => {
+                job.busy &= *from == Source::Store;
                 self.parts.insert(hash);
             }
             Fetched::Busy => self.hold_off(now, rng),
@@ -290,6 +291,7 @@
         let span = Millis(rng.random_range(0..=self.settings.backoff.0));
         let Some(job) = &mut self.job else { return };
         job.asked = None;
+        job.busy = true;
         job.wait = now.after(span);
     }
 
--- a/crates/th-steer/tests/spread.rs
+++ b/crates/th-steer/tests/spread.rs
@@ -180,3 +180,31 @@
     assert!(served <= 60 * 10_000 + 5_000, "{served}");
     assert!(60 * 9_000 <= served, "{served}");
 }
+
+#[rstest]
+#[case::peers_serve(Fetched::Good(()), false)]
+#[case::the_peer_is_busy(Fetched::Busy, true)]
+#[case::the_peer_lacks_it(Fetched::Missing, true)]
+fn the_store_is_read_only_where_peers_do_not_serve(#[case] end: Fetched<()>, #[case] read: bool) {
+    let mut rng = rng();
+    let mut spread = start(&mut rng);
+    let wanted = head(1, 1);
+    spread.on_head(Source::Store, wanted);
+    spread.on_head(peer(1), wanted);
+    let parts = (1..=9).map(part).collect();
+    spread.tick(false, Time(0), &mut rng);
+    let manifest = Fetched::Good(ManifestInfo { head: wanted, parts });
+    spread.on_manifest(wanted, &peer(1), manifest, Time(0), &mut rng);
+    let mut asked_store = false;
+    for round in 0..12 {
+        let now = Time(round * 1_000);
+        for action in spread.tick(false, now, &mut rng) {
+            let SpreadAction::FetchPart { hash, from } = action else { continue };
+            asked_store |= from == Source::Store;
+            let ended = if from == Source::Store { Fetched::Good(()) } else { end.clone() };
+            spread.on_part(hash, &from, ended, now, &mut rng);
+        }
+    }
+    assert_eq!(asked_store, read);
+    assert_eq!(spread.ready(), Ok(wanted));
+}
