--- a/crates/th-steer/src/engine/lookup.rs
+++ b/crates/th-steer/src/engine/lookup.rs
@@ -33,6 +33,10 @@
         let row = routing.map().service_ix(service).ok_or(notices::not_run(Reason::NoService))?;
         let answer = routing.lookup(row, source, now);
         if answer.diverted {
+            // Demand that the plan must see, though no request follows.
+            if let Some(routing) = &mut self.routing {
+                routing.count(service, source);
+            }
             return Err(self.held_back(service, now));
         }
         let mut entries = Vec::new();
@@ -111,7 +115,7 @@
         let routing = self.routing.as_mut().expect("the answer comes from it");
         let retry = routing.next_step(service, now).max(self.settings.refresh);
         let decision = (Limit::ShiftCap, Rule::Divert, Outcome::Refused);
-        self.record(service, None, Inputs::default(), decision, now);
+        self.record(service, None, Inputs::default(), decision, Some(Reason::ShiftCap), now);
         notices::refused(Reason::ShiftCap, retry)
     }
 
@@ -130,6 +134,13 @@
         }
         let mut inputs = Inputs::default();
         inputs.push(Quantity::Usable, usable as f64, self.settings.refresh);
-        self.record(service, None, inputs, (Limit::None, Rule::Nearest, Outcome::Accepted), now);
+        self.record(
+            service,
+            None,
+            inputs,
+            (Limit::None, Rule::Nearest, Outcome::Accepted),
+            None,
+            now,
+        );
     }
 }
--- a/crates/th-steer/src/engine/routing.rs
+++ b/crates/th-steer/src/engine/routing.rs
@@ -279,9 +279,15 @@
         let inputs =
             Inputs { map: &self.map, fleet: &self.fleet, demand: &self.demand, loads: &self.loads };
         self.planner.tick(now, &inputs);
+        // A VM sees little of what callers of other regions ask for, so a class counts at least as
+        // much as it would if all known ones were equal. One class is that of unknown blocks.
+        let classes = self.map.class_count();
+        let unseen = Demand::new(self.map.services().len(), classes, now);
+        let known = classes as f32 / classes.saturating_sub(1).max(1) as f32;
         for (row, service) in self.map.services().iter().enumerate() {
             let row = ServiceIx(row as u16);
-            let distance = self.planner.distance(row, &self.demand);
+            let seen = self.planner.distance(row, &self.demand);
+            let distance = seen.max(self.planner.distance(row, &unseen) * known).min(1.0);
             let moved = Millionths((f64::from(distance) * Millionths::WHOLE.0 as f64) as u64);
             let Some(limiter) = self.limiters.get_mut(service) else {
                 continue;
