--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -327,3 +327,14 @@
     timeout(BOUND, read).await.expect("the other side ends the exchange");
     String::from_utf8_lossy(&got).into_owned()
 }
+
+/// A request on its way between entry VMs, by the names of its fields.
+pub(crate) fn wire_json(number: usize, operation: &str) -> serde_json::Value {
+    serde_json::json!({
+        "service": "roster", "operation": operation, "customer": null, "source": [10, 0, 0, 1],
+        "ticket": null, "key": "k", "left": 2000, "tries": 0, "number": number, "region": "north",
+        "method": "POST", "path": format!("/{operation}"),
+        "headers": [["x-request", format!("wire-{number}").into_bytes()]],
+        "body": b"body".to_vec(),
+    })
+}
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -212,16 +212,6 @@
     Ask::check("after").send(address).await.is_answer_to("after");
 }
 
-fn wire_json(number: usize, operation: &str) -> Value {
-    json!({
-        "service": "roster", "operation": operation, "customer": null, "source": [10, 0, 0, 1],
-        "ticket": null, "key": "k", "left": 2000, "tries": 0, "number": number, "region": "north",
-        "method": "POST", "path": format!("/{operation}"),
-        "headers": [["x-request", format!("wire-{number}").into_bytes()]],
-        "body": b"body".to_vec(),
-    })
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn random_forwarded_requests_are_answered_and_run_at_most_once() {
     const CASES: usize = 200;
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use th_protocol::{
     BundleAnswer, BundleHead, BundleRequest, CheckAnswer, Digest, Heartbeat, IndirectCheck,
-    MemberState, PeerRecord, Time, Version, header,
+    MemberState, PeerRecord, Reason, Time, Verdict, Version, header,
 };
 use th_testing::Deployment;
 
@@ -144,3 +144,26 @@
     });
     result.unwrap();
 }
+
+/// An entry VM that is taken for the owner of a ticket and is not sends the request nowhere: two that take each other
+/// for the owner would never end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forwarded_request_is_not_forwarded_again() {
+    let deployment = started(small(2, 1)).await;
+    let (owner, other) =
+        (entry(&deployment, "north-a-entry-0"), entry(&deployment, "north-a-entry-1"));
+    let mut wire = wire_json(1, "book");
+    wire["ticket"] = seal(owner, |_| {}).into();
+    for (running, runs_once) in [(other, 0), (owner, 1)] {
+        let call = client().post(format!("http://{}/peer/own", running.peers()));
+        let call = call.header(header::PEER_KEY, PEER_KEY);
+        let call = call.body(rmp_serde::to_vec_named(&wire).unwrap());
+        let told = Told::read(call.send().await.unwrap()).await;
+        if runs_once == 0 {
+            told.says(Verdict::Unknown, Reason::OwnerGone);
+        } else {
+            told.is_answer_to("wire-1");
+        }
+        assert_eq!(runs(&deployment, "wire-1"), runs_once);
+    }
+}
