--- a/crates/th-steer/src/engine/lookup.rs
+++ b/crates/th-steer/src/engine/lookup.rs
@@ -33,6 +33,10 @@
         let row = routing.map().service_ix(service).ok_or(notices::not_run(Reason::NoService))?;
         let answer = routing.lookup(row, source, now);
         if answer.diverted {
+            // Demand that the plan must see, though no request follows.
+            if let Some(routing) = &mut self.routing {
+                routing.count(service, source);
+            }
             return Err(self.held_back(service, now));
         }
         let mut entries = Vec::new();
--- a/crates/th-steer/src/engine/receive.rs
+++ b/crates/th-steer/src/engine/receive.rs
@@ -25,7 +25,7 @@
     pub fn receive(&mut self, call: Call, now: Time) -> Receive<A> {
         let spec = match self.spec(&call) {
             Ok(spec) => spec,
-            Err(notice) => return self.refuse(&call, notice, now),
+            Err(notice) => return self.unserved(&call, notice, now),
         };
         let longest = now.after(spec.deadline);
         let call = Call { deadline: call.deadline.min(longest), ..call };
@@ -65,6 +65,28 @@
                 false => Checked::Go(None),
             };
         }
+        self.begin(call, now)
+    }
+
+    /// The answer to a request that the bundle has no operation for. One with a ticket may repeat
+    /// an operation that ran, and only the owner of the ticket knows.
+    fn unserved(&mut self, call: &Call, notice: Notice, now: Time) -> Receive<A> {
+        if call.forwarded || call.ticket.is_none() {
+            return self.refuse(call, notice, now);
+        }
+        match self.begin(call, now) {
+            Checked::Go(token) => {
+                if let Some(token) = token {
+                    self.abandon(token);
+                }
+                self.refuse(call, notice, now)
+            }
+            Checked::End(end) => *end,
+        }
+    }
+
+    /// Begins a non-idempotent operation under its ticket.
+    fn begin(&mut self, call: &Call, now: Time) -> Checked<A> {
         let Some(sealed) = &call.ticket else {
             return end(Receive::Notice(self.with_ticket(call, Reason::NoTicket, now)));
         };
