--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,13 +9,17 @@
 use bytes::Bytes;
 pub(crate) use raw::RawBackend;
 use reqwest::{Client, RequestBuilder, Response, StatusCode, header::HeaderMap};
-use th_entry::{Keys, Limits, Listen, Logs, Pace, Running, Settings, Stop, start};
+use th_entry::{Keys, Limits, Listen, Logs, Pace, Running, Settings, Stop, start_with};
 use th_platform::{BootClock, Clock};
 use th_protocol::{
     BackendId, LookupAnswer, Millis, Notice, Reason, Signer, Slots, Verdict, VmId, VmRecord,
     VmRole, VmState, ZoneId, header,
 };
-use th_steer::ticket::{Ticket, TicketKey, TicketKeys};
+use th_steer::{
+    engine::EngineSettings,
+    route,
+    ticket::{Ticket, TicketKey, TicketKeys},
+};
 use th_testing::{Deployment, DeploymentSpec, REQUEST, ZoneSpec};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -96,7 +100,13 @@
     let mut settings = settings("alone");
     change(&mut settings);
     let vm = settings.vm.clone();
-    let running = start(settings, Arc::new(deployment.platform.clone())).await.unwrap();
+    let ttl = Millis(1_000);
+    let decisions = EngineSettings {
+        route: route::Settings { ttl, shift_ttl: ttl, ..route::Settings::default() },
+        ..EngineSettings::default()
+    };
+    let store = Arc::new(deployment.platform.clone());
+    let running = start_with(settings, decisions, store).await.unwrap();
     let address = running.callers();
     list(&deployment, &running);
     deployment.entries.insert(vm, running);
@@ -317,3 +327,14 @@
     timeout(BOUND, read).await.expect("the other side ends the exchange");
     String::from_utf8_lossy(&got).into_owned()
 }
+
+/// A request on its way between entry VMs, by the names of its fields.
+pub(crate) fn wire_json(number: usize, operation: &str) -> serde_json::Value {
+    serde_json::json!({
+        "service": "roster", "operation": operation, "customer": null, "source": [10, 0, 0, 1],
+        "ticket": null, "key": "k", "left": 2000, "tries": 0, "number": number, "region": "north",
+        "method": "POST", "path": format!("/{operation}"),
+        "headers": [["x-request", format!("wire-{number}").into_bytes()]],
+        "body": b"body".to_vec(),
+    })
+}
