--- a/crates/th-testing/src/scenario/entry.rs
+++ b/crates/th-testing/src/scenario/entry.rs
@@ -418,7 +418,11 @@
 
     /// Stops as planned: leaves look-ups, takes nothing new, finishes what it holds.
     pub(crate) async fn stop(self) {
-        self.decide(|engine, now| engine.leave(now));
+        let ttl = self.decide(|engine, now| {
+            engine.leave(now);
+            engine.longest_ttl()
+        });
+        let began = self.sim.now();
         self.hurry();
         self.sim.sleep(STOP.0).await;
         self.decide(|engine, _| engine.close());
@@ -431,6 +435,8 @@
         for action in self.decide(|engine, _| engine.release_shards()) {
             self.shard(action).await;
         }
+        // Callers whose look-ups name this VM are told to look up another one.
+        self.sim.sleep((began + ttl.0).saturating_sub(self.sim.now())).await;
         let (sim, host) = (Rc::clone(&self.sim), self.host);
         self.sim.exec.spawn(0, async move { sim.end(host, false) });
     }
