--- a/crates/th-testing/src/scenario/mod.rs
+++ b/crates/th-testing/src/scenario/mod.rs
@@ -1,10 +1,12 @@
 //! Scripted scenarios in virtual time: the real decisions of each entry VM between small fakes.
 
+mod attempt;
 mod call;
 mod caller;
 mod entry;
 mod event;
 mod exec;
+mod grants;
 mod parse;
 mod report;
 mod run;
