Say unknown to a repeat that was not looked at

Cause, found by reading: a request with a ticket that came while too many were in progress, or arrived too slowly, was told that nothing ran, though it could repeat an operation that had run. Change: such a request is told unknown, with the time to come back; what is malformed or too large never runs and is told so. Conclusion: "not run" is said of what was looked at, or cannot run.

--- a/crates/th-entry/src/caller/call.rs
+++ b/crates/th-entry/src/caller/call.rs
@@ -29,11 +29,11 @@
     let began = entry.now();
     let service: String = req.param("service").unwrap_or_default();
     let reply = match InFlight::enter(&entry, entry.settings.limits.requests) {
-        None => Reply::notice(&notices::refused(Reason::Overloaded, entry.settings.pace.call)),
+        None => Reply::notice(&overloaded(&entry, req)),
         Some(passage) => {
             let reply = match read(&entry, req).await {
                 Ok(incoming) => answer(&entry, incoming, Origin::Caller, &passage).await,
-                Err(notice) => Reply::notice(&notice),
+                Err(notice) => Reply::notice(&unread(req, notice)),
             };
             reply.until_sent(passage)
         }
@@ -47,6 +47,23 @@
     reply.put(res);
 }
 
+/// The answer to a request that this VM cannot look at now.
+fn overloaded(entry: &Entry, req: &Request) -> Notice {
+    let retry = entry.settings.pace.call;
+    let notice = unread(req, notices::refused(Reason::Overloaded, retry));
+    Notice { retry: Some(retry), ..notice }
+}
+
+/// The answer to a request that was not read whole. One with a ticket may repeat an operation that ran, so it is not
+/// told that nothing ran; what is malformed or too large never runs.
+fn unread(req: &Request, notice: Notice) -> Notice {
+    let repeats = req.headers().contains_key(header::TICKET);
+    if repeats && notice.reason != Reason::BadRequest {
+        return notices::unknown(notice.reason);
+    }
+    notice
+}
+
 /// Counts the answer.
 fn note(entry: &Entry, service: &str, reply: &Reply, waited: Millis) {
     let known = entry.decide(|engine, _| {
--- a/crates/th-entry/src/peer/requests.rs
+++ b/crates/th-entry/src/peer/requests.rs
@@ -32,9 +32,17 @@
     serve(req, &entry(depot), Origin::Placer).await.put(res);
 }
 
+/// The answer to a request that this VM cannot look at now. The owner of a ticket may have run the operation before.
+fn overloaded(entry: &Entry, origin: Origin) -> Notice {
+    match origin {
+        Origin::Placer => notices::refused(Reason::Overloaded, entry.settings.pace.call),
+        Origin::Caller | Origin::Forwarder => notices::unknown(Reason::Overloaded),
+    }
+}
+
 async fn serve(req: &mut Request, entry: &Arc<Entry>, origin: Origin) -> Reply {
     let Some(passage) = InFlight::enter(entry, entry.settings.limits.requests) else {
-        return Reply::notice(&notices::refused(Reason::Overloaded, entry.settings.pace.call));
+        return Reply::notice(&overloaded(entry, origin));
     };
     let most = entry.settings.limits.body.0 as usize + HEAD_BYTES;
     let Ok(bytes) = req.payload_with_max_size(most).await else {
--- a/tests/bounds.rs
+++ b/tests/bounds.rs
@@ -72,6 +72,11 @@
     told.says(V::Refused, R::Overloaded);
     assert!(told.headers.contains_key("retry-after"));
     assert_eq!(runs(&deployment, "over"), 0);
+    // It may repeat an operation that ran, and nobody has looked.
+    let running = deployment.entries.values().next().unwrap();
+    let told = Ask::of("book", "repeat", running).send(address).await;
+    told.says(V::Unknown, R::Overloaded);
+    assert!(told.headers.contains_key("retry-after"));
     backend.behave(|it| it.mute = false);
     drop(held);
     warm(address).await;
