Name the way of a request by its steps, and split its longest function

Cause: files named flow, run, here and elsewhere said little; two types were called Sent; carrying a request out took 58 lines; the shared state also held the count of requests in progress. A wait that broke off after an unsure try was told as not run. Change: answer, carry_out, local and remote; RunRight, DispatchRight, RemoteEnd, SendSettings, InFlightGuard; the search for a place, the wait for a retry and the refusal are functions of their own; in_flight.rs. The wait that breaks off is told unknown like every other end. Conclusion: behaviour as before but for that one end.

--- a/crates/th-entry/src/call/flow.rs
+++ b/crates/th-entry/src/call/answer.rs
@@ -6,11 +6,8 @@
 use th_steer::engine::{Receive, Run, notices};
 use tokio::time::timeout;
 
-use super::{Incoming, owner, run::carry_out};
-use crate::{
-    entry::{Entry, Passage},
-    io::Reply,
-};
+use super::{Incoming, carry_out::carry_out, owner};
+use crate::{entry::Entry, in_flight::InFlightGuard, io::Reply};
 
 /// Who sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,7 +25,7 @@
     entry: &Arc<Entry>,
     incoming: Incoming,
     origin: Origin,
-    passage: &Passage,
+    guard: &InFlightGuard,
 ) -> Reply {
     loop {
         // Registered before asking, so that an end in between is not missed.
@@ -37,7 +34,7 @@
         let call = incoming.call.clone();
         let received = entry.decide(|engine, now| engine.receive(call, now));
         match received {
-            Receive::Run(run) => return start(entry, run, incoming, passage).await,
+            Receive::Run(run) => return start(entry, run, incoming, guard).await,
             Receive::Kept(kept) => return kept.reply(),
             Receive::Notice(notice) => return Reply::notice(&notice),
             Receive::Forward { .. } if origin != Origin::Caller => {
@@ -56,17 +53,17 @@
 }
 
 /// Carries a request out. A non-idempotent one goes on when its caller goes away: whether it ran must be known.
-async fn start(entry: &Arc<Entry>, run: Run, incoming: Incoming, passage: &Passage) -> Reply {
+async fn start(entry: &Arc<Entry>, run: Run, incoming: Incoming, guard: &InFlightGuard) -> Reply {
     if run.spec.idempotent {
         return carry_out(entry, run, &incoming).await;
     }
     let task = {
         let entry = Arc::clone(entry);
-        let passage = passage.clone();
+        let guard = guard.clone();
         tokio::spawn(async move {
             let reply = carry_out(&entry, run, &incoming).await;
             // A planned stop waits for it, even where its caller does not.
-            drop(passage);
+            drop(guard);
             reply
         })
     };
--- a/crates/th-entry/src/call/run.rs
+++ b/crates/th-entry/src/call/carry_out.rs
@@ -5,7 +5,7 @@
 use th_protocol::{Bytes, Notice, Reason};
 use th_steer::{
     backend::{Choice, Outcome},
-    engine::{Place, Run, notices},
+    engine::{Peer, Place, Run, notices},
     retry::RetryDecision,
     ticket::{Admitted, Dispatched, Operation, Received},
 };
@@ -14,8 +14,8 @@
 use super::{
     Incoming,
     attempt::Attempt,
-    elsewhere::{self, There},
-    here,
+    local,
+    remote::{self, RemoteEnd},
 };
 use crate::{
     entry::Entry,
@@ -23,14 +23,14 @@
 };
 
 /// What a non-idempotent request may still do; an idempotent one needs no permission.
-enum Right {
+enum RunRight {
     Free,
     Received(Operation<Received>),
     Admitted(Operation<Admitted>),
 }
 
 /// The same once the first byte may have left.
-enum Sent {
+enum DispatchRight {
     Free,
     Once(Operation<Dispatched>),
 }
@@ -39,7 +39,7 @@
 enum Tried {
     Done(Reply),
     /// Surely not run; the request goes on with what it may still do.
-    Again(Right, Reason),
+    Again(RunRight, Reason),
     /// It may have run, and running it again is the same.
     Repeat(Reason),
 }
@@ -47,30 +47,20 @@
 /// Carries a request out.
 pub(crate) async fn carry_out(entry: &Arc<Entry>, mut run: Run, incoming: &Incoming) -> Reply {
     let mut right = match run.token.take() {
-        None => Right::Free,
-        Some(token) => Right::Received(token),
+        None => RunRight::Free,
+        Some(token) => RunRight::Received(token),
     };
     // Why an earlier try of an idempotent request may have run.
     let mut unsure = None;
     loop {
         let place = match find_place(entry, &mut run).await {
-            Some(Place::Refuse(notice)) => {
-                return match unsure {
-                    Some(reason) => Reply::notice(&notices::unknown(reason)),
-                    None => end_unrun(entry, right, &notice),
-                };
-            }
-            Some(place) => place,
-            None => {
-                let notice = entry.decide(|engine, now| engine.give_up(&run.call, now));
-                return end_unrun(entry, right, &notice);
-            }
+            Ok(place) => place,
+            Err(notice) => return end_refused(entry, right, unsure, &notice),
         };
         run.tries += 1;
         let tried = match place {
-            Place::Backend(choice) => try_here(entry, &mut run, incoming, choice, right).await,
-            Place::Peer(peer) => try_elsewhere(entry, &mut run, incoming, peer, right).await,
-            Place::Queued(_) | Place::Refuse(_) => unreachable!("handled above"),
+            Found::Backend(choice) => try_here(entry, &mut run, incoming, choice, right).await,
+            Found::Peer(peer) => try_elsewhere(entry, &mut run, incoming, peer, right).await,
         };
         let (sure, reason) = match tried {
             Tried::Done(reply) => return reply,
@@ -79,33 +69,42 @@
                 (true, reason)
             }
             Tried::Repeat(reason) => {
-                right = Right::Free;
+                right = RunRight::Free;
                 unsure = Some(reason);
                 (false, reason)
             }
         };
-        // Another data centre's refusal costs no second try here: the request may still wait for a slot.
-        if sure && reason == Reason::NoSlot {
-            run.tries -= 1;
-            continue;
+        if !wait_for_retry(entry, &mut run, sure, reason).await {
+            let notice = notices::refused(reason, entry.settings.pace.call);
+            return end_refused(entry, right, unsure, &notice);
         }
-        let wait = match entry.decide(|engine, now| engine.retry(&run, sure, now)) {
-            RetryDecision::After(wait) => wait,
-            RetryDecision::Stop(_) if sure && unsure.is_none() => {
-                let retry = entry.settings.pace.call;
-                return end_unrun(entry, right, &notices::refused(reason, retry));
-            }
-            RetryDecision::Stop(_) => {
-                return Reply::notice(&notices::unknown(unsure.unwrap_or(reason)));
-            }
-        };
-        entry.metrics.retries.with_label_values(&[run.call.service.as_str(), "retry"]).inc();
-        sleep(Duration::from_millis(wait.0)).await;
     }
 }
 
-/// A place for the request, after a wait where one is needed; `None` where the wait broke off.
-async fn find_place(entry: &Arc<Entry>, run: &mut Run) -> Option<Place> {
+/// Waits as long as the next try has to; `false` where there is to be none.
+async fn wait_for_retry(entry: &Entry, run: &mut Run, sure: bool, reason: Reason) -> bool {
+    // Another data centre's refusal costs no second try here: the request may still wait for a slot.
+    if sure && reason == Reason::NoSlot {
+        run.tries -= 1;
+        return true;
+    }
+    let RetryDecision::After(wait) = entry.decide(|engine, now| engine.retry(run, sure, now))
+    else {
+        return false;
+    };
+    entry.metrics.retries.with_label_values(&[run.call.service.as_str(), "retry"]).inc();
+    sleep(Duration::from_millis(wait.0)).await;
+    true
+}
+
+/// Where a request goes.
+enum Found {
+    Backend(Choice),
+    Peer(Peer),
+}
+
+/// A place for the request, after a wait where one is needed, or why there is none.
+async fn find_place(entry: &Arc<Entry>, run: &mut Run) -> Result<Found, Notice> {
     let service = run.call.service.clone();
     let (place, wake) = entry.decide(|engine, now| {
         let place = engine.place(run, now);
@@ -115,32 +114,49 @@
         };
         (place, wake)
     });
-    match wake {
+    let place = match wake {
         None => Some(place),
         Some(wake) => wake.await.ok(),
+    };
+    match place {
+        Some(Place::Backend(choice)) => Ok(Found::Backend(choice)),
+        Some(Place::Peer(peer)) => Ok(Found::Peer(peer)),
+        Some(Place::Refuse(notice)) => Err(notice),
+        // The wait broke off.
+        Some(Place::Queued(_)) | None => {
+            Err(entry.decide(|engine, now| engine.give_up(&run.call, now)))
+        }
+    }
+}
+
+/// Ends a request for which there is no place or no further try.
+fn end_refused(entry: &Entry, right: RunRight, unsure: Option<Reason>, notice: &Notice) -> Reply {
+    match unsure {
+        Some(reason) => Reply::notice(&notices::unknown(reason)),
+        None => end_unrun(entry, right, notice),
     }
 }
 
 /// Tells the caller that nothing ran.
-fn end_unrun(entry: &Entry, right: Right, notice: &Notice) -> Reply {
+fn end_unrun(entry: &Entry, right: RunRight, notice: &Notice) -> Reply {
     match right {
-        Right::Free => {}
-        Right::Received(token) => entry.decide(|engine, _| engine.abandon(token)),
-        Right::Admitted(token) => entry.decide(|engine, _| engine.abandon(token)),
+        RunRight::Free => {}
+        RunRight::Received(token) => entry.decide(|engine, _| engine.abandon(token)),
+        RunRight::Admitted(token) => entry.decide(|engine, _| engine.abandon(token)),
     }
     entry.ended.notify_waiters();
     Reply::notice(notice)
 }
 
 /// Takes the last step before the first byte. An error is the reason why nothing was sent.
-fn dispatch(entry: &Entry, run: &Run, right: Right) -> Result<Sent, Reason> {
+fn dispatch(entry: &Entry, run: &Run, right: RunRight) -> Result<DispatchRight, Reason> {
     let token = match right {
-        Right::Free => return Ok(Sent::Free),
-        Right::Received(token) => token.admit(),
-        Right::Admitted(token) => token,
+        RunRight::Free => return Ok(DispatchRight::Free),
+        RunRight::Received(token) => token.admit(),
+        RunRight::Admitted(token) => token,
     };
     let deadline = run.call.deadline;
-    entry.decide(|engine, now| engine.dispatch(token, deadline, now)).map(Sent::Once)
+    entry.decide(|engine, now| engine.dispatch(token, deadline, now)).map(DispatchRight::Once)
 }
 
 /// Tells the caller why its request was not dispatched.
@@ -154,14 +170,14 @@
     run: &mut Run,
     incoming: &Incoming,
     choice: Choice,
-    right: Right,
+    right: RunRight,
 ) -> Tried {
     let attempt = Attempt::new(entry, run.call.service.clone(), choice.attempt);
     let sent = match dispatch(entry, run, right) {
         Ok(sent) => sent,
         Err(reason) => return undispatched(entry, reason),
     };
-    let (outcome, answer) = here::send_to(entry, run, incoming, choice, attempt).await;
+    let (outcome, answer) = local::send_to(entry, run, incoming, choice, attempt).await;
     match answer {
         Some(reply) => Tried::Done(end_answered(entry, sent, reply)),
         None => end_failed(entry, sent, outcome),
@@ -172,27 +188,27 @@
     entry: &Arc<Entry>,
     run: &mut Run,
     incoming: &Incoming,
-    peer: th_steer::engine::Peer,
-    right: Right,
+    peer: Peer,
+    right: RunRight,
 ) -> Tried {
     let sent = match dispatch(entry, run, right) {
         Ok(sent) => sent,
         Err(reason) => return undispatched(entry, reason),
     };
     let zone = peer.zone.clone();
-    match elsewhere::send(entry, peer, run, incoming).await {
-        There::Answer(reply) => Tried::Done(end_answered(entry, sent, reply)),
-        There::NotRun => {
+    match remote::send(entry, peer, run, incoming).await {
+        RemoteEnd::Answer(reply) => Tried::Done(end_answered(entry, sent, reply)),
+        RemoteEnd::NotRun => {
             run.refused.insert(zone);
             Tried::Again(take_back(entry, sent), Reason::NoSlot)
         }
-        There::Unknown(outcome) => end_failed(entry, sent, outcome),
+        RemoteEnd::Unknown(outcome) => end_failed(entry, sent, outcome),
     }
 }
 
 /// Ends a request with its answer, which a repeat of a non-idempotent one gets as well.
-fn end_answered(entry: &Entry, sent: Sent, reply: Reply) -> Reply {
-    let Sent::Once(token) = sent else {
+fn end_answered(entry: &Entry, sent: DispatchRight, reply: Reply) -> Reply {
+    let DispatchRight::Once(token) = sent else {
         return reply;
     };
     let Body::Whole(body) = &reply.body else {
@@ -208,21 +224,23 @@
     reply
 }
 
-fn take_back(entry: &Entry, sent: Sent) -> Right {
+fn take_back(entry: &Entry, sent: DispatchRight) -> RunRight {
     match sent {
-        Sent::Free => Right::Free,
-        Sent::Once(token) => Right::Admitted(entry.decide(|engine, _| engine.take_back(token))),
+        DispatchRight::Free => RunRight::Free,
+        DispatchRight::Once(token) => {
+            RunRight::Admitted(entry.decide(|engine, _| engine.take_back(token)))
+        }
     }
 }
 
-fn end_failed(entry: &Entry, sent: Sent, outcome: Outcome) -> Tried {
+fn end_failed(entry: &Entry, sent: DispatchRight, outcome: Outcome) -> Tried {
     let reason = reason(outcome);
     if outcome.surely_not_run() {
         return Tried::Again(take_back(entry, sent), reason);
     }
     match sent {
-        Sent::Free => Tried::Repeat(reason),
-        Sent::Once(token) => {
+        DispatchRight::Free => Tried::Repeat(reason),
+        DispatchRight::Once(token) => {
             entry.decide(|engine, _| engine.unknown(token, reason));
             entry.ended.notify_waiters();
             Tried::Done(Reply::notice(&notices::unknown(reason)))
--- a/crates/th-entry/src/call/here.rs
+++ b/crates/th-entry/src/call/local.rs
@@ -15,7 +15,7 @@
 use super::{Incoming, attempt::Attempt, stream::guarded};
 use crate::{
     entry::Entry,
-    io::{Body, Course, Reply, Sent, Signs, is_fault, send},
+    io::{Body, Reply, SendSettings, Sent, Signs, is_fault, send},
 };
 
 /// Between two looks at whether an attempt makes progress.
@@ -120,7 +120,7 @@
     attempt: Attempt,
 ) -> Ended {
     let client = entry.clients.get(&choice.backend, choice.generation);
-    let course = Course {
+    let settings = SendSettings {
         address: choice.address,
         attempt: attempt.id(),
         left: run.call.deadline.since(entry.now()),
@@ -128,7 +128,7 @@
         tries: run.tries,
     };
     let sent = {
-        let sending = send(&client, &incoming.request, course);
+        let sending = send(&client, &incoming.request, settings);
         tokio::pin!(sending);
         loop {
             tokio::select! {
--- a/crates/th-entry/src/call/mod.rs
+++ b/crates/th-entry/src/call/mod.rs
@@ -1,13 +1,13 @@
 //! Requests of callers, from their arrival to their answer.
 
+mod answer;
 mod attempt;
-mod elsewhere;
-mod flow;
-mod here;
+mod carry_out;
 mod incoming;
+mod local;
 mod owner;
-mod run;
+mod remote;
 mod stream;
 
-pub(crate) use flow::{Origin, answer};
+pub(crate) use answer::{Origin, answer};
 pub(crate) use incoming::{Incoming, Wire, fingerprint};
--- a/crates/th-entry/src/call/elsewhere.rs
+++ b/crates/th-entry/src/call/remote.rs
@@ -16,7 +16,7 @@
 const ROUND_TRIP: Millis = Millis(50);
 
 /// How a try in another data centre ended.
-pub(crate) enum There {
+pub(crate) enum RemoteEnd {
     /// With an answer to pass on.
     Answer(Reply),
     /// It was surely not run.
@@ -26,10 +26,15 @@
 }
 
 /// Sends a request to an entry VM of another data centre.
-pub(crate) async fn send(entry: &Arc<Entry>, peer: Peer, run: &Run, incoming: &Incoming) -> There {
+pub(crate) async fn send(
+    entry: &Arc<Entry>,
+    peer: Peer,
+    run: &Run,
+    incoming: &Incoming,
+) -> RemoteEnd {
     let Some(left) = next_hop(run.call.deadline, entry.now(), ROUND_TRIP) else {
         settle(entry, peer, Bytes::ZERO);
-        return There::NotRun;
+        return RemoteEnd::NotRun;
     };
     let region = entry.decide(|engine, _| engine.region().cloned());
     let wire = Wire::new(incoming, left, region);
@@ -37,9 +42,9 @@
     settle(entry, peer, Bytes(incoming.request.body.len() as u64));
     match sent {
         Ok(reply) => judge(reply),
-        Err(error) if error.unsent => There::NotRun,
-        Err(error) if error.late => There::Unknown(Outcome::Timeout),
-        Err(_) => There::Unknown(Outcome::Cut),
+        Err(error) if error.unsent => RemoteEnd::NotRun,
+        Err(error) if error.late => RemoteEnd::Unknown(Outcome::Timeout),
+        Err(_) => RemoteEnd::Unknown(Outcome::Cut),
     }
 }
 
@@ -50,10 +55,10 @@
 }
 
 /// Tells a backend server's answer from the other entry VM's own.
-fn judge(reply: Reply) -> There {
+fn judge(reply: Reply) -> RemoteEnd {
     match reply.verdict() {
-        None => There::Answer(reply),
-        Some(Verdict::NotRun | Verdict::Refused) => There::NotRun,
-        Some(Verdict::Unknown) => There::Unknown(Outcome::Cut),
+        None => RemoteEnd::Answer(reply),
+        Some(Verdict::NotRun | Verdict::Refused) => RemoteEnd::NotRun,
+        Some(Verdict::Unknown) => RemoteEnd::Unknown(Outcome::Cut),
     }
 }
--- a/crates/th-entry/src/caller/call.rs
+++ b/crates/th-entry/src/caller/call.rs
@@ -15,7 +15,8 @@
 use super::lookup::{source, target};
 use crate::{
     call::{Incoming, Origin, answer, fingerprint},
-    entry::{Entry, InFlight},
+    entry::Entry,
+    in_flight::{InFlight, InFlightGuard},
     io::{Body, Outgoing, Reply, drop_hop_headers},
     peer::entry,
 };
@@ -30,12 +31,12 @@
     let service: String = req.param("service").unwrap_or_default();
     let reply = match InFlight::enter(&entry, entry.settings.limits.requests) {
         None => Reply::notice(&overloaded(&entry, req)),
-        Some(passage) => {
+        Some(guard) => {
             let reply = match read(&entry, req).await {
-                Ok(incoming) => answer(&entry, incoming, Origin::Caller, &passage).await,
+                Ok(incoming) => answer(&entry, incoming, Origin::Caller, &guard).await,
                 Err(notice) => Reply::notice(&unread(req, notice)),
             };
-            reply.until_sent(passage)
+            reply.until_sent(guard)
         }
     };
     note(&entry, &service, &reply, entry.now().since(began));
@@ -179,14 +180,14 @@
 }
 
 impl Reply {
-    /// Holds `passage` until the last byte of the body has passed.
-    fn until_sent(self, passage: crate::entry::Passage) -> Reply {
+    /// Holds `guard` until the last byte of the body has passed.
+    fn until_sent(self, guard: InFlightGuard) -> Reply {
         use futures_util::StreamExt;
         let Body::Stream(stream) = self.body else {
             return self;
         };
         let held = stream.map(move |chunk| {
-            let _ = &passage;
+            let _ = &guard;
             chunk
         });
         Reply { body: Body::Stream(held.boxed()), ..self }
--- a/crates/th-entry/src/entry.rs
+++ b/crates/th-entry/src/entry.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::{
+    in_flight::InFlight,
     io::{ClientSettings, Clients, Kept, client},
     library::Library,
     metrics::Metrics,
@@ -86,7 +87,7 @@
         store: Counted,
         clock: Arc<dyn Clock>,
         addresses: Addresses,
-        start: Start,
+        start: StartInfo,
     ) -> Entry {
         let me = Identity {
             vm: settings.vm.clone(),
@@ -246,7 +247,7 @@
 
 /// What differs between two starts of the process.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Start {
+pub(crate) struct StartInfo {
     pub(crate) incarnation: Incarnation,
     pub(crate) origin: Time,
     pub(crate) seed: u64,
@@ -257,49 +258,3 @@
     let first = keys.next().expect("settings are refused without a ticket key");
     TicketKeys::new(first, keys.collect())
 }
-
-/// Requests in progress.
-#[derive(Debug, Default)]
-pub(crate) struct InFlight {
-    count: AtomicU32,
-    quiet: Notify,
-}
-
-impl InFlight {
-    /// Counts a request; `None` where there are `most` already.
-    pub(crate) fn enter(entry: &Arc<Entry>, most: u32) -> Option<Passage> {
-        let before = entry.in_flight.count.fetch_add(1, Ordering::SeqCst);
-        let passage = Passage(Arc::new(Counting(Arc::clone(entry))));
-        (before < most).then_some(passage)
-    }
-
-    pub(crate) fn count(&self) -> u32 {
-        self.count.load(Ordering::SeqCst)
-    }
-
-    /// Waits until no request is in progress.
-    pub(crate) async fn quiet(&self) {
-        loop {
-            let quiet = self.quiet.notified();
-            if self.count() == 0 {
-                return;
-            }
-            quiet.await;
-        }
-    }
-}
-
-/// One request in progress; it ends when the last clone of this is dropped.
-#[derive(Clone)]
-pub(crate) struct Passage(#[expect(dead_code, reason = "held for its drop")] Arc<Counting>);
-
-struct Counting(Arc<Entry>);
-
-impl Drop for Counting {
-    fn drop(&mut self) {
-        let in_flight = &self.0.in_flight;
-        if in_flight.count.fetch_sub(1, Ordering::SeqCst) == 1 {
-            in_flight.quiet.notify_waiters();
-        }
-    }
-}
--- /dev/null
+++ b/crates/th-entry/src/in_flight.rs
@@ -0,0 +1,56 @@
+//! Requests in progress, which a planned stop waits for.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
+
+use tokio::sync::Notify;
+
+use crate::entry::Entry;
+
+/// Requests in progress.
+#[derive(Debug, Default)]
+pub(crate) struct InFlight {
+    count: AtomicU32,
+    quiet: Notify,
+}
+
+impl InFlight {
+    /// Counts a request; `None` where there are `most` already.
+    pub(crate) fn enter(entry: &Arc<Entry>, most: u32) -> Option<InFlightGuard> {
+        let before = entry.in_flight.count.fetch_add(1, Ordering::SeqCst);
+        let guard = InFlightGuard(Arc::new(Counting(Arc::clone(entry))));
+        (before < most).then_some(guard)
+    }
+
+    pub(crate) fn count(&self) -> u32 {
+        self.count.load(Ordering::SeqCst)
+    }
+
+    /// Waits until no request is in progress.
+    pub(crate) async fn quiet(&self) {
+        loop {
+            let quiet = self.quiet.notified();
+            if self.count() == 0 {
+                return;
+            }
+            quiet.await;
+        }
+    }
+}
+
+/// One request in progress; it ends when the last clone of this is dropped.
+#[derive(Clone)]
+pub(crate) struct InFlightGuard(#[expect(dead_code, reason = "held for its drop")] Arc<Counting>);
+
+struct Counting(Arc<Entry>);
+
+impl Drop for Counting {
+    fn drop(&mut self) {
+        let in_flight = &self.0.in_flight;
+        if in_flight.count.fetch_sub(1, Ordering::SeqCst) == 1 {
+            in_flight.quiet.notify_waiters();
+        }
+    }
+}
--- a/crates/th-entry/src/io/mod.rs
+++ b/crates/th-entry/src/io/mod.rs
@@ -6,4 +6,4 @@
 
 pub(crate) use clients::{ClientSettings, Clients, client};
 pub(crate) use reply::{Body, Kept, Reply, drop_hop_headers};
-pub(crate) use send::{Course, Outgoing, Sent, Signs, is_fault, receive_reply, send};
+pub(crate) use send::{Outgoing, SendSettings, Sent, Signs, is_fault, receive_reply, send};
--- a/crates/th-entry/src/io/send.rs
+++ b/crates/th-entry/src/io/send.rs
@@ -38,7 +38,7 @@
 
 /// Where and for how long.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Course {
+pub(crate) struct SendSettings {
     pub(crate) address: SocketAddr,
     pub(crate) attempt: AttemptId,
     /// Time that is left until the deadline.
@@ -50,21 +50,21 @@
 }
 
 /// Sends the request and waits for the answer's head and, up to a bound, its body.
-pub(crate) async fn send(client: &Client, request: &Outgoing, course: Course) -> Sent {
-    let left = Duration::from_millis(course.left.0);
-    match timeout(left, exchange(client, request, course)).await {
+pub(crate) async fn send(client: &Client, request: &Outgoing, settings: SendSettings) -> Sent {
+    let left = Duration::from_millis(settings.left.0);
+    match timeout(left, exchange(client, request, settings)).await {
         Ok(sent) => sent,
         Err(_) => Sent::Failed(Outcome::Timeout, Signs::default()),
     }
 }
 
-async fn exchange(client: &Client, request: &Outgoing, course: Course) -> Sent {
-    let url = format!("http://{}{}", course.address, request.path);
+async fn exchange(client: &Client, request: &Outgoing, settings: SendSettings) -> Sent {
+    let url = format!("http://{}{}", settings.address, request.path);
     let mut headers = request.headers.clone();
-    headers.insert(names::ATTEMPT, HeaderValue::from(course.attempt.0));
-    headers.insert(names::DEADLINE, HeaderValue::from(course.left.0));
-    if 1 < course.tries {
-        headers.insert(names::TRY, HeaderValue::from(course.tries));
+    headers.insert(names::ATTEMPT, HeaderValue::from(settings.attempt.0));
+    headers.insert(names::DEADLINE, HeaderValue::from(settings.left.0));
+    if 1 < settings.tries {
+        headers.insert(names::TRY, HeaderValue::from(settings.tries));
     }
     let built = client.request(request.method.clone(), url).headers(headers);
     let response = match built.body(request.body.clone()).send().await {
@@ -76,11 +76,11 @@
         let hint = retry_after(response.headers());
         return Sent::Failed(Outcome::Shed(hint), signs);
     }
-    if !belongs(response.headers(), course.attempt) {
+    if !belongs(response.headers(), settings.attempt) {
         // An answer to another request must not reach this caller.
         return Sent::Failed(Outcome::Cut, signs);
     }
-    receive(response, signs, course.whole).await
+    receive(response, signs, settings.whole).await
 }
 
 /// What an error of the client means for the attempt.
--- a/crates/th-entry/src/lib.rs
+++ b/crates/th-entry/src/lib.rs
@@ -3,6 +3,7 @@
 mod call;
 mod caller;
 mod entry;
+mod in_flight;
 mod io;
 mod library;
 mod logs;
--- a/crates/th-entry/src/peer/requests.rs
+++ b/crates/th-entry/src/peer/requests.rs
@@ -15,7 +15,8 @@
 use super::{codec::decode, router::entry};
 use crate::{
     call::{Origin, Wire, answer},
-    entry::{Entry, InFlight},
+    entry::Entry,
+    in_flight::InFlight,
     io::{Body, Reply},
 };
 
@@ -41,7 +42,7 @@
 }
 
 async fn serve(req: &mut Request, entry: &Arc<Entry>, origin: Origin) -> Reply {
-    let Some(passage) = InFlight::enter(entry, entry.settings.limits.requests) else {
+    let Some(guard) = InFlight::enter(entry, entry.settings.limits.requests) else {
         return Reply::notice(&overloaded(entry, origin));
     };
     let most = entry.settings.limits.body.0 as usize + HEAD_BYTES;
@@ -62,13 +63,13 @@
     };
     let forwarded = origin == Origin::Placer;
     let reply = match wire.incoming(forwarded, entry.now()) {
-        Some(incoming) => answer(entry, incoming, origin, &passage).await,
+        Some(incoming) => answer(entry, incoming, origin, &guard).await,
         None => Reply::notice(&notices::not_run(Reason::BadRequest)),
     };
     if let Some(charge) = link {
         entry.decide(|engine, _| engine.settle(charge, Size(reply.size())));
     }
-    drop(passage);
+    drop(guard);
     match (region, reply.body) {
         (Some(region), Body::Stream(body)) => {
             let body = Body::Stream(paced(Arc::clone(entry), region, body));
--- a/crates/th-entry/src/server.rs
+++ b/crates/th-entry/src/server.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     caller,
-    entry::{Addresses, Entry, Start},
+    entry::{Addresses, Entry, StartInfo},
     peer,
     settings::Settings,
     task::{perform, run_ticks, run_vms, run_watch},
@@ -98,12 +98,12 @@
 }
 
 /// What differs between two starts.
-fn beginning(now: Time) -> Start {
+fn beginning(now: Time) -> StartInfo {
     let mut rng = rand::rng();
     let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let wall = wall.as_millis() as u64;
     let low: u64 = rng.random_range(0..1 << INCARNATION_BITS);
-    Start {
+    StartInfo {
         incarnation: Incarnation((wall << INCARNATION_BITS) | low),
         origin: Time(wall.saturating_sub(now.0)),
         seed: rng.random(),
