--- a/crates/th-entry/src/server.rs
+++ b/crates/th-entry/src/server.rs
@@ -223,8 +223,9 @@
         let cut = if quiet { 0 } else { entry.in_flight.count() };
         if quiet {
             self.release().await;
-            // Until their look-ups' answers have ended callers are told to look up another entry VM.
-            let open = ttl.min(stop.limit).minus(entry.now().since(began));
+            // Until their look-ups' answers have ended callers are told to look up another entry VM. Other entry VMs may
+            // have given such answers until they heard that this one leaves, for which the linger time is meant.
+            let open = ttl.plus(stop.linger).min(stop.limit).minus(entry.now().since(began));
             sleep(Duration::from_millis(open.0)).await;
         }
         self.close(quiet).await;
--- a/crates/th-testing/src/scenario/entry.rs
+++ b/crates/th-testing/src/scenario/entry.rs
@@ -342,7 +342,8 @@
             self.shard(action).await;
         }
         // Callers whose look-ups name this VM are told to look up another one.
-        self.sim.sleep((began + ttl.0).saturating_sub(self.sim.now())).await;
+        let open = began + ttl.0 + STOP.0;
+        self.sim.sleep(open.saturating_sub(self.sim.now())).await;
         let (sim, host) = (Rc::clone(&self.sim), self.host);
         self.sim.exec.spawn(0, async move { sim.end(host, false) });
     }
