Let callers that reached nobody take a fresh ticket

Cause: since a killed entry process of a test really ends, 480 bookings of examples/local ended owner-gone within seconds: callers could not even connect to the ticket's owner, and asked others under that ticket. Conclusion: only requests that were really sent end unknown.

--- a/crates/th-testing/src/caller/caller.rs
+++ b/crates/th-testing/src/caller/caller.rs
@@ -88,13 +88,21 @@
             return (End::Broken, through);
         };
         let mut end = End::Broken;
+        let mut ticket = answer.ticket.clone();
         for entry in answer.entries.iter().take(self.settings.tries) {
             through.push(entry.address);
-            let sent = self.send(entry.address, operation, request, &answer).await;
-            let Ok(response) = sent else {
-                // Another entry VM may know what became of the request.
-                self.cache.remove(operation);
-                continue;
+            let sent = self.send(entry.address, operation, request, &mut ticket).await;
+            let response = match sent {
+                Ok(response) => response,
+                Err(error) => {
+                    self.cache.remove(operation);
+                    if error.is_connect() && through.len() == 1 {
+                        // Nothing was sent under the ticket: the next entry VM gives one of its own.
+                        ticket = None;
+                    }
+                    // Otherwise the next one may know what became of the request.
+                    continue;
+                }
             };
             end = judge(response, request).await;
             if end != End::Answered {
@@ -105,12 +113,29 @@
         (end, through)
     }
 
+    /// Sends the request; where it has no ticket and needs one, once more with the one in the answer.
     async fn send(
         &self,
         address: SocketAddr,
         operation: &str,
         request: &str,
-        answer: &LookupAnswer,
+        ticket: &mut Option<String>,
+    ) -> reqwest::Result<Response> {
+        let response = self.send_once(address, operation, request, ticket.as_deref()).await?;
+        let fresh = response.headers().get(header::TICKET).and_then(|it| it.to_str().ok());
+        let Some(fresh) = fresh.map(str::to_owned).filter(|_| ticket.is_none()) else {
+            return Ok(response);
+        };
+        *ticket = Some(fresh);
+        self.send_once(address, operation, request, ticket.as_deref()).await
+    }
+
+    async fn send_once(
+        &self,
+        address: SocketAddr,
+        operation: &str,
+        request: &str,
+        ticket: Option<&str>,
     ) -> reqwest::Result<Response> {
         let url = format!("http://{address}/v1/call/roster/{operation}");
         let mut call = self
@@ -119,7 +144,7 @@
             .header(REQUEST, request)
             .header(header::BLOCK, &self.settings.block)
             .body(format!("body of {request}"));
-        if let Some(ticket) = &answer.ticket {
+        if let Some(ticket) = ticket {
             call = call.header(header::TICKET, ticket).header(header::IDEMPOTENCY_KEY, request);
         }
         call.send().await
