--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use th_protocol::{VmId, ZoneId};
 use th_steer::dispatch::{Dispatcher, Topology};
-use tokio::task::spawn_local;
+use tokio::task::{AbortHandle, spawn_local};
 
 use crate::{
     call::serve,
@@ -29,6 +29,8 @@
 /// A running data path; all its tasks run on the thread that started it.
 pub struct Gateway {
     core: Rc<Core>,
+    /// Accepts callers' connections.
+    callers: AbortHandle,
 }
 
 fn immediate(
@@ -54,7 +56,7 @@
         let core = Rc::new(Core::new(dispatcher, settings, dialect));
         let shared = Rc::clone(&core);
         let callers: Serve = Rc::new(move |request| Box::pin(serve(Rc::clone(&shared), request)));
-        listen(&core, listeners.callers, callers)?;
+        let callers = listen(&core, listeners.callers, callers)?;
         let shared = Rc::clone(&core);
         listen(&core, listeners.lookups, immediate(move |it| lookup(&shared, it)))?;
         let shared = Rc::clone(&core);
@@ -65,7 +67,7 @@
         }
         spawn_local(tick(Rc::clone(&core)));
         log::info!(target: "entry", "vm={} callers={} Listening.", core.dispatcher.borrow().vm(), listeners.callers);
-        Ok(Gateway { core })
+        Ok(Gateway { core, callers })
     }
 
     /// The state, for what feeds it.
@@ -75,14 +77,13 @@
 
     /// Stops as planned. Gives the requests that were cut.
     pub async fn stop(self) -> u32 {
-        stop(&self.core).await
+        stop(&self.core, &self.callers).await
     }
 }
 
-fn listen(core: &Rc<Core>, address: std::net::SocketAddr, serve: Serve) -> Result<()> {
+fn listen(core: &Rc<Core>, address: std::net::SocketAddr, serve: Serve) -> Result<AbortHandle> {
     let listener = open(address).wrap_err_with(|| format!("listening at {address}"))?;
-    spawn_local(accept(Rc::clone(core), listener, serve));
-    Ok(())
+    Ok(spawn_local(accept(Rc::clone(core), listener, serve)).abort_handle())
 }
 
 /// Runs what depends on time alone.
--- a/crates/th-gateway/src/stop.rs
+++ b/crates/th-gateway/src/stop.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use th_protocol::Millis;
-use tokio::time::sleep;
+use tokio::{task::AbortHandle, time::sleep};
 
 use crate::core::Core;
 
@@ -13,11 +13,14 @@
 const RESERVE: Millis = Millis(300);
 
 /// Waits until callers have turned to other VMs and the last request is answered. Gives the requests that are cut.
-pub(crate) async fn stop(core: &Rc<Core>) -> u32 {
+///
+/// `callers` accepts connections: after the linger time it ends, so that no request comes too late to be answered.
+pub(crate) async fn stop(core: &Rc<Core>, callers: &AbortHandle) -> u32 {
     let started = core.now();
     core.stopping.set(true);
     log::info!(target: "stop", "in_flight={} Stopping; this VM no longer counts as ready.", core.in_flight.get());
     sleep(Duration::from_millis(core.settings.linger.0)).await;
+    callers.abort();
     core.closing.notify_waiters();
     let end = started.after(core.settings.grace.minus(RESERVE));
     while (0 < core.in_flight.get() || 0 < core.connections.get()) && core.now() < end {
