--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -11,7 +11,7 @@
 use super::{
     backend::{Attempt, BackendRow, End},
     job::{Job, Placement, Refusal},
-    lookup::{Topology, lookup_shares},
+    lookup::{Topology, lookup_shares, usable_slots},
     place::{Candidate, Scene, cheapest, millis},
     record::{BackendRecord, EntryRecord},
     retry::RetryWindow,
@@ -406,16 +406,8 @@
                 by_zone.entry(entry.zone.clone()).or_default().push(entry);
             }
         }
-        let mut room: BTreeMap<ZoneId, f64> = by_zone.keys().map(|it| (it.clone(), 0.0)).collect();
-        for row in self.backends.values() {
-            let zone = &row.record.zone;
-            if !row.takes_work() || self.evacuated.contains(zone) {
-                continue;
-            }
-            if let Some(slots) = room.get_mut(zone) {
-                *slots += f64::from(row.record.slots.0);
-            }
-        }
+        let zones: Vec<&ZoneId> = by_zone.keys().collect();
+        let room = self.room(&zones);
         let shares = lookup_shares(zone, &self.topology, &room);
         let mut addresses = Vec::new();
         for (zone, share) in shares {
@@ -433,6 +425,32 @@
         addresses
     }
 
+    /// The share of the work that each data centre can carry: the least of its shares of the services, since callers
+    /// that are sent there ask for all of them.
+    fn room(&self, zones: &[&ZoneId]) -> BTreeMap<ZoneId, f64> {
+        let mut slots: BTreeMap<&ServiceId, BTreeMap<&ZoneId, f64>> = BTreeMap::new();
+        for row in self.backends.values() {
+            let (zone, service) = (&row.record.zone, &row.record.service);
+            if row.takes_work() && !self.evacuated.contains(zone) && zones.contains(&zone) {
+                let pool = slots.entry(service).or_default().entry(zone).or_default();
+                *pool += f64::from(row.record.slots.0);
+            }
+        }
+        let mut room: BTreeMap<ZoneId, f64> = BTreeMap::new();
+        for zone in zones {
+            let mut least: Option<f64> = None;
+            for pools in slots.values() {
+                let total: f64 = pools.values().map(|it| usable_slots(*it)).sum();
+                let own = pools.get(*zone).map_or(0.0, |it| usable_slots(*it));
+                if 0.0 < total {
+                    least = Some(least.map_or(own / total, |it: f64| it.min(own / total)));
+                }
+            }
+            room.insert((*zone).clone(), least.unwrap_or(0.0));
+        }
+        room
+    }
+
     /// The regions that callers of a host may be sent to; `None` for all. The caller's own is always among them.
     fn allowed_regions(&self, host: &str, zone: &ZoneId) -> Option<BTreeSet<RegionId>> {
         let routes = self.routes.as_ref()?;
--- a/crates/th-steer/src/dispatch/lookup.rs
+++ b/crates/th-steer/src/dispatch/lookup.rs
@@ -7,8 +7,13 @@
 
 use th_protocol::{RegionId, ZoneId};
 
-/// A data centre keeps up to this many times its even share of the work, since near is better.
-const KEEP: f64 = 1.15;
+/// Spare slots that a pool needs for the chance of demand, in square roots of its slots: small pools run less full.
+const STAFFING: f64 = 1.0;
+
+/// What a pool of slots carries, by the square-root staffing rule.
+pub(crate) fn usable_slots(slots: f64) -> f64 {
+    (slots - STAFFING * slots.sqrt()).max(0.0)
+}
 
 /// The data centres and the regions that they lie in.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -35,7 +40,7 @@
     let mut spare: BTreeMap<&ZoneId, f64> = BTreeMap::new();
     for it in topology.zones.keys() {
         let capacity = room.get(it).copied().unwrap_or(0.0) / total;
-        excess.insert(it, (demand - capacity * KEEP).max(0.0));
+        excess.insert(it, (demand - capacity).max(0.0));
         spare.insert(it, (capacity - demand).max(0.0));
     }
     let kept = demand - excess.get(zone).copied().unwrap_or(demand);
