--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -25,6 +25,21 @@
 /// Addresses that a look-up names, repeated by their share; the most that callers take.
 const LOOKUP_ADDRESSES: usize = 24;
 
+/// Requests of a host from which the share of those with homes is taken.
+const HOMED_SAMPLE: f64 = 50.0;
+/// With this share of requests on routes with homes, look-ups of the host keep to the homes: half of the part that may
+/// go elsewhere.
+const HOMED_SHARE: f64 = 0.025;
+/// What is left of the counts after each tick; a share from the last minute.
+const HOMED_DECAY: f64 = 0.98;
+
+/// Requests of a host, and those on routes with homes; both fade.
+#[derive(Debug, Default)]
+struct Homed {
+    all: f64,
+    homed: f64,
+}
+
 /// Requests that were lately sent to other regions, and all.
 #[derive(Debug, Default)]
 struct Away {
@@ -63,6 +78,7 @@
     splits: BTreeMap<String, Split>,
     retries: BTreeMap<ServiceId, RetryWindow>,
     objects: BTreeMap<ServiceId, BTreeMap<u64, Time>>,
+    homed: BTreeMap<String, Homed>,
     away: Away,
     waiting: Waiting,
     attempts: u64,
@@ -91,6 +107,7 @@
             splits: BTreeMap::new(),
             retries: BTreeMap::new(),
             objects: BTreeMap::new(),
+            homed: BTreeMap::new(),
             away: Away::default(),
             waiting: Waiting::default(),
             attempts: 0,
@@ -190,6 +207,9 @@
     pub fn on_request(&mut self, job: &Job, now: Time) {
         let window = self.settings.retry_window;
         self.retries.entry(job.service.clone()).or_default().first(window, now);
+        let seen = self.homed.entry(job.route.host.clone()).or_default();
+        seen.all += 1.0;
+        seen.homed += if job.route.homes.is_empty() { 0.0 } else { 1.0 };
         if let Some(object) = job.object.filter(|_| job.route.sticky) {
             self.objects.entry(job.service.clone()).or_default().insert(object, now);
         }
@@ -249,7 +269,12 @@
         for objects in self.objects.values_mut() {
             objects.retain(|_, last| start <= *last);
         }
+        for seen in self.homed.values_mut() {
+            seen.all *= HOMED_DECAY;
+            seen.homed *= HOMED_DECAY;
+        }
         if let Some(routes) = self.routes.clone() {
+            self.homed.retain(|host, _| !routes.of_host(host).is_empty());
             self.objects.retain(|service, _| routes.cold_rate(service).is_some());
             self.retries.retain(|service, _| routes.cold_rate(service).is_some());
             let names: BTreeSet<&str> = routes.iter().map(|it| it.name.as_str()).collect();
@@ -425,40 +450,53 @@
         addresses
     }
 
-    /// The share of the work that each data centre can carry: the least of its shares of the services, since callers
-    /// that are sent there ask for all of them.
+    /// The share of the work that each data centre can carry: the mean of its shares of the services that routes use,
+    /// by their slots. An entry may name a service that no route knows.
     fn room(&self, zones: &[&ZoneId]) -> BTreeMap<ZoneId, f64> {
+        let mut room: BTreeMap<ZoneId, f64> = zones.iter().map(|it| ((*it).clone(), 0.0)).collect();
+        let Some(routes) = &self.routes else {
+            return room;
+        };
         let mut slots: BTreeMap<&ServiceId, BTreeMap<&ZoneId, f64>> = BTreeMap::new();
         for row in self.backends.values() {
             let (zone, service) = (&row.record.zone, &row.record.service);
-            if row.takes_work() && !self.evacuated.contains(zone) && zones.contains(&zone) {
+            let known = room.contains_key(zone) && routes.cold_rate(service).is_some();
+            if row.takes_work() && known && !self.evacuated.contains(zone) {
                 let pool = slots.entry(service).or_default().entry(zone).or_default();
                 *pool += f64::from(row.record.slots.0);
             }
         }
-        let mut room: BTreeMap<ZoneId, f64> = BTreeMap::new();
-        for zone in zones {
-            let mut least: Option<f64> = None;
-            for pools in slots.values() {
-                let total: f64 = pools.values().map(|it| usable_slots(*it)).sum();
-                let own = pools.get(*zone).map_or(0.0, |it| usable_slots(*it));
-                if 0.0 < total {
-                    least = Some(least.map_or(own / total, |it: f64| it.min(own / total)));
+        for pools in slots.values() {
+            let all: f64 = pools.values().sum();
+            let total: f64 = pools.values().map(|it| usable_slots(*it)).sum();
+            for (zone, pool) in pools {
+                if let Some(share) = room.get_mut(*zone)
+                    && 0.0 < total
+                {
+                    *share += all * usable_slots(*pool) / total;
                 }
             }
-            room.insert((*zone).clone(), least.unwrap_or(0.0));
         }
         room
     }
 
     /// The regions that callers of a host may be sent to; `None` for all. The caller's own is always among them.
+    ///
+    /// A look-up does not tell the path. The homes of its routes count once requests come on such routes, or, before
+    /// any came, where most of the host's routes have homes.
     fn allowed_regions(&self, host: &str, zone: &ZoneId) -> Option<BTreeSet<RegionId>> {
-        let routes = self.routes.as_ref()?;
+        let routes = self.routes.as_ref()?.of_host(host);
+        let homed = routes.iter().filter(|it| !it.homes.is_empty());
+        let count = homed.clone().count();
+        let bound = match self.homed.get(host) {
+            Some(seen) if HOMED_SAMPLE <= seen.all => HOMED_SHARE * seen.all <= seen.homed,
+            _ => routes.len() < 2 * count,
+        };
+        if !bound {
+            return None;
+        }
         let mut allowed: Option<BTreeSet<RegionId>> = None;
-        for route in routes.of_host(host) {
-            if route.homes.is_empty() {
-                continue;
-            }
+        for route in homed {
             allowed = Some(match allowed {
                 None => route.homes.clone(),
                 Some(it) => it.intersection(&route.homes).cloned().collect(),
