--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -227,7 +227,11 @@
         let left = job.limit.since(now);
         let wait = patience(core, &job, slot.attempt().expected, left);
         let outcome = out.send(core, &backend, address, left, wait).await;
-        story.tries.push(format!("{backend}: {}", outcome.detail));
+        let attempt = slot.attempt();
+        let warm = if attempt.warm { "warm" } else { "cold" };
+        let (expected, took) = (attempt.expected, core.now().since(attempt.sent));
+        let detail = &outcome.detail;
+        story.tries.push(format!("{backend} {warm} expected={expected} took={took}: {detail}"));
         core.metrics.attempt(&job.service, outcome.end);
         slot.finish(outcome.end);
         if matches!(outcome.end, End::Answered) {
