--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -13,6 +13,9 @@
 
 use crate::{dialect::Dialect, link::Pool, metrics::Metrics, settings::GatewaySettings};
 
+/// Waiting requests that are looked at when a slot comes free; the next tick looks at all.
+const PUMP_MOST: usize = 12;
+
 /// The state that all tasks of the process share; one thread runs them all.
 pub struct Core {
     /// The decisions.
@@ -59,9 +62,9 @@
         !self.stopping.get() && self.dispatcher.borrow().routes().is_some()
     }
 
-    /// Gives free slots to requests that wait.
-    pub(crate) fn pump(&self) {
-        let placed = self.dispatcher.borrow_mut().pump(self.now());
+    /// Gives free slots to the first `most` requests that wait.
+    pub(crate) fn pump(&self, most: usize) {
+        let placed = self.dispatcher.borrow_mut().pump(most, self.now());
         for (number, placement) in placed {
             let waiter = self.waiters.borrow_mut().remove(&number);
             let Some(waiter) = waiter else {
@@ -107,6 +110,6 @@
         let mut dispatcher = self.core.dispatcher.borrow_mut();
         dispatcher.on_end(&self.job, &self.attempt, self.end, now);
         drop(dispatcher);
-        self.core.pump();
+        self.core.pump(PUMP_MOST);
     }
 }
--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -92,7 +92,7 @@
     loop {
         tokio::time::sleep(Duration::from_millis(core.settings.tick.0)).await;
         ticks = ticks.wrapping_add(1);
-        core.pump();
+        core.pump(usize::MAX);
         if ticks.is_multiple_of(SWEEP_TICKS) {
             let now = core.now();
             core.dispatcher.borrow_mut().tick(now);
--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -68,6 +68,8 @@
     pub(crate) warm: WarmSet,
     pub(crate) cold_until: Time,
     pub(crate) pace: ColdPace,
+    /// Answers of this start.
+    answers: u64,
     failures: u32,
     ejected: Option<Time>,
     errors: f64,
@@ -85,6 +87,7 @@
             others: (0, Time::ZERO),
             warm: WarmSet::default(),
             pace: ColdPace::default(),
+            answers: 0,
             failures: 0,
             ejected: None,
             errors: 0.0,
@@ -145,6 +148,11 @@
         self.slowness * starting / (1.0 - self.errors.min(0.9))
     }
 
+    /// Whether it has not been tried since its start, and is no longer cold.
+    pub(crate) fn is_new(&self, now: Time) -> bool {
+        self.answers == 0 && self.running.is_empty() && !self.is_cold(now)
+    }
+
     pub(crate) fn start(&mut self, attempt: &Attempt) {
         self.running.push((attempt.number, attempt.sent, attempt.expected));
     }
@@ -167,6 +175,9 @@
             End::Unreachable | End::Broken | End::Silent => 1.0,
         };
         self.errors += (bad - self.errors) / SMOOTHING;
+        if matches!(end, End::Answered | End::Failed) {
+            self.answers += 1;
+        }
         if end == End::Answered {
             let took = now.since(attempt.sent).0 as f64;
             let ratio = took / (attempt.expected.0 as f64).max(1.0);
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -6,13 +6,13 @@
     sync::Arc,
 };
 
-use th_protocol::{BackendId, Millis, RegionId, ServiceId, Slots, Time, VmId, ZoneId};
+use th_protocol::{BackendId, Millis, Permille, RegionId, ServiceId, Slots, Time, VmId, ZoneId};
 
 use super::{
     backend::{Attempt, BackendRow, End},
     job::{Job, Placement, Refusal},
     lookup::{Topology, lookup_shares, usable_slots},
-    place::{Candidate, Scene, cheapest, millis},
+    place::{Candidate, Pool, Scene, cheapest, millis},
     record::{BackendRecord, EntryRecord},
     retry::RetryWindow,
     route::{Route, RouteTable},
@@ -40,26 +40,36 @@
     homed: f64,
 }
 
-/// Requests that were lately sent to other regions, and all.
+/// Requests that were lately sent, and whether to another region.
 #[derive(Debug, Default)]
 struct Away {
     sent: VecDeque<(Time, bool)>,
-    remote: usize,
 }
 
 impl Away {
     fn add(&mut self, remote: bool, window: Millis, now: Time) {
         self.sent.push_back((now, remote));
-        self.remote += usize::from(remote);
-        self.expire(window, now);
+        let start = now.before(window + window);
+        while self.sent.front().is_some_and(|(at, _)| *at < start) {
+            self.sent.pop_front();
+        }
     }
 
-    fn expire(&mut self, window: Millis, now: Time) {
-        while self.sent.front().is_some_and(|(at, _)| *at < now.before(window)) {
-            if let Some((_, remote)) = self.sent.pop_front() {
-                self.remote -= usize::from(remote);
+    /// Whether one more request may go to another region: the share of a window may exceed that of the window before
+    /// it by `step` only.
+    fn is_open(&self, step: Permille, window: Millis, now: Time) -> bool {
+        let (middle, start) = (now.before(window), now.before(window + window));
+        let (mut before, mut after) = ((0u64, 0u64), (0u64, 0u64));
+        for (at, remote) in &self.sent {
+            if *at < start {
+                continue;
             }
+            let counts = if *at < middle { &mut before } else { &mut after };
+            counts.0 += u64::from(*remote);
+            counts.1 += 1;
         }
+        let share = if before.1 == 0 { 0 } else { before.0 * 1_000 / before.1 };
+        after.0 * 1_000 < (share + u64::from(step.0)) * after.1
     }
 }
 
@@ -244,14 +254,15 @@
         self.waiting.remove(waiter);
     }
 
-    /// Places waiting requests where slots have become free, and refuses those whose time is up.
-    pub fn pump(&mut self, now: Time) -> Vec<(u64, Placement)> {
+    /// Places waiting requests where slots have become free, and refuses those whose time is up; looks at the first
+    /// `most` of them.
+    pub fn pump(&mut self, most: usize, now: Time) -> Vec<(u64, Placement)> {
         if self.waiting.len() == 0 {
             return Vec::new();
         }
         let mut heading = BTreeMap::new();
         let mut placed = Vec::new();
-        for number in self.waiting.order(now) {
+        for number in self.waiting.order(now).into_iter().take(most) {
             let Some(job) = self.waiting.remove(number) else {
                 continue;
             };
@@ -283,24 +294,68 @@
         }
     }
 
-    fn usable(&self, job: &Job) -> Vec<BackendId> {
-        let mut usable = Vec::new();
+    /// The backend servers that may run a request, by data centre.
+    fn usable(&self, job: &Job) -> BTreeMap<ZoneId, Vec<BackendId>> {
+        let mut usable: BTreeMap<ZoneId, Vec<BackendId>> = BTreeMap::new();
         for id in self.by_service.get(&job.service).into_iter().flatten() {
             let Some(row) = self.backends.get(id) else {
                 continue;
             };
+            let zone = &row.record.zone;
             let homes = &job.route.homes;
             let home = homes.is_empty() || row.region.as_ref().is_some_and(|it| homes.contains(it));
-            let tried = job.tried.contains(id);
-            if row.takes_work() && home && !tried && !self.evacuated.contains(&row.record.zone) {
-                usable.push(id.clone());
+            if row.takes_work() && home && !job.tried.contains(id) && !self.evacuated.contains(zone)
+            {
+                usable.entry(zone.clone()).or_default().push(id.clone());
             }
         }
         usable
     }
 
-    fn region(&self) -> Option<&RegionId> {
-        self.topology.zones.get(&self.zone)
+    /// Leaves out the backend servers that failed lately, unless that leaves none.
+    fn admitted(
+        &self,
+        usable: BTreeMap<ZoneId, Vec<BackendId>>,
+        now: Time,
+    ) -> BTreeMap<ZoneId, Vec<BackendId>> {
+        let mut admitted = usable.clone();
+        for ids in admitted.values_mut() {
+            ids.retain(|it| self.backends.get(it).is_some_and(|row| row.is_admitted(now)));
+        }
+        admitted.retain(|_, ids| !ids.is_empty());
+        if admitted.is_empty() { usable } else { admitted }
+    }
+
+    fn region_of(&self, zone: &ZoneId) -> Option<&RegionId> {
+        self.topology.zones.get(zone)
+    }
+
+    /// This VM's own pool first: its data centre, or its region where the data centre cannot keep all objects warm.
+    /// Then the other data centres of the region, and those of other regions.
+    fn pools(&self, mut usable: BTreeMap<ZoneId, Vec<BackendId>>, objects: usize) -> Vec<Pool> {
+        let settings = &self.settings;
+        let region = self.region_of(&self.zone);
+        let is_near = |zone: &ZoneId| self.region_of(zone) == region;
+        let mut own = Pool::default();
+        if let Some(local) = usable.get(&self.zone)
+            && objects <= settings.warm_objects * local.len()
+        {
+            own.backends = usable.remove(&self.zone).unwrap_or_default();
+        } else {
+            for (zone, ids) in &usable {
+                if is_near(zone) {
+                    own.backends.extend(ids.iter().cloned());
+                }
+            }
+            usable.retain(|zone, _| !is_near(zone));
+        }
+        let mut pools = vec![own];
+        for (zone, backends) in usable {
+            let remote = !is_near(&zone);
+            let distance = if remote { settings.region_cost } else { settings.zone_cost };
+            pools.push(Pool { backends, distance, remote, foreign: true });
+        }
+        pools
     }
 
     /// This VM's part of what a cold backend server takes in a second.
@@ -322,14 +377,8 @@
         if usable.is_empty() {
             return Placement::Refuse(Refusal::NoBackend, self.settings.back_most);
         }
-        let admitted: Vec<BackendId> = usable
-            .iter()
-            .filter(|it| self.backends.get(*it).is_some_and(|row| row.is_admitted(now)))
-            .cloned()
-            .collect();
-        // With all of them left out, trying one is better than refusing.
-        let choice = if admitted.is_empty() { &usable } else { &admitted };
-        let Some(best) = self.cheapest(job, choice, heading, now) else {
+        let usable = self.admitted(usable, now);
+        let Some(best) = self.choose(job, usable, heading, now) else {
             return Placement::Wait;
         };
         let left = job.limit.since(now).0 as f64;
@@ -345,32 +394,37 @@
         self.send(job, &best, now)
     }
 
-    fn cheapest(
+    /// The cheapest backend server of this VM's pool, or of another pool where this one would answer too late.
+    fn choose(
         &mut self,
         job: &Job,
-        choice: &[BackendId],
+        usable: BTreeMap<ZoneId, Vec<BackendId>>,
         heading: &BTreeMap<BackendId, u32>,
         now: Time,
     ) -> Option<Candidate> {
+        let objects = self.objects.get(&job.service).map_or(0, BTreeMap::len);
+        let pools = self.pools(usable, objects);
+        let near = pools.iter().any(|it| !it.remote && !it.backends.is_empty());
+        let settings = &self.settings;
+        let away = !near || self.away.is_open(settings.away_share, settings.away_window, now);
         let rate = self.cold_rate(job);
-        let region = self.region().cloned();
-        let window = self.settings.away_window;
-        self.away.expire(window, now);
-        let most = self.settings.away_share.of(self.away.sent.len() as u64);
-        let near = choice.iter().any(|id| {
-            let row = self.backends.get(id);
-            row.is_some_and(|it| it.region == region)
-        });
-        let scene = Scene {
-            settings: &self.settings,
-            work: &self.work,
-            zone: &self.zone,
-            region: region.as_ref(),
-            objects: self.objects.get(&job.service).map_or(0, BTreeMap::len),
-            away: !near || (self.away.remote as u64) < most,
-            now,
-        };
-        cheapest(job, &mut self.backends, choice, heading, rate, &scene)
+        let scene = Scene { settings: &self.settings, work: &self.work, objects, rate, now };
+        let mut best: Option<Candidate> = None;
+        for pool in &pools {
+            if best.is_some() {
+                break;
+            }
+            if pool.remote && !away {
+                continue;
+            }
+            let Some(found) = cheapest(job, pool, &mut self.backends, heading, &scene) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|it| found.cost < it.cost) {
+                best = Some(found);
+            }
+        }
+        best
     }
 
     fn send(&mut self, job: &Job, best: &Candidate, now: Time) -> Placement {
