Count on 13 warm objects a server instead of 18

Cause: servers that took an object over once, in a rush, were believed to keep it and drew more of it, so each object spread over more servers than keep it warm.

--- a/crates/th-steer/src/dispatch/settings.rs
+++ b/crates/th-steer/src/dispatch/settings.rs
@@ -44,7 +44,7 @@
 impl Default for DispatchSettings {
     fn default() -> DispatchSettings {
         DispatchSettings {
-            warm_objects: 18,
+            warm_objects: 13,
             object_age: Millis(20_000),
             zone_cost: Millis(50),
             region_cost: Millis(250),
