--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -444,7 +444,7 @@
             row.pace.spend();
         }
         if let Some(object) = job.object {
-            row.warm.touch(object, self.settings.warm_objects);
+            row.warm.touch(object, 8);
         }
         self.away.add(best.remote, self.settings.away_window, now);
         Placement::Send { attempt, address: row.record.address }
