Try a second server beside the first instead of breaking the first off

Now the first try goes on, the second starts only with budget and a free slot, and none starts while the VM stops.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -1,6 +1,6 @@
 //! A caller's request, from its head to its final answer.
 
-use std::{convert::Infallible, rc::Rc};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
@@ -8,10 +8,10 @@
 use hyper::body::Incoming;
 use th_protocol::{Millis, Time};
 use th_steer::{
-    dispatch::{End, Job, Placement, Refusal, RouteTable},
+    dispatch::{Attempt, End, Job, Placement, Refusal, RouteTable},
     route::hash_name,
 };
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::sleep};
 
 use crate::{
     core::{Core, Slot},
@@ -206,6 +206,35 @@
     }
 }
 
+/// An attempt that has ended.
+struct Tried {
+    outcome: Outcome,
+    line: String,
+}
+
+/// Sends a request to the backend server that was chosen for it, and gives the slot back.
+async fn try_one(
+    core: Rc<Core>,
+    job: Job,
+    out: Outgoing,
+    attempt: Attempt,
+    address: SocketAddr,
+) -> Tried {
+    let slot = Slot::new(Rc::clone(&core), job, attempt);
+    let attempt = slot.attempt().clone();
+    let left = slot.job().limit.since(core.now());
+    let wait = left.plus(core.settings.slack);
+    let outcome = out.send(&core, &attempt.backend, address, left, wait).await;
+    let warm = if attempt.warm { "warm" } else { "cold" };
+    let (backend, expected) = (&attempt.backend, attempt.expected);
+    let took = core.now().since(attempt.sent);
+    let detail = &outcome.detail;
+    let line = format!("{backend} {warm} expected={expected} took={took}: {detail}");
+    core.metrics.attempt(&slot.job().service, outcome.end);
+    slot.finish(outcome.end);
+    Tried { outcome, line }
+}
+
 async fn carry_out(core: &Rc<Core>, mut job: Job, out: Outgoing, story: &mut Story) -> Answer {
     let mut unrun = true;
     let mut last: Option<Outcome> = None;
@@ -222,42 +251,74 @@
             }
             Placement::Wait => return give_up(last, unrun, false, NO_ROUTES_BACK),
         };
-        let slot = Slot::new(Rc::clone(core), job.clone(), attempt);
-        let backend = slot.attempt().backend.clone();
-        let left = job.limit.since(now);
-        let wait = patience(core, &job, slot.attempt().expected, left);
-        let outcome = out.send(core, &backend, address, left, wait).await;
-        let attempt = slot.attempt();
-        let warm = if attempt.warm { "warm" } else { "cold" };
-        let (expected, took) = (attempt.expected, core.now().since(attempt.sent));
-        let detail = &outcome.detail;
-        story.tries.push(format!("{backend} {warm} expected={expected} took={took}: {detail}"));
-        core.metrics.attempt(&job.service, outcome.end);
-        slot.finish(outcome.end);
-        if matches!(outcome.end, End::Answered) {
-            return deliver(outcome).unwrap_or_else(|| bad_gateway("No answer."));
+        let tried = try_hedged(core, &mut job, &out, attempt, address, story).await;
+        story.tries.push(tried.line);
+        if matches!(tried.outcome.end, End::Answered) {
+            return deliver(tried.outcome).unwrap_or_else(|| bad_gateway("No answer."));
         }
-        unrun &= outcome.unrun;
-        job.tried.push(backend);
-        let allowed = outcome.unrun || job.route.idempotent;
+        unrun &= tried.outcome.unrun;
+        let allowed = tried.outcome.unrun || job.route.idempotent;
         let retry = allowed && core.dispatcher.borrow_mut().may_retry(&job, core.now());
         if !retry {
             let back = core.settings.dispatch.back_least;
-            return give_up(Some(outcome), unrun, job.limit <= core.now(), back);
+            return give_up(Some(tried.outcome), unrun, job.limit <= core.now(), back);
         }
-        last = Some(outcome);
+        last = Some(tried.outcome);
+    }
+}
+
+/// Tries one backend server. Where an idempotent request stays without an answer for far longer than expected, a
+/// second server is tried beside it; the first good answer counts, and nothing is broken off for the other's sake.
+async fn try_hedged(
+    core: &Rc<Core>,
+    job: &mut Job,
+    out: &Outgoing,
+    attempt: Attempt,
+    address: SocketAddr,
+    story: &mut Story,
+) -> Tried {
+    job.tried.push(attempt.backend.clone());
+    let patience = patience(core, job, attempt.expected);
+    let first = try_one(Rc::clone(core), job.clone(), out.clone(), attempt, address);
+    let mut first = Box::pin(first);
+    let Some(patience) = patience else {
+        return first.await;
+    };
+    tokio::select! {
+        tried = &mut first => return tried,
+        () = sleep(Duration::from_millis(patience.0)) => {}
+    }
+    let spare = core.dispatcher.borrow_mut().place_spare(job, core.now());
+    let Some((attempt, address)) = spare else {
+        return first.await;
+    };
+    job.tried.push(attempt.backend.clone());
+    let second = try_one(Rc::clone(core), job.clone(), out.clone(), attempt, address);
+    let mut second = Box::pin(second);
+    let (ended, first_ended) = tokio::select! {
+        tried = &mut first => (tried, true),
+        tried = &mut second => (tried, false),
+    };
+    if matches!(ended.outcome.end, End::Answered) {
+        return ended;
     }
+    // The other one may still bring a good answer.
+    story.tries.push(ended.line);
+    let mut tried = if first_ended { second.await } else { first.await };
+    tried.outcome.unrun &= ended.outcome.unrun;
+    tried
 }
 
-/// How long an answer is awaited: to the limit, or less where the request may be sent to another server.
-fn patience(core: &Core, job: &Job, expected: Millis, left: Millis) -> Millis {
+/// How long an answer is awaited before a second server is tried; `None` where the request must not be sent twice, or
+/// this VM stops and takes on nothing new.
+fn patience(core: &Core, job: &Job, expected: Millis) -> Option<Millis> {
     let settings = &core.settings;
-    let whole = left.plus(settings.slack);
-    if !job.route.idempotent || job.route.attempts as usize <= job.tried.len() + 1 {
-        return whole;
+    let last = job.route.attempts as usize <= job.tried.len();
+    if !job.route.idempotent || last || core.stopping.get() {
+        return None;
     }
     let patience = Millis(expected.0 * u64::from(settings.patience));
-    patience.max(settings.patience_least).min(whole)
+    Some(patience.max(settings.patience_least))
 }
 
 fn deliver(outcome: Outcome) -> Option<Answer> {
--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -99,6 +99,10 @@
         &self.attempt
     }
 
+    pub(crate) fn job(&self) -> &Job {
+        &self.job
+    }
+
     pub(crate) fn finish(mut self, end: End) {
         self.end = end;
     }
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -68,7 +68,7 @@
             counts.0 += u64::from(*remote);
             counts.1 += 1;
         }
-        let share = if before.1 == 0 { 0 } else { before.0 * 1_000 / before.1 };
+        let share = (before.0 * 1_000).checked_div(before.1).unwrap_or(0);
         after.0 * 1_000 < (share + u64::from(step.0)) * after.1
     }
 }
@@ -249,6 +249,17 @@
         (Placement::Wait, Some(self.waiters))
     }
 
+    /// Places a request a second time while its first try goes on, where the budget allows and a slot is free.
+    pub fn place_spare(&mut self, job: &Job, now: Time) -> Option<(Attempt, SocketAddr)> {
+        if !self.may_retry(job, now) {
+            return None;
+        }
+        match self.decide(job, &mut BTreeMap::new(), now) {
+            Placement::Send { attempt, address } => Some((attempt, address)),
+            Placement::Wait | Placement::Refuse(..) => None,
+        }
+    }
+
     /// Takes a waiting request out, since its caller left.
     pub fn forget(&mut self, waiter: u64) {
         self.waiting.remove(waiter);
@@ -444,7 +455,7 @@
             row.pace.spend();
         }
         if let Some(object) = job.object {
-            row.warm.touch(object, 8);
+            row.warm.touch(object, self.settings.warm_objects);
         }
         self.away.add(best.remote, self.settings.away_window, now);
         Placement::Send { attempt, address: row.record.address }
