Count the requests that wait ahead of a new one; try servers that were left out

Cause, found by new tests: a new request's expected wait ignored those that already waited, so it was let in and refused at its limit; and a server that had failed was not tried again while others were warm.

--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -148,9 +148,11 @@
         self.slowness * starting / (1.0 - self.errors.min(0.9))
     }
 
-    /// Whether it has not been tried since its start, and is no longer cold.
-    pub(crate) fn is_new(&self, now: Time) -> bool {
-        self.answers == 0 && self.running.is_empty() && !self.is_cold(now)
+    /// Whether a single request should find out how it does: it has not been tried since its start, or not since it
+    /// was left out.
+    pub(crate) fn is_due(&self, now: Time) -> bool {
+        let untried = self.answers == 0 || self.ejected.is_some_and(|until| until <= now);
+        untried && self.running.is_empty() && !self.is_cold(now)
     }
 
     pub(crate) fn start(&mut self, attempt: &Attempt) {
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -12,7 +12,7 @@
     backend::{Attempt, BackendRow, End},
     job::{Job, Placement, Refusal},
     lookup::{Topology, lookup_shares, usable_slots},
-    place::{Candidate, Pool, Scene, cheapest, millis},
+    place::{Candidate, Heading, Pool, Scene, cheapest, millis},
     record::{BackendRecord, EntryRecord},
     retry::RetryWindow,
     route::{Route, RouteTable},
@@ -91,6 +91,8 @@
     homed: BTreeMap<String, Homed>,
     away: Away,
     waiting: Waiting,
+    /// The requests that wait, as the last look at all of them found, and those that came since.
+    heading: Heading,
     attempts: u64,
     waiters: u64,
 }
@@ -120,6 +122,7 @@
             homed: BTreeMap::new(),
             away: Away::default(),
             waiting: Waiting::default(),
+            heading: Heading::default(),
             attempts: 0,
             waiters: 0,
         }
@@ -240,7 +243,9 @@
 
     /// Places a request, or lets it wait; the number of a wait comes back from [`Dispatcher::pump`].
     pub fn place(&mut self, job: Job, now: Time) -> (Placement, Option<u64>) {
-        let placement = self.decide(&job, &mut BTreeMap::new(), now);
+        let mut heading = std::mem::take(&mut self.heading);
+        let placement = self.decide(&job, &mut heading, now);
+        self.heading = heading;
         if placement != Placement::Wait {
             return (placement, None);
         }
@@ -254,7 +259,7 @@
         if !self.may_retry(job, now) {
             return None;
         }
-        match self.decide(job, &mut BTreeMap::new(), now) {
+        match self.decide(job, &mut Heading::default(), now) {
             Placement::Send { attempt, address } => Some((attempt, address)),
             Placement::Wait | Placement::Refuse(..) => None,
         }
@@ -269,9 +274,10 @@
     /// `most` of them.
     pub fn pump(&mut self, most: usize, now: Time) -> Vec<(u64, Placement)> {
         if self.waiting.len() == 0 {
+            self.heading = Heading::default();
             return Vec::new();
         }
-        let mut heading = BTreeMap::new();
+        let mut heading = Heading::default();
         let mut placed = Vec::new();
         for number in self.waiting.order(now).into_iter().take(most) {
             let Some(job) = self.waiting.remove(number) else {
@@ -282,6 +288,9 @@
                 it => placed.push((number, it)),
             }
         }
+        if self.waiting.len() <= most {
+            self.heading = heading;
+        }
         placed
     }
 
@@ -375,12 +384,7 @@
         rate / self.entries.len().max(1) as f64
     }
 
-    fn decide(
-        &mut self,
-        job: &Job,
-        heading: &mut BTreeMap<BackendId, u32>,
-        now: Time,
-    ) -> Placement {
+    fn decide(&mut self, job: &Job, heading: &mut Heading, now: Time) -> Placement {
         if job.limit <= now {
             return Placement::Refuse(Refusal::Expired, self.settings.back_least);
         }
@@ -399,7 +403,7 @@
             return Placement::Refuse(Refusal::TooLate, back);
         }
         if !best.free {
-            *heading.entry(best.backend).or_default() += 1;
+            heading.add(best.backend, job.route.rank);
             return Placement::Wait;
         }
         self.send(job, &best, now)
@@ -410,7 +414,7 @@
         &mut self,
         job: &Job,
         usable: BTreeMap<ZoneId, Vec<BackendId>>,
-        heading: &BTreeMap<BackendId, u32>,
+        heading: &Heading,
         now: Time,
     ) -> Option<Candidate> {
         let objects = self.objects.get(&job.service).map_or(0, BTreeMap::len);
--- a/crates/th-steer/src/dispatch/place.rs
+++ b/crates/th-steer/src/dispatch/place.rs
@@ -56,6 +56,23 @@
     pub(crate) remote: bool,
 }
 
+/// Requests that wait, by the backend server that each is to have and by rank.
+#[derive(Debug, Default)]
+pub(crate) struct Heading {
+    counts: BTreeMap<BackendId, BTreeMap<u32, u32>>,
+}
+
+impl Heading {
+    pub(crate) fn add(&mut self, backend: BackendId, rank: u32) {
+        *self.counts.entry(backend).or_default().entry(rank).or_default() += 1;
+    }
+
+    /// Those that are served before a new request of a rank.
+    fn ahead(&self, backend: &BackendId, rank: u32) -> u32 {
+        self.counts.get(backend).map_or(0, |it| it.range(..=rank).map(|(_, count)| count).sum())
+    }
+}
+
 /// How many backend servers of a pool an object has for its own.
 pub(crate) fn copies(backends: usize, objects: usize, settings: &DispatchSettings) -> usize {
     (settings.warm_objects * backends / objects.max(1)).clamp(1, backends.max(1))
@@ -81,13 +98,12 @@
     order.into_iter().map(|(_, id)| id).collect()
 }
 
-/// The cheapest backend server of a pool, whether it has a free slot or not. `heading` counts the requests that wait
-/// for each server ahead of this one.
+/// The cheapest backend server of a pool, whether it has a free slot or not.
 pub(crate) fn cheapest(
     job: &Job,
     pool: &Pool,
     rows: &mut BTreeMap<BackendId, BackendRow>,
-    heading: &BTreeMap<BackendId, u32>,
+    heading: &Heading,
     scene: &Scene<'_>,
 ) -> Option<Candidate> {
     let (route, settings, now) = (&job.route, scene.settings, scene.now);
@@ -111,7 +127,7 @@
         let is_warm = object.is_some_and(|it| pool.foreign || row.warm.contains(it));
         let effort = row.effort(now);
         let work = if is_warm { warm } else { cold } * effort;
-        let load = row.load(settings, now) + heading.get(id).copied().unwrap_or(0);
+        let load = row.load(settings, now) + heading.ahead(id, route.rank);
         let slots = row.record.slots.0.max(1);
         let mut wait = 0.0;
         if slots <= load {
@@ -124,8 +140,8 @@
         if row.is_silent(now) {
             cost += cold;
         }
-        // A newcomer is tried once, or it would never be warm enough to be chosen.
-        if row.is_new(now) && route.idempotent && !pool.foreign {
+        // Without a trial a newcomer, or a server that failed, would never be warm enough to be chosen.
+        if row.is_due(now) && route.idempotent && !pool.foreign {
             cost = 0.0;
         }
         if best.as_ref().is_some_and(|it| it.cost <= cost) {
--- /dev/null
+++ b/crates/th-steer/tests/dispatch_place.rs
@@ -0,0 +1,285 @@
+//! Placement of requests without tickets: by object, by load, by distance, and away from what fails.
+
+mod dispatch_world;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dispatch_world::{START, World, backend, id, route, table};
+use rstest::rstest;
+use th_protocol::{BackendId, Millis, Slots, Time};
+use th_steer::dispatch::{BackendRecord, DispatchSettings, End, Placement, Refusal, Serving};
+
+const WORK: Millis = Millis(300);
+
+const NORTH: &[(&str, &str)] =
+    &[("b-1", "north-a"), ("b-2", "north-a"), ("b-3", "north-a"), ("b-4", "north-a")];
+
+/// Load pattern: the same objects again and again. Each is to meet the server that has it warm.
+#[test]
+fn an_object_comes_back_to_its_server() {
+    let mut world = World::new(NORTH);
+    let mut first: BTreeMap<u64, BackendId> = BTreeMap::new();
+    for object in 0..30 {
+        first.insert(object, world.serve(object, WORK));
+    }
+    // Newcomers were tried once each; from then on the place is stable.
+    for object in 0..30 {
+        first.insert(object, world.serve(object, WORK));
+    }
+    for _ in 0..5 {
+        for object in 0..30 {
+            assert_eq!(world.serve(object, WORK), first[&object], "object {object}");
+        }
+    }
+    let used: BTreeSet<_> = first.values().collect();
+    assert_eq!(used.len(), 4, "objects are spread over all servers");
+}
+
+/// Load pattern: one object in demand. Its server's slots are not exceeded, and the rest waits or goes on.
+#[test]
+fn slots_are_never_exceeded() {
+    let mut world = World::new(NORTH);
+    let mut running: BTreeMap<BackendId, u32> = BTreeMap::new();
+    for _ in 0..40 {
+        let job = world.job(7);
+        if let Placement::Send { attempt, .. } = world.place(&job).0 {
+            *running.entry(attempt.backend).or_default() += 1;
+        }
+    }
+    for (backend, count) in running {
+        assert!(count <= 2, "{backend} holds {count} of 2 slots");
+    }
+}
+
+#[test]
+fn few_objects_move_when_a_server_joins() {
+    let mut world = World::new(NORTH);
+    let mut before: BTreeMap<u64, BackendId> = BTreeMap::new();
+    for _ in 0..2 {
+        for object in 0..40 {
+            before.insert(object, world.serve(object, WORK));
+        }
+    }
+    world.dispatcher.on_backend(backend("b-5", "north-a"), world.now);
+    let mut moved = 0;
+    for object in 0..40 {
+        moved += u32::from(world.serve(object, WORK) != before[&object]);
+    }
+    // A fifth of the objects belongs to the newcomer; the others stay.
+    assert!(moved <= 16, "{moved} of 40 objects moved");
+}
+
+#[test]
+fn a_newcomer_is_tried() {
+    let mut world = World::new(NORTH);
+    for _ in 0..3 {
+        for object in 0..12 {
+            world.serve(object, WORK);
+        }
+    }
+    world.dispatcher.on_backend(backend("b-5", "north-a"), world.now);
+    assert_eq!(world.serve(0, WORK), id::<BackendId>("b-5"));
+}
+
+#[rstest]
+#[case::draining(BackendRecord { serving: Serving::Draining, ..backend("b-1", "north-a") })]
+#[case::other_service(BackendRecord { service: id("hub"), ..backend("b-1", "north-a") })]
+fn a_server_that_leaves_gets_no_more_work(#[case] record: BackendRecord) {
+    let mut world = World::new(&[("b-1", "north-a")]);
+    world.serve(1, WORK);
+    world.dispatcher.on_backend(record, world.now);
+    let job = world.job(1);
+    let (placement, _) = world.place(&job);
+    assert!(matches!(placement, Placement::Refuse(Refusal::NoBackend, _)), "{placement:?}");
+}
+
+#[test]
+fn an_evacuated_data_centre_gets_no_more_work_until_taken_back() {
+    let mut world = World::new(&[("b-1", "north-a"), ("b-2", "south-a")]);
+    world.serve(1, WORK);
+    world.dispatcher.set_evacuated(BTreeSet::from([id("north-a")]));
+    for object in 0..5 {
+        assert_eq!(world.serve(object, WORK), id::<BackendId>("b-2"));
+    }
+    world.dispatcher.set_evacuated(BTreeSet::new());
+    assert_eq!(world.serve(1, WORK), id::<BackendId>("b-1"));
+}
+
+#[test]
+fn requests_stay_in_the_homes_of_their_route() {
+    let mut world = World::new(&[("b-1", "north-a"), ("b-2", "south-a")]);
+    let mut homed = route("look");
+    homed.homes.insert(id("south"));
+    for object in 0..10 {
+        let job = world.job_of(homed.clone(), object);
+        let attempt = world.send(&job);
+        assert_eq!(attempt.backend, id::<BackendId>("b-2"));
+        world.end(&job, &attempt, End::Answered, WORK);
+    }
+}
+
+#[test]
+fn an_unreachable_server_is_left_out_and_tried_again() {
+    let mut world = World::new(NORTH);
+    for object in 0..20 {
+        world.serve(object, WORK);
+    }
+    let job = world.job(3);
+    let attempt = world.send(&job);
+    world.end(&job, &attempt, End::Unreachable, Millis(1));
+    let bad = attempt.backend;
+    for object in 0..20 {
+        assert_ne!(world.serve(object, Millis(10)), bad);
+    }
+    world.now = world.now.after(Millis(5_000));
+    let mut seen = BTreeSet::new();
+    for object in 0..20 {
+        seen.insert(world.serve(object, Millis(10)));
+    }
+    assert!(seen.contains(&bad), "{bad} is not tried again");
+}
+
+#[test]
+fn with_all_servers_left_out_one_is_tried() {
+    let mut world = World::new(&[("b-1", "north-a")]);
+    let job = world.job(1);
+    let attempt = world.send(&job);
+    world.end(&job, &attempt, End::Unreachable, Millis(1));
+    let job = world.job(2);
+    assert!(matches!(world.place(&job).0, Placement::Send { .. }));
+}
+
+/// Load pattern: more work than slots. What waits is served by rank, and what cannot be in time is refused.
+#[test]
+fn the_higher_rank_gets_the_free_slot() {
+    let mut world = World::new(&[("b-1", "north-a")]);
+    let mut held = Vec::new();
+    for object in 0..2 {
+        let job = world.job(object);
+        held.push((job.clone(), world.send(&job)));
+    }
+    let low = world.job(5);
+    let (_, low) = world.place(&low);
+    let mut urgent = route("call");
+    urgent.rank = 0;
+    let high = world.job_of(urgent, 6);
+    let (_, high) = world.place(&high);
+    assert!(low.is_some() && high.is_some(), "both wait");
+    let (job, attempt) = held.pop().unwrap();
+    world.end(&job, &attempt, End::Answered, WORK);
+    let placed = world.dispatcher.pump(usize::MAX, world.now);
+    assert_eq!(placed.len(), 1);
+    assert_eq!(Some(placed[0].0), high);
+}
+
+#[test]
+fn a_wait_ends_with_a_refusal_at_the_limit() {
+    let mut world = World::new(&[("b-1", "north-a")]);
+    for object in 0..2 {
+        let job = world.job(object);
+        world.send(&job);
+    }
+    let job = world.job(3);
+    let (_, waiter) = world.place(&job);
+    let placed = world.dispatcher.pump(usize::MAX, job.limit);
+    assert_eq!(placed.len(), 1);
+    assert_eq!(Some(placed[0].0), waiter);
+    assert!(matches!(placed[0].1, Placement::Refuse(Refusal::Expired, _)));
+}
+
+#[test]
+fn what_cannot_be_in_time_is_refused_at_once() {
+    let mut world = World::new(&[("b-1", "north-a")]);
+    let mut refused = None;
+    for object in 0..60 {
+        let job = world.job(object);
+        if let Placement::Refuse(Refusal::TooLate, back) = world.place(&job).0 {
+            refused = Some(back);
+            break;
+        }
+    }
+    let settings = DispatchSettings::default();
+    let back = refused.expect("60 requests for 2 slots within 1.5 s cannot all be in time");
+    assert!(settings.back_least <= back && back <= settings.back_most, "{back}");
+}
+
+/// Load pattern: a server that has just started. All VMs together keep under its rate.
+#[test]
+fn a_cold_server_gets_its_part_of_the_rate() {
+    let mut world = World::new(&[]);
+    for index in 2..=4 {
+        let name = format!("entry-{index}");
+        world.dispatcher.on_entry(dispatch_world::entry(&name, "north-b", index));
+    }
+    let cold =
+        BackendRecord { cold: Millis(60_000), slots: Slots(100), ..backend("b-1", "north-a") };
+    world.dispatcher.on_backend(cold, world.now);
+    let mut sent = 0;
+    for step in 0..1_000 {
+        world.now = START.after(Millis(step * 10));
+        let job = world.job(step);
+        if let Placement::Send { .. } = world.place(&job).0 {
+            sent += 1;
+        }
+        world.dispatcher.pump(usize::MAX, world.now);
+    }
+    // 10 s at a rate of 4 a second, of which this VM is one of four, and the token at the start. Waiting requests that
+    // the pump places come out of the same tokens.
+    assert!(sent <= 11, "{sent}");
+}
+
+#[test]
+fn a_restart_under_the_same_id_forgets_what_was_warm() {
+    let mut world = World::new(&[("b-1", "north-a")]);
+    world.serve(1, WORK);
+    let job = world.job(1);
+    let attempt = world.send(&job);
+    assert!(attempt.warm);
+    world.end(&job, &attempt, End::Answered, WORK);
+    let again = BackendRecord { born: Some(2), ..backend("b-1", "north-a") };
+    world.dispatcher.on_backend(again, world.now);
+    let job = world.job(1);
+    assert!(!world.send(&job).warm);
+}
+
+#[test]
+fn a_second_try_needs_budget_another_server_and_a_free_slot() {
+    let mut world = World::new(&[("b-1", "north-a"), ("b-2", "north-a")]);
+    let mut job = world.job(1);
+    let first = world.send(&job);
+    job.tried.push(first.backend.clone());
+    let (second, _) = world.dispatcher.place_spare(&job, world.now).unwrap();
+    assert_ne!(second.backend, first.backend);
+    job.tried.push(second.backend);
+    assert!(world.dispatcher.place_spare(&job, world.now).is_none(), "the route allows two");
+}
+
+#[test]
+fn an_older_configuration_does_not_come_back() {
+    let mut world = World::new(NORTH);
+    assert!(world.dispatcher.on_routes(table(5, vec![route("look")])));
+    assert!(!world.dispatcher.on_routes(table(4, vec![])));
+    assert!(!world.dispatcher.on_routes(table(5, vec![])));
+    assert_eq!(world.dispatcher.routes().unwrap().version().0, 5);
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let mut narrow = route("narrow");
+    narrow.prefix = "/look/deep/".to_owned();
+    let table = table(1, vec![route("wide"), narrow]);
+    let name = |path: &str| table.find("desk.example", path).map(|it| it.name.clone());
+    assert_eq!(name("/look/deep/x"), Some("narrow".to_owned()));
+    assert_eq!(name("/look/x"), Some("wide".to_owned()));
+    assert_eq!(name("/look"), None);
+    assert!(table.find("other.example", "/look/x").is_none());
+}
+
+#[test]
+fn requests_wait_while_time_passes_only() {
+    let mut world = World::new(&[("b-1", "north-a")]);
+    assert!(world.dispatcher.pump(usize::MAX, Time(0)).is_empty());
+    let job = world.job(1);
+    world.send(&job);
+    assert_eq!(world.dispatcher.waiting(), 0);
+}
--- /dev/null
+++ b/crates/th-steer/tests/dispatch_shares.rs
@@ -0,0 +1,162 @@
+//! Look-up shares, divisions by weight, and budgets that VMs keep together.
+
+mod dispatch_world;
+
+use std::collections::BTreeMap;
+
+use dispatch_world::{START, World, backend, entry, id, route, table, topology};
+use rstest::rstest;
+use th_protocol::{Millis, ServiceId, Slots, ZoneId};
+use th_steer::dispatch::{
+    BackendRecord, ColdPace, RetryWindow, Share, Split, WarmSet, lookup_shares,
+};
+
+fn room(parts: &[(&str, f64)]) -> BTreeMap<ZoneId, f64> {
+    parts.iter().map(|(zone, part)| (id(zone), *part)).collect()
+}
+
+#[rstest]
+#[case::even(&[("north-a", 1.0), ("north-b", 1.0), ("south-a", 1.0)], "north-a", &[("north-a", 1.0)])]
+// Load pattern: half of a data centre's callers have no slots near.
+#[case::near_first(&[("north-a", 1.0), ("north-b", 3.0), ("south-a", 2.0)], "north-a", &[("north-a", 0.5), ("north-b", 0.5)])]
+#[case::then_far(&[("north-a", 1.0), ("north-b", 1.0), ("south-a", 4.0)], "north-a", &[("north-a", 0.5), ("south-a", 0.5)])]
+#[case::none_here(&[("north-a", 0.0), ("north-b", 3.0), ("south-a", 3.0)], "north-a", &[("north-b", 0.5), ("south-a", 0.5)])]
+fn callers_go_where_slots_are(
+    #[case] parts: &[(&str, f64)],
+    #[case] zone: &str,
+    #[case] expected: &[(&str, f64)],
+) {
+    let shares = lookup_shares(&id(zone), &topology(), &room(parts));
+    for (zone, share) in &shares {
+        let want = expected.iter().find(|(it, _)| *it == zone.as_str()).map_or(0.0, |it| it.1);
+        assert!((share - want).abs() < 0.01, "{zone}: {share}, not {want}; {shares:?}");
+    }
+    let sum: f64 = shares.values().sum();
+    assert!((sum - 1.0).abs() < 1e-9, "{sum}");
+}
+
+#[test]
+fn a_service_that_no_route_uses_does_not_draw_callers() {
+    let mut world = World::new(&[("b-1", "north-a"), ("b-2", "north-b"), ("b-3", "south-a")]);
+    for (name, zone, port) in [("entry-2", "north-b", 2), ("entry-3", "south-a", 3)] {
+        world.dispatcher.on_entry(entry(name, zone, port));
+    }
+    let stray =
+        BackendRecord { service: id("other"), slots: Slots(50), ..backend("x-1", "south-a") };
+    world.dispatcher.on_backend(stray, START);
+    let named = world.dispatcher.lookup("desk.example", &id("north-a"));
+    assert!(named.iter().all(|it| it.port() == 1), "{named:?}");
+}
+
+/// Load pattern: a few test requests on a route with homes, beside callers that go everywhere.
+#[test]
+fn homes_bind_look_ups_once_requests_come_on_such_routes() {
+    let servers = [("b-1", "north-a"), ("b-2", "south-a"), ("b-3", "south-a"), ("b-4", "south-a")];
+    let mut world = World::new(&servers);
+    world.dispatcher.on_entry(entry("entry-3", "south-a", 3));
+    let mut homed = route("homed");
+    homed.prefix = "/homed/".to_owned();
+    homed.homes.insert(id("north"));
+    assert!(world.dispatcher.on_routes(table(2, vec![route("look"), homed.clone()])));
+    let names_south = |world: &World| {
+        let named = world.dispatcher.lookup("desk.example", &id("north-a"));
+        named.iter().any(|it| it.port() == 3)
+    };
+    for object in 0..100 {
+        let job = world.job(object);
+        world.dispatcher.on_request(&job, START);
+    }
+    assert!(names_south(&world));
+    for object in 0..20 {
+        let job = world.job_of(homed.clone(), object);
+        world.dispatcher.on_request(&job, START);
+    }
+    assert!(!names_south(&world));
+}
+
+#[test]
+fn look_ups_name_no_vm_that_left() {
+    let mut world = World::new(&[("b-1", "north-a"), ("b-2", "south-a")]);
+    world.dispatcher.on_entry(entry("entry-3", "south-a", 3));
+    world.dispatcher.on_entry_gone(&id("entry-3"));
+    let named = world.dispatcher.lookup("desk.example", &id("south-a"));
+    assert!(!named.is_empty() && named.iter().all(|it| it.port() == 1), "{named:?}");
+}
+
+#[rstest]
+#[case(&[90.0, 10.0])]
+#[case(&[1.0, 1.0, 1.0])]
+#[case(&[5.0, 0.0])]
+fn each_service_gets_its_weight(#[case] weights: &[f64]) {
+    let mut shares = Vec::new();
+    for (index, weight) in weights.iter().enumerate() {
+        let service: ServiceId = id(&format!("s-{index}"));
+        shares.push(Share { service, weight: *weight });
+    }
+    let mut split = Split::default();
+    let mut counts: BTreeMap<ServiceId, f64> = BTreeMap::new();
+    for sent in 1..=300 {
+        *counts.entry(split.next(&shares).unwrap()).or_default() += 1.0;
+        for share in &shares {
+            let due = f64::from(sent) * share.weight / weights.iter().sum::<f64>();
+            let got = counts.get(&share.service).copied().unwrap_or(0.0);
+            assert!((got - due).abs() <= 1.0, "{}: {got} of {due}", share.service);
+        }
+    }
+}
+
+#[test]
+fn no_weight_means_no_service() {
+    let share = Share { service: id("s-1"), weight: 0.0 };
+    assert_eq!(Split::default().next(&[share]), None);
+}
+
+/// Load pattern: everything fails at once. The VMs' retries stay under the budget that they share.
+#[test]
+fn retries_of_all_vms_stay_under_the_budget() {
+    const VMS: usize = 7;
+    const WINDOW: Millis = Millis(10_000);
+    let mut windows = vec![RetryWindow::default(); VMS];
+    let (mut first, mut again) = (0.0, 0.0);
+    for step in 0..10_000 {
+        let now = START.after(Millis(step));
+        let window = &mut windows[step as usize % VMS];
+        window.first(WINDOW, now);
+        first += 1.0;
+        if window.take(0.2, 58.0 / VMS as f64, WINDOW, now) {
+            again += 1.0;
+        }
+    }
+    // Each VM may go one over its part.
+    assert!(again <= 0.2 * first + 58.0 + VMS as f64, "{again} of {first}");
+    assert!(0.15 * first < again, "the budget is used");
+}
+
+#[test]
+fn the_pace_of_a_cold_server_holds_in_every_second() {
+    let mut pace = ColdPace::default();
+    let mut sent = Vec::new();
+    for step in 0..5_000 {
+        let now = START.after(Millis(step));
+        if pace.is_open(4.0, now) {
+            pace.spend();
+            sent.push(step);
+        }
+    }
+    for start in 0..4_000 {
+        let count = sent.iter().filter(|it| (start..start + 1_000).contains(*it)).count();
+        assert!(count <= 5, "{count} from {start}");
+    }
+    assert!(20 <= sent.len());
+}
+
+#[test]
+fn the_object_used_longest_ago_makes_room() {
+    let mut warm = WarmSet::default();
+    for object in [1, 2, 1, 3] {
+        warm.touch(object, 2);
+    }
+    assert!(warm.contains(1) && warm.contains(3) && !warm.contains(2));
+    warm.clear();
+    assert!(!warm.contains(1));
+}
--- /dev/null
+++ b/crates/th-steer/tests/dispatch_world/mod.rs
@@ -0,0 +1,132 @@
+//! A service of backend servers in some data centres, and a dispatcher that knows them.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use th_protocol::{BackendId, Millis, ServiceId, Slots, Time, Version, VmId, ZoneId};
+use th_steer::dispatch::{
+    Attempt, BackendRecord, CallerLimits, DispatchSettings, Dispatcher, End, EntryRecord, Job,
+    Placement, Route, RouteTable, Serving, Share, Topology,
+};
+
+pub(crate) const START: Time = Time(100_000);
+pub(crate) const COLD_RATE: f64 = 4.0;
+
+pub(crate) fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+/// Two data centres in the north, one in the south.
+pub(crate) fn topology() -> Topology {
+    let mut zones = BTreeMap::new();
+    for (zone, region) in [("north-a", "north"), ("north-b", "north"), ("south-a", "south")] {
+        zones.insert(id(zone), id(region));
+    }
+    Topology { zones }
+}
+
+pub(crate) fn route(name: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "desk.example".to_owned(),
+        prefix: "/look/".to_owned(),
+        idempotent: true,
+        timeout: Millis(1_500),
+        objective: Millis(600),
+        rank: 1,
+        services: vec![Share { service: id("desk"), weight: 1.0 }],
+        attempts: 2,
+        sticky: true,
+        homes: Default::default(),
+    }
+}
+
+pub(crate) fn table(version: u64, routes: Vec<Route>) -> RouteTable {
+    let mut cold = BTreeMap::new();
+    for route in &routes {
+        for share in &route.services {
+            cold.insert(share.service.clone(), COLD_RATE);
+        }
+    }
+    RouteTable::new(Version(version), routes, cold, CallerLimits::default())
+}
+
+pub(crate) fn backend(name: &str, zone: &str) -> BackendRecord {
+    BackendRecord {
+        id: id(name),
+        service: id("desk"),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: id(zone),
+        slots: Slots(2),
+        serving: Serving::Ready,
+        born: Some(1),
+        cold: Millis::ZERO,
+    }
+}
+
+pub(crate) fn entry(name: &str, zone: &str, port: u16) -> EntryRecord {
+    EntryRecord { vm: id(name), zone: id(zone), callers: ([127, 0, 0, 1], port).into() }
+}
+
+pub(crate) struct World {
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) now: Time,
+}
+
+impl World {
+    /// An entry VM in `north-a` with servers given as name and data centre.
+    pub(crate) fn new(servers: &[(&str, &str)]) -> World {
+        World::with(DispatchSettings::default(), servers)
+    }
+
+    pub(crate) fn with(settings: DispatchSettings, servers: &[(&str, &str)]) -> World {
+        let (vm, zone): (VmId, ZoneId) = (id("entry-1"), id("north-a"));
+        let mut dispatcher = Dispatcher::new(settings, vm, zone, topology());
+        dispatcher.on_entry(entry("entry-1", "north-a", 1));
+        assert!(dispatcher.on_routes(table(1, vec![route("look")])));
+        for (name, zone) in servers {
+            dispatcher.on_backend(backend(name, zone), START);
+        }
+        World { dispatcher, now: START }
+    }
+
+    pub(crate) fn job(&self, object: u64) -> Job {
+        self.job_of(route("look"), object)
+    }
+
+    pub(crate) fn job_of(&self, route: Route, object: u64) -> Job {
+        let service: ServiceId = route.services[0].service.clone();
+        let limit = self.now.after(route.timeout);
+        let route = Arc::new(route);
+        Job { route, service, object: Some(object), arrived: self.now, limit, tried: Vec::new() }
+    }
+
+    /// Places a new request.
+    pub(crate) fn place(&mut self, job: &Job) -> (Placement, Option<u64>) {
+        self.dispatcher.on_request(job, self.now);
+        self.dispatcher.place(job.clone(), self.now)
+    }
+
+    /// Places a new request that must find a slot.
+    pub(crate) fn send(&mut self, job: &Job) -> Attempt {
+        match self.place(job).0 {
+            Placement::Send { attempt, .. } => attempt,
+            other => panic!("not sent: {other:?}"),
+        }
+    }
+
+    /// Ends an attempt after some time.
+    pub(crate) fn end(&mut self, job: &Job, attempt: &Attempt, end: End, after: Millis) {
+        self.now = self.now.after(after);
+        self.dispatcher.on_end(job, attempt, end, self.now);
+    }
+
+    /// Serves a request from start to end; gives the server.
+    pub(crate) fn serve(&mut self, object: u64, work: Millis) -> BackendId {
+        let job = self.job(object);
+        let attempt = self.send(&job);
+        self.end(&job, &attempt, End::Answered, work);
+        attempt.backend
+    }
+}
