--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -15,6 +15,8 @@
 const LEAST_SLOWNESS: f64 = 0.5;
 /// Work of a backend server that has just started, as a multiple of the usual.
 const STARTING_SLOWNESS: f64 = 2.0;
+/// Part of its expected time that a request is taken to need still, however long it has run.
+const LEAST_LEFT: f64 = 0.1;
 /// A request that takes this many times its expected time makes its backend server suspect.
 const SILENT_FACTOR: f64 = 3.0;
 
@@ -126,6 +128,29 @@
         self.running.len() as u32 + if fresh { others } else { 0 }
     }
 
+    /// Milliseconds until a slot comes free for a request that comes after `ahead` others of the usual work `usual`;
+    /// zero with a slot free.
+    pub(crate) fn wait(
+        &self,
+        ahead: u32,
+        usual: f64,
+        settings: &DispatchSettings,
+        now: Time,
+    ) -> f64 {
+        let slots = self.record.slots.0.max(1);
+        let load = self.load(settings, now) + ahead;
+        if load < slots {
+            return 0.0;
+        }
+        let mut backlog = f64::from(load - self.running.len() as u32) * usual;
+        for (_, sent, expected) in &self.running {
+            let left = expected.0 as f64 - now.since(*sent).0 as f64;
+            backlog += left.max(expected.0 as f64 * LEAST_LEFT);
+        }
+        let over = f64::from(load + 1 - slots);
+        backlog * over / f64::from(load * slots)
+    }
+
     /// Whether it may be tried: not left out, or due for a trial by a single request.
     pub(crate) fn is_admitted(&self, now: Time) -> bool {
         match self.ejected {
--- a/crates/th-steer/src/dispatch/place.rs
+++ b/crates/th-steer/src/dispatch/place.rs
@@ -127,12 +127,7 @@
         let is_warm = object.is_some_and(|it| pool.foreign || row.warm.contains(it));
         let effort = row.effort(now);
         let work = if is_warm { warm } else { cold } * effort;
-        let load = row.load(settings, now) + heading.ahead(id, route.rank);
-        let slots = row.record.slots.0.max(1);
-        let mut wait = 0.0;
-        if slots <= load {
-            wait = f64::from(load - slots + 1) / f64::from(slots) * warm * effort;
-        }
+        let wait = row.wait(heading.ahead(id, route.rank), warm * effort, settings, now);
         let mut cost = wait + work + pool.distance.0 as f64 + RANK_COST * rank as f64;
         if !is_warm && !is_own {
             cost += cold * DISPLACE;
@@ -153,7 +148,7 @@
             wait,
             work,
             warm: is_warm,
-            free: load < slots,
+            free: wait == 0.0,
             remote: pool.remote,
         });
     }
