--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Takes changed settings over.
+    pub fn set_settings(&mut self, settings: DispatchSettings) {
+        self.settings = settings;
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> Option<&Arc<RouteTable>> {
         self.routes.as_ref()
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -26,7 +26,7 @@
     ready: SocketAddr,
     lookups: SocketAddr,
     client: Client,
-    _settings: tempfile::NamedTempFile,
+    settings: tempfile::NamedTempFile,
 }
 
 impl Drop for Entry {
@@ -59,7 +59,7 @@
             .spawn()
             .unwrap();
         let client = Client::builder().no_proxy().build().unwrap();
-        Entry { child, callers, ready, lookups, client, _settings: file }
+        Entry { child, callers, ready, lookups, client, settings: file }
     }
 
     async fn until_ready(&self) {
@@ -260,8 +260,9 @@
 }
 
 #[tokio::test]
-async fn a_reload_changes_nothing_for_callers() {
+async fn a_reload_of_faulty_settings_changes_nothing_for_callers() {
     let (_store, _servers, entry) = deployment(1).await;
+    std::fs::write(entry.settings.path(), "{not settings").unwrap();
     entry.signal("-HUP");
     for index in 0..10 {
         let answer = entry.send(Method::GET, "/look/x", &format!("hup-{index}")).await;
