--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Counters and latency histograms in the Prometheus text format.
 
+use std::sync::atomic::Ordering;
+
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, core::Collector,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder, core::Collector,
 };
 use th_protocol::{Millis, ServiceId};
 use th_steer::dispatch::End;
@@ -23,6 +25,7 @@
     in_flight: IntGauge,
     waiting: IntGauge,
     version: IntGauge,
+    lines: IntGaugeVec,
 }
 
 fn add<C: Collector + Clone + 'static>(registry: &Registry, metric: prometheus::Result<C>) -> C {
@@ -55,6 +58,13 @@
             in_flight: add(&registry, IntGauge::new("th_gateway_in_flight", "Requests.")),
             waiting: add(&registry, IntGauge::new("th_gateway_waiting", "Waiting requests.")),
             version: add(&registry, IntGauge::new("th_gateway_version", "Version in force.")),
+            lines: add(
+                &registry,
+                IntGaugeVec::new(
+                    Opts::new("th_gateway_lines_total", "Log lines left out since the start."),
+                    &["reason"],
+                ),
+            ),
             registry,
         }
     }
@@ -72,6 +82,11 @@
     }
 
     pub(crate) fn set_state(&self, core: &Core) {
+        let lines = &core.settings.lines;
+        for (reason, count) in [("thinned", &lines.thinned), ("lost", &lines.lost)] {
+            let count = i64::try_from(count.load(Ordering::Relaxed)).unwrap_or(i64::MAX);
+            self.lines.with_label_values(&[reason]).set(count);
+        }
         let dispatcher = core.dispatcher.borrow();
         self.in_flight.set(core.in_flight.get().into());
         self.waiting.set(dispatcher.waiting() as i64);
--- a/crates/th-gateway/src/settings.rs
+++ b/crates/th-gateway/src/settings.rs
@@ -1,10 +1,12 @@
 //! Settings of the data path.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use th_protocol::Millis;
 use th_steer::dispatch::DispatchSettings;
 
+use crate::lines::LineCounts;
+
 /// Where the process listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Listeners {
@@ -19,7 +21,7 @@
 }
 
 /// Settings of the data path.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub struct GatewaySettings {
     /// Bound on a connection attempt to a backend server: the longest round trip between regions, several times.
     pub connect: Millis,
@@ -43,6 +45,8 @@
     pub grace: Millis,
     /// Dispatch.
     pub dispatch: DispatchSettings,
+    /// Counts of the log lines that were left out.
+    pub lines: Arc<LineCounts>,
 }
 
 impl Default for GatewaySettings {
@@ -59,6 +63,7 @@
             linger: Millis(2_500),
             grace: Millis(6_000),
             dispatch: DispatchSettings::default(),
+            lines: Arc::default(),
         }
     }
 }
