--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -179,11 +179,6 @@
         }
     }
 
-    /// The backend servers that are known.
-    pub fn backend_ids(&self) -> Vec<BackendId> {
-        self.backends.keys().cloned().collect()
-    }
-
     /// Sets the data centres whose backend servers get no more work.
     pub fn set_evacuated(&mut self, zones: BTreeSet<ZoneId>) {
         self.evacuated = zones;
@@ -204,9 +199,9 @@
         self.entries.remove(vm);
     }
 
-    /// The entry VMs that are known.
-    pub fn entry_ids(&self) -> Vec<VmId> {
-        self.entries.keys().cloned().collect()
+    /// An entry VM that is known.
+    pub fn entry(&self, vm: &VmId) -> Option<&EntryRecord> {
+        self.entries.get(vm)
     }
 
     /// Requests that wait.
--- a/crates/th-steer/src/dispatch/record.rs
+++ b/crates/th-steer/src/dispatch/record.rs
@@ -43,4 +43,6 @@
     pub zone: ZoneId,
     /// Its listener for callers.
     pub callers: SocketAddr,
+    /// Its listener for questions whether it is ready.
+    pub ready: SocketAddr,
 }
--- a/crates/th-steer/tests/dispatch_world/mod.rs
+++ b/crates/th-steer/tests/dispatch_world/mod.rs
@@ -66,7 +66,8 @@
 }
 
 pub(crate) fn entry(name: &str, zone: &str, port: u16) -> EntryRecord {
-    EntryRecord { vm: id(name), zone: id(zone), callers: ([127, 0, 0, 1], port).into() }
+    let (callers, ready) = (([127, 0, 0, 1], port).into(), ([127, 0, 0, 2], port).into());
+    EntryRecord { vm: id(name), zone: id(zone), callers, ready }
 }
 
 pub(crate) struct World {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -92,6 +92,22 @@
         panic!("{path} does not come to {status}");
     }
 
+    async fn names(&self, address: SocketAddr) -> bool {
+        let url = format!("http://{}/-/resolve?name=desk.example&zone=north-a", self.lookups);
+        let named: Value = self.client.get(url).send().await.unwrap().json().await.unwrap();
+        named["addresses"].as_array().unwrap().contains(&json!(address.to_string()))
+    }
+
+    async fn until_named(&self, address: SocketAddr, named: bool) {
+        for _ in 0..3_000 {
+            if self.names(address).await == named {
+                return;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        panic!("{address} is not {}", if named { "named" } else { "dropped" });
+    }
+
     fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(sent.unwrap().success());
@@ -259,6 +275,24 @@
     assert_eq!(entry.child.wait().unwrap().code(), Some(0));
 }
 
+/// The store may turn a VM away and serve the others; its entry then lapses though it lives.
+#[tokio::test]
+async fn a_vm_that_lost_its_entry_is_named_while_it_is_ready() {
+    let (store, _servers, entry) = deployment(1).await;
+    let (_other_store, _other_servers, other) = deployment(1).await;
+    let item = json!({"zone": "north-a", "callers": other.callers, "ready": other.ready});
+    store.put("th/vm/vm-2", &item);
+    entry.until_named(other.callers, true).await;
+    store.remove("th/vm/vm-2");
+    store.put("op/config", &config(8, "/seen/"));
+    entry.until_status("/seen/x", 200).await;
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(entry.names(other.callers).await, "it answers, so it is still named");
+    drop(other);
+    let gone: SocketAddr = item["callers"].as_str().unwrap().parse().unwrap();
+    entry.until_named(gone, false).await;
+}
+
 #[tokio::test]
 async fn a_reload_of_faulty_settings_changes_nothing_for_callers() {
     let (_store, _servers, entry) = deployment(1).await;
