Split dispatch by what it does; one copy of the hop-by-hop headers

No change of behaviour: the deciding and the naming parts of the dispatcher have files of their own, and the two copies of the headers that concern one connection are one, in th-protocol.

--- a/crates/th-entry/src/caller/call.rs
+++ b/crates/th-entry/src/caller/call.rs
@@ -17,7 +17,7 @@
     call::{Incoming, Origin, answer, fingerprint},
     entry::Entry,
     in_flight::{InFlight, InFlightGuard},
-    io::{Body, Outgoing, Reply, drop_hop_headers},
+    io::{Body, Outgoing, Reply},
     peer::entry,
 };
 
@@ -165,7 +165,7 @@
 /// The request as a backend server gets it: `/{operation}/{rest}` with the query.
 fn outgoing(req: &Request, body: Bytes) -> Outgoing {
     let mut headers = req.headers().clone();
-    drop_hop_headers(&mut headers);
+    header::drop_hop_headers(&mut headers);
     let own = ["host", "content-length", "expect", header::TICKET, header::BLOCK, header::TRY];
     for name in own.iter().chain(&[header::PEER_KEY, header::ATTEMPT, header::DEADLINE]) {
         headers.remove(*name);
--- a/crates/th-entry/src/io/reply.rs
+++ b/crates/th-entry/src/io/reply.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::BoxStream;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use salvo::{Response, http::ResBody};
 use th_protocol::{Notice, Reason, Verdict, header as names};
 
@@ -117,37 +117,3 @@
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
-
-/// Headers that concern one connection only and are not passed on.
-const HOP_BY_HOP: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// Removes headers that concern one connection only, those that `Connection` names included.
-pub(crate) fn drop_hop_headers(headers: &mut HeaderMap) {
-    let mut named = Vec::new();
-    for value in headers.get_all(header::CONNECTION) {
-        let Ok(text) = value.to_str() else {
-            continue;
-        };
-        for name in text.split(',') {
-            if let Ok(name) = name.trim().parse::<HeaderName>() {
-                named.push(name);
-            }
-        }
-    }
-    for name in HOP_BY_HOP {
-        headers.remove(*name);
-    }
-    for name in &named {
-        headers.remove(name);
-    }
-}
--- a/crates/th-entry/src/io/send.rs
+++ b/crates/th-entry/src/io/send.rs
@@ -10,7 +10,7 @@
 use th_steer::backend::Outcome;
 use tokio::time::timeout;
 
-use super::{Body, Reply, drop_hop_headers};
+use super::{Body, Reply};
 
 /// A request as it goes to a backend server.
 #[derive(Debug, Clone)]
@@ -130,7 +130,7 @@
 ) -> Result<Reply, reqwest::Error> {
     let status = response.status();
     let mut headers = response.headers().clone();
-    drop_hop_headers(&mut headers);
+    names::drop_hop_headers(&mut headers);
     let mut first = BytesMut::new();
     while first.len() <= whole {
         let Some(chunk) = response.chunk().await? else {
--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use th_protocol::{Millis, Time};
+use th_protocol::{Millis, Time, header::drop_hop_headers};
 use th_steer::{
     dispatch::{Attempt, End, Job, Placement, Refusal, RouteTable},
     route::hash_name,
@@ -16,7 +16,7 @@
 use crate::{
     core::{Core, Slot},
     dialect::Facts,
-    outgoing::{Outcome, Outgoing, strip_hop_headers},
+    outgoing::{Outcome, Outgoing},
 };
 
 type Answer = Response<Full<Bytes>>;
@@ -156,7 +156,7 @@
         }
     };
     let mut headers = head.headers;
-    strip_hop_headers(&mut headers);
+    drop_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
     let path = head.uri.path_and_query().map_or("/", |it| it.as_str());
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -3,27 +3,14 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, Uri, header, response};
+use http::{HeaderMap, Method, Request, Response, Uri, response};
 use http_body_util::{BodyExt, Full};
-use th_protocol::{BackendId, Millis};
+use th_protocol::{BackendId, Millis, header::drop_hop_headers};
 use th_steer::dispatch::End;
 use tokio::time::timeout;
 
 use crate::{core::Core, link::Link};
 
-/// Headers that concern one connection only.
-const HOP_HEADERS: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// A caller's request, whole, so that it can be sent more than once.
 #[derive(Debug, Clone)]
 pub(crate) struct Outgoing {
@@ -51,23 +38,6 @@
     }
 }
 
-/// Removes the headers that concern one connection only, those that `Connection` names included.
-pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
-    let mut named = Vec::new();
-    for value in headers.get_all(header::CONNECTION) {
-        let Ok(text) = value.to_str() else {
-            continue;
-        };
-        named.extend(text.split(',').map(|it| it.trim().to_ascii_lowercase()));
-    }
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    for name in HOP_HEADERS {
-        headers.remove(*name);
-    }
-}
-
 impl Outgoing {
     fn request(&self, core: &Core, backend: &BackendId, left: Millis) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -163,7 +133,7 @@
                 "a success without the server's signature",
             );
         }
-        strip_hop_headers(&mut head.headers);
+        drop_hop_headers(&mut head.headers);
         let failed = head.status.is_server_error();
         let end = if failed { End::Failed } else { End::Answered };
         let detail = format!("status {}", head.status.as_u16());
--- a/crates/th-protocol/src/header.rs
+++ b/crates/th-protocol/src/header.rs
@@ -1,5 +1,7 @@
 //! Names of the headers that callers, entry VMs and backend servers exchange.
 
+use http::{HeaderMap, HeaderName, header};
+
 /// A caller's choice of name for an operation, unique per operation.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// The ticket from a look-up.
@@ -24,3 +26,37 @@
 pub const SHED: &str = "th-shed";
 /// The key that entry VMs show each other.
 pub const PEER_KEY: &str = "th-peer-key";
+
+/// Headers that concern one connection only and are not passed on.
+const HOP_BY_HOP: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes headers that concern one connection only, those that `Connection` names included.
+pub fn drop_hop_headers(headers: &mut HeaderMap) {
+    let mut named = Vec::new();
+    for value in headers.get_all(header::CONNECTION) {
+        let Ok(text) = value.to_str() else {
+            continue;
+        };
+        for name in text.split(',') {
+            if let Ok(name) = name.trim().parse::<HeaderName>() {
+                named.push(name);
+            }
+        }
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(*name);
+    }
+    for name in &named {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -0,0 +1,171 @@
+//! Where a request goes: which backend servers may run it, which of them is cheapest, and whether it would be late.
+
+use std::collections::BTreeMap;
+
+use th_protocol::{BackendId, RegionId, Time, ZoneId};
+
+use super::{
+    backend::Attempt,
+    dispatcher::Dispatcher,
+    job::{Job, Placement, Refusal},
+    place::{Candidate, Heading, Pool, Scene, cheapest, millis},
+};
+
+/// Part of the expected work for which there must be time when a request that has waited is sent; work varies.
+const LEAST_WORK: f64 = 0.8;
+
+impl Dispatcher {
+    /// The backend servers that may run a request, by data centre.
+    fn usable(&self, job: &Job) -> BTreeMap<ZoneId, Vec<BackendId>> {
+        let mut usable: BTreeMap<ZoneId, Vec<BackendId>> = BTreeMap::new();
+        for id in self.by_service.get(&job.service).into_iter().flatten() {
+            let Some(row) = self.backends.get(id) else {
+                continue;
+            };
+            let zone = &row.record.zone;
+            let homes = &job.route.homes;
+            let home = homes.is_empty() || row.region.as_ref().is_some_and(|it| homes.contains(it));
+            if row.takes_work() && home && !job.tried.contains(id) && !self.evacuated.contains(zone)
+            {
+                usable.entry(zone.clone()).or_default().push(id.clone());
+            }
+        }
+        usable
+    }
+
+    /// Leaves out the backend servers that failed lately, unless that leaves none.
+    fn admitted(
+        &self,
+        usable: BTreeMap<ZoneId, Vec<BackendId>>,
+        now: Time,
+    ) -> BTreeMap<ZoneId, Vec<BackendId>> {
+        let mut admitted = usable.clone();
+        for ids in admitted.values_mut() {
+            ids.retain(|it| self.backends.get(it).is_some_and(|row| row.is_admitted(now)));
+        }
+        admitted.retain(|_, ids| !ids.is_empty());
+        if admitted.is_empty() { usable } else { admitted }
+    }
+
+    pub(crate) fn region_of(&self, zone: &ZoneId) -> Option<&RegionId> {
+        self.topology.zones.get(zone)
+    }
+
+    /// This VM's own pool first: its data centre, or its region where the data centre cannot keep all objects warm.
+    /// Then the other data centres of the region, and those of other regions.
+    fn pools(&self, mut usable: BTreeMap<ZoneId, Vec<BackendId>>, objects: usize) -> Vec<Pool> {
+        let settings = &self.settings;
+        let region = self.region_of(&self.zone);
+        let is_near = |zone: &ZoneId| self.region_of(zone) == region;
+        let mut own = Pool::default();
+        if let Some(local) = usable.get(&self.zone)
+            && objects <= settings.warm_objects * local.len()
+        {
+            own.backends = usable.remove(&self.zone).unwrap_or_default();
+        } else {
+            for (zone, ids) in &usable {
+                if is_near(zone) {
+                    own.backends.extend(ids.iter().cloned());
+                }
+            }
+            usable.retain(|zone, _| !is_near(zone));
+        }
+        let mut pools = vec![own];
+        for (zone, backends) in usable {
+            let remote = !is_near(&zone);
+            let distance = if remote { settings.region_cost } else { settings.zone_cost };
+            pools.push(Pool { backends, distance, remote, foreign: true });
+        }
+        pools
+    }
+
+    /// This VM's part of what a cold backend server takes in a second.
+    fn cold_rate(&self, job: &Job) -> f64 {
+        let rate = self.routes.as_ref().and_then(|it| it.cold_rate(&job.service)).unwrap_or(1.0);
+        rate / self.entries.len().max(1) as f64
+    }
+
+    pub(crate) fn decide(&mut self, job: &Job, heading: &mut Heading, now: Time) -> Placement {
+        if job.limit <= now {
+            return Placement::Refuse(Refusal::Expired, self.settings.back_least);
+        }
+        let usable = self.usable(job);
+        if usable.is_empty() {
+            return Placement::Refuse(Refusal::NoBackend, self.settings.back_most);
+        }
+        let usable = self.admitted(usable, now);
+        let Some(best) = self.choose(job, usable, heading, now) else {
+            return Placement::Wait;
+        };
+        let left = job.limit.since(now).0 as f64;
+        // Work that starts late is broken off at the limit, and then counts as run.
+        let queued = 0.0 < best.wait || job.arrived < now;
+        let needed = if queued { best.wait + best.work * LEAST_WORK } else { 0.0 };
+        if left < needed {
+            let back = millis(needed - left);
+            let back = back.clamp(self.settings.back_least, self.settings.back_most);
+            return Placement::Refuse(Refusal::TooLate, back);
+        }
+        if !best.free {
+            heading.add(best.backend, job.route.rank);
+            return Placement::Wait;
+        }
+        self.send(job, &best, now)
+    }
+
+    /// The cheapest backend server of this VM's pool, or of another pool where this one would answer too late.
+    fn choose(
+        &mut self,
+        job: &Job,
+        usable: BTreeMap<ZoneId, Vec<BackendId>>,
+        heading: &Heading,
+        now: Time,
+    ) -> Option<Candidate> {
+        let objects = self.objects.get(&job.service).map_or(0, BTreeMap::len);
+        let pools = self.pools(usable, objects);
+        let near = pools.iter().any(|it| !it.remote && !it.backends.is_empty());
+        let settings = &self.settings;
+        let away = !near || self.away.is_open(settings.away_share, settings.away_window, now);
+        let rate = self.cold_rate(job);
+        let scene = Scene { settings: &self.settings, work: &self.work, objects, rate, now };
+        let mut best: Option<Candidate> = None;
+        for pool in &pools {
+            if best.is_some() {
+                break;
+            }
+            if pool.remote && !away {
+                continue;
+            }
+            let Some(found) = cheapest(job, pool, &mut self.backends, heading, &scene) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|it| found.cost < it.cost) {
+                best = Some(found);
+            }
+        }
+        best
+    }
+
+    fn send(&mut self, job: &Job, best: &Candidate, now: Time) -> Placement {
+        let Some(row) = self.backends.get_mut(&best.backend) else {
+            return Placement::Wait;
+        };
+        self.attempts += 1;
+        let attempt = Attempt {
+            backend: best.backend.clone(),
+            number: self.attempts,
+            sent: now,
+            warm: best.warm,
+            expected: millis(best.work),
+        };
+        row.start(&attempt);
+        if row.is_cold(now) {
+            row.pace.spend();
+        }
+        if let Some(object) = job.object {
+            row.warm.touch(object, self.settings.warm_objects);
+        }
+        self.away.add(best.remote, self.settings.away_window, now);
+        Placement::Send { attempt, address: row.record.address }
+    }
+}
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -1,11 +1,14 @@
 //! Dispatch of requests that carry no ticket: routes by host and path, backend servers that register themselves,
 //! placement by object, waiting by rank, and the budgets that all entry VMs keep together without talking.
 
+mod away;
 mod backend;
 mod cold;
+mod decide;
 mod dispatcher;
 mod job;
 mod lookup;
+mod names;
 mod place;
 mod record;
 mod retry;
