--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -113,7 +113,7 @@
         self.send(job, &best, now)
     }
 
-    /// The cheapest backend server of this VM's pool, or of another pool where this one would answer too late.
+    /// The cheapest backend server of the first pool that has one; other pools are for when this VM's has none.
     fn choose(
         &mut self,
         job: &Job,
@@ -128,22 +128,16 @@
         let away = !near || self.away.is_open(settings.away_share, settings.away_window, now);
         let rate = self.cold_rate(job);
         let scene = Scene { settings: &self.settings, work: &self.work, objects, rate, now };
-        let mut best: Option<Candidate> = None;
         for pool in &pools {
-            if best.is_some() {
-                break;
-            }
             if pool.remote && !away {
                 continue;
             }
-            let Some(found) = cheapest(job, pool, &mut self.backends, heading, &scene) else {
-                continue;
-            };
-            if best.as_ref().is_none_or(|it| found.cost < it.cost) {
-                best = Some(found);
+            let found = cheapest(job, pool, &mut self.backends, heading, &scene);
+            if found.is_some() {
+                return found;
             }
         }
-        best
+        None
     }
 
     fn send(&mut self, job: &Job, best: &Candidate, now: Time) -> Placement {
--- a/crates/th-steer/src/dispatch/place.rs
+++ b/crates/th-steer/src/dispatch/place.rs
@@ -2,7 +2,7 @@
 //!
 //! Pattern answered: objects that are warm at few backend servers, with more cold work than there are slots. Each
 //! object has its own few servers in each pool (a data centre, or a region where a data centre cannot keep all
-//! objects warm); requests leave their pool only when they would be late in it.
+//! objects warm); requests leave their pool only when it has no server that may be used.
 
 use std::collections::BTreeMap;
 
