Remove a function that nothing calls, and keep a table row private

Cause: the read-through found Dispatcher::on_cold without a caller, as there are no probes that would tell, and BackendRow exported though only dispatch uses it.

--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -58,7 +58,7 @@
 
 /// A backend server.
 #[derive(Debug)]
-pub struct BackendRow {
+pub(crate) struct BackendRow {
     pub(crate) record: BackendRecord,
     pub(crate) region: Option<RegionId>,
     /// Hash of the id, for rendezvous hashing.
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use th_protocol::{BackendId, Millis, ServiceId, Slots, Time, VmId, ZoneId};
+use th_protocol::{BackendId, ServiceId, Slots, Time, VmId, ZoneId};
 
 use super::{
     away::Away,
@@ -282,13 +282,6 @@
         }
     }
 
-    /// Takes in how long a backend server says that it stays cold.
-    pub fn on_cold(&mut self, backend: &BackendId, left: Millis, now: Time) {
-        if let Some(row) = self.backends.get_mut(backend) {
-            row.cold_until = now.after(left);
-        }
-    }
-
     /// This VM's id.
     pub fn vm(&self) -> &VmId {
         &self.vm
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -19,7 +19,7 @@
 mod warm;
 mod work;
 
-pub use backend::{Attempt, BackendRow, End};
+pub use backend::{Attempt, End};
 pub use cold::ColdPace;
 pub use dispatcher::Dispatcher;
 pub use job::{Job, Placement, Refusal};
