Let entry VMs that do not talk warm the same servers

Cold candidates of an object's own servers differed by 1 ms a rank, while the learned slowness of equal servers differed by a tenth and more: each VM chose another one. Two things fed it: warm work that a VM took for cold made its server seem three times as fast, and each VM tried every server once with whatever object came next.

Change: a cold object's ranks cost a quarter of the cold work each; an answer in warm time counts as warm for the averages; only an object that has a server first in its order makes the trial.

--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -14,7 +14,7 @@
     job::{Job, Placement},
     lookup::Topology,
     names::{HOMED_DECAY, Homed},
-    place::Heading,
+    place::{Heading, millis},
     record::{BackendRecord, EntryRecord},
     retry::RetryWindow,
     route::{Route, RouteTable},
@@ -24,6 +24,10 @@
     work::WorkTimes,
 };
 
+/// A request that was taken to be cold and took at most this many times the time of warm work was warm; half-way to
+/// cold work in logarithms, as warm work takes about a third of it.
+const WARM_LIKE: f64 = 1.8;
+
 /// Dispatch at one entry VM.
 pub struct Dispatcher {
     pub(crate) settings: DispatchSettings,
@@ -267,11 +271,20 @@
 
     /// Gives a slot back and learns from the attempt.
     pub fn on_end(&mut self, job: &Job, attempt: &Attempt, end: End, now: Time) {
+        let mut attempt = attempt.clone();
         if end == End::Answered {
-            self.work.add(&job.route.name, attempt.warm, now.since(attempt.sent));
+            let took = now.since(attempt.sent);
+            let route = &job.route;
+            let warm = self.work.expected(&route.name, true, route.objective);
+            // Another VM may have warmed the object; then the server is not a fast one.
+            if !attempt.warm && took.0 as f64 <= warm * WARM_LIKE {
+                attempt.warm = true;
+                attempt.expected = millis(warm);
+            }
+            self.work.add(&route.name, attempt.warm, took);
         }
         if let Some(row) = self.backends.get_mut(&attempt.backend) {
-            row.end(attempt, end, &self.settings, now);
+            row.end(&attempt, end, &self.settings, now);
         }
     }
 
--- a/crates/th-steer/src/dispatch/place.rs
+++ b/crates/th-steer/src/dispatch/place.rs
@@ -15,6 +15,9 @@
 const DISPLACE: f64 = 2.0;
 /// Milliseconds by which each rank of an object's backend servers costs more, so that equal ones are used in order.
 const RANK_COST: f64 = 1.0;
+/// Part of the cold work by which each rank costs more where an object is cold: more than servers seem to differ by
+/// chance, so that VMs that do not talk warm the same servers.
+const COLD_RANK: f64 = 0.25;
 
 /// What the choice depends on beside the request and the backend servers.
 pub(crate) struct Scene<'a> {
@@ -128,15 +131,18 @@
         let effort = row.effort(now);
         let work = if is_warm { warm } else { cold } * effort;
         let wait = row.wait(heading.ahead(id, route.rank), warm * effort, settings, now);
-        let mut cost = wait + work + pool.distance.0 as f64 + RANK_COST * rank as f64;
+        let step = if is_warm || object.is_none() { RANK_COST } else { cold * COLD_RANK };
+        let mut cost = wait + work + pool.distance.0 as f64 + step * rank as f64;
         if !is_warm && !is_own {
             cost += cold * DISPLACE;
         }
         if row.is_silent(now) {
             cost += cold;
         }
-        // Without a trial a newcomer, or a server that failed, would never be warm enough to be chosen.
-        if row.is_due(now) && route.idempotent && !pool.foreign {
+        // Without a trial a newcomer, or a server that failed, would never be warm enough to be chosen. Only an object
+        // that has it first in its order makes the trial: the work is not lost, as the object stays there.
+        let is_first = object.is_none() || rank == 0;
+        if row.is_due(now) && is_first && route.idempotent && !pool.foreign {
             cost = 0.0;
         }
         if best.as_ref().is_some_and(|it| it.cost <= cost) {
