Believe others' load at a backend server between its reports

A VM learns of others' load with its own answers only, 1 to 6 a second from each server, and dropped each report after 400 ms; four VMs or more then filled the same four slots.

Change: others' load is a moving average of the reports with a time constant of 1.5 s; a slot that is held with a likelihood of up to a half counts as free, and one request may always be on its way, since nothing else brings news. New test in dispatch_warm; it fails on the old code, which sends a request to a full server.

Reports that come late through a full link count for longer now.

--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -19,6 +19,10 @@
 const LEAST_LEFT: f64 = 0.1;
 /// A request that takes this many times its expected time makes its backend server suspect.
 const SILENT_FACTOR: f64 = 3.0;
+/// Least weight of a report of load in the moving average.
+const LEAST_WEIGHT: f64 = 0.25;
+/// A slot that others hold with at most this likelihood counts as free.
+const LIKELY: f64 = 0.5;
 
 /// A slot that is held at a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -56,6 +60,37 @@
     Abandoned,
 }
 
+/// When a slot is to be had at a backend server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Room {
+    /// Expected milliseconds until then; zero where one is surely free.
+    pub(crate) wait: f64,
+    /// Whether a request may be sent now.
+    pub(crate) free: bool,
+}
+
+/// The load that others put on a backend server, which it reports with its answers: a moving average, as single reports
+/// are old when the next request is placed.
+#[derive(Debug, Clone, Copy, Default)]
+struct Others {
+    mean: f64,
+    at: Time,
+}
+
+impl Others {
+    fn expected(&self, settings: &DispatchSettings, now: Time) -> f64 {
+        let age = now.since(self.at).0 as f64;
+        self.mean * (-age / settings.report_age.0 as f64).exp()
+    }
+
+    fn add(&mut self, sample: f64, settings: &DispatchSettings, now: Time) {
+        let age = now.since(self.at).0 as f64;
+        let weight = 1.0 - (-age / settings.report_age.0 as f64).exp();
+        self.mean += (sample - self.mean) * weight.max(LEAST_WEIGHT);
+        self.at = now;
+    }
+}
+
 /// A backend server.
 #[derive(Debug)]
 pub(crate) struct BackendRow {
@@ -65,8 +100,8 @@
     pub(crate) hash: u64,
     /// Attempts of this VM: number, time sent and expected time.
     pub(crate) running: Vec<(u64, Time, Millis)>,
-    /// Load that others put on it, and when it was reported.
-    pub(crate) others: (u32, Time),
+    /// Load that others put on it.
+    others: Others,
     pub(crate) warm: WarmSet,
     pub(crate) cold_until: Time,
     pub(crate) pace: ColdPace,
@@ -86,7 +121,7 @@
             record,
             region,
             running: Vec::new(),
-            others: (0, Time::ZERO),
+            others: Others::default(),
             warm: WarmSet::default(),
             pace: ColdPace::default(),
             answers: 0,
@@ -122,33 +157,33 @@
     }
 
     /// Requests that it runs or holds, as far as is known.
-    pub(crate) fn load(&self, settings: &DispatchSettings, now: Time) -> u32 {
-        let (others, at) = self.others;
-        let fresh = now.since(at) < settings.report_age;
-        self.running.len() as u32 + if fresh { others } else { 0 }
+    pub(crate) fn load(&self, settings: &DispatchSettings, now: Time) -> f64 {
+        self.running.len() as f64 + self.others.expected(settings, now)
     }
 
-    /// Milliseconds until a slot comes free for a request that comes after `ahead` others of the usual work `usual`;
-    /// zero with a slot free.
-    pub(crate) fn wait(
+    /// How a slot comes free for a request that comes after `ahead` others of the usual work `usual`.
+    pub(crate) fn room(
         &self,
         ahead: u32,
         usual: f64,
         settings: &DispatchSettings,
         now: Time,
-    ) -> f64 {
-        let slots = self.record.slots.0.max(1);
-        let load = self.load(settings, now) + ahead;
-        if load < slots {
-            return 0.0;
+    ) -> Room {
+        let slots = f64::from(self.record.slots.0.max(1));
+        let load = self.load(settings, now) + f64::from(ahead);
+        let over = load + 1.0 - slots;
+        if over <= 0.0 {
+            return Room { wait: 0.0, free: true };
         }
-        let mut backlog = f64::from(load - self.running.len() as u32) * usual;
+        let mut backlog = (load - self.running.len() as f64) * usual;
         for (_, sent, expected) in &self.running {
             let left = expected.0 as f64 - now.since(*sent).0 as f64;
             backlog += left.max(expected.0 as f64 * LEAST_LEFT);
         }
-        let over = f64::from(load + 1 - slots);
-        backlog * over / f64::from(load * slots)
+        let wait = backlog * over / (load.max(1.0) * slots);
+        // Others' load is a guess; with no request of its own there, this VM would never learn that it is over.
+        let alone = self.running.is_empty() && ahead == 0;
+        Room { wait, free: over <= LIKELY || alone }
     }
 
     /// Whether it may be tried: not left out, or due for a trial by a single request.
@@ -235,7 +270,8 @@
     }
 
     /// Takes in the requests that it reported to run or hold; those of this VM are not others' load.
-    pub(crate) fn on_load(&mut self, busy: Slots, now: Time) {
-        self.others = (busy.0.saturating_sub(self.running.len() as u32), now);
+    pub(crate) fn on_load(&mut self, busy: Slots, settings: &DispatchSettings, now: Time) {
+        let others = busy.0.saturating_sub(self.running.len() as u32);
+        self.others.add(f64::from(others), settings, now);
     }
 }
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -291,7 +291,7 @@
     /// Takes in the load that a backend server reported with an answer.
     pub fn on_load(&mut self, backend: &BackendId, busy: Slots, now: Time) {
         if let Some(row) = self.backends.get_mut(backend) {
-            row.on_load(busy, now);
+            row.on_load(busy, &self.settings, now);
         }
     }
 
--- a/crates/th-steer/src/dispatch/place.rs
+++ b/crates/th-steer/src/dispatch/place.rs
@@ -130,9 +130,9 @@
         let is_warm = object.is_some_and(|it| pool.foreign || row.warm.contains(it));
         let effort = row.effort(now);
         let work = if is_warm { warm } else { cold } * effort;
-        let wait = row.wait(heading.ahead(id, route.rank), warm * effort, settings, now);
+        let room = row.room(heading.ahead(id, route.rank), warm * effort, settings, now);
         let step = if is_warm || object.is_none() { RANK_COST } else { cold * COLD_RANK };
-        let mut cost = wait + work + pool.distance.0 as f64 + step * rank as f64;
+        let mut cost = room.wait + work + pool.distance.0 as f64 + step * rank as f64;
         if !is_warm && !is_own {
             cost += cold * DISPLACE;
         }
@@ -151,10 +151,10 @@
         best = Some(Candidate {
             backend: id.clone(),
             cost,
-            wait,
+            wait: room.wait,
             work,
             warm: is_warm,
-            free: wait == 0.0,
+            free: room.free,
             remote: pool.remote,
         });
     }
--- a/crates/th-steer/src/dispatch/settings.rs
+++ b/crates/th-steer/src/dispatch/settings.rs
@@ -19,7 +19,7 @@
     pub away_share: Permille,
     /// Length of that window; the users' bound is stated for 2 s.
     pub away_window: Millis,
-    /// How long a load report of a backend server is used for the load that others put on it.
+    /// Time constant of the load that others are taken to put on a backend server, by its reports: work of some requests.
     pub report_age: Millis,
     /// Failures in a row after which a backend server is left out.
     pub eject_after: u32,
@@ -50,7 +50,7 @@
             region_cost: Millis(250),
             away_share: Permille(70),
             away_window: Millis(2_000),
-            report_age: Millis(400),
+            report_age: Millis(1_500),
             eject_after: 3,
             eject_first: Millis(500),
             eject_most: Millis(4_000),
--- a/crates/th-steer/tests/dispatch_warm.rs
+++ b/crates/th-steer/tests/dispatch_warm.rs
@@ -68,3 +68,29 @@
     // Each object has to be cold once; a tenth more may be.
     assert!(cold * 10 <= OBJECTS * 11, "{cold} cold requests for {OBJECTS} objects");
 }
+
+/// Load pattern: a server that other VMs keep full. Its reports come with this VM's answers only, which are older than
+/// a request takes when the next one is placed; the request is to wait here, where it can still be refused or go
+/// elsewhere, not in the server's queue.
+#[test]
+fn reports_of_load_count_until_newer_ones_come() {
+    let mut fleet = Fleet::new(1);
+    for _ in 0..4 {
+        fleet.serve(0, 1);
+    }
+    let world = &mut fleet.vms[0];
+    let job = world.job(1);
+    let (one, two) = (world.send(&job), world.send(&job));
+    // Four slots, all in use: two by this VM.
+    world.dispatcher.on_load(&one.backend, Slots(6), world.now);
+    world.end(&job, &one, End::Answered, Millis(0));
+    world.now = world.now.after(Millis(WARM_WORK * 3));
+    let (placed, waiter) = world.place(&job);
+    assert!(waiter.is_some(), "{placed:?}");
+    // A guess is not believed for ever.
+    world.dispatcher.forget(waiter.unwrap());
+    world.end(&job, &two, End::Answered, Millis(0));
+    world.now = world.now.after(Millis(5_000));
+    let later = world.job(1);
+    assert_eq!(world.send(&later).backend, one.backend);
+}
