Name callers VMs by what their links carry

Besides, a look-up named the first VMs of a data centre for the rounding (510, 407, 486 requests at the three VMs of campinas-a).

Change: each VM's entry holds its link from the settings; a VM takes the whole traffic from its own and the share of callers it is named to, and a link is planned to half. What is over goes by the slots of other data centres, in the order of look-up shares. Within a data centre VMs get even parts up to their caps; over look-ups each VM gets its part by systematic sampling.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -2,11 +2,11 @@
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
+use bytes::Bytes as Buffer;
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use th_protocol::{Millis, Time, header::drop_hop_headers};
+use hyper::body::{Body, Incoming};
+use th_protocol::{Bytes, Millis, Time, header::drop_hop_headers};
 use th_steer::{
     dispatch::{Attempt, End, Job, Placement, Refusal, RouteTable},
     route::hash_name,
@@ -19,10 +19,12 @@
     outgoing::{Outcome, Outgoing},
 };
 
-type Answer = Response<Full<Bytes>>;
+type Answer = Response<Full<Buffer>>;
 
 /// Asked of callers while this VM knows no routes yet; about the time that reading them takes.
 const NO_ROUTES_BACK: Millis = Millis(500);
+/// Heads of a request and its answer and the network's own, beside the bodies.
+const HEADS: Bytes = Bytes(800);
 /// Deadline of a request that names none.
 const DEFAULT_DEADLINE: Millis = Millis(30_000);
 
@@ -85,7 +87,7 @@
 }
 
 fn plain(status: StatusCode, text: &str) -> Answer {
-    let mut answer = Response::new(Full::new(Bytes::from(text.to_owned())));
+    let mut answer = Response::new(Full::new(Buffer::from(text.to_owned())));
     *answer.status_mut() = status;
     answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     answer
@@ -133,9 +135,13 @@
         return refuse("No service of the route takes requests.", NO_ROUTES_BACK);
     };
     let object = facts.object.as_deref().map(|it| hash_name(&format!("{}/{it}", route.prefix)));
+    let size = out.body.len() as u64;
     let job = Job { route, service, object, arrived, limit, tried: Vec::new() };
     core.dispatcher.borrow_mut().on_request(&job, arrived);
-    carry_out(core, job, out, story).await
+    let answer = carry_out(core, job, out, story).await;
+    let size = size + answer.body().size_hint().lower();
+    core.dispatcher.borrow_mut().on_moved(Bytes(size).plus(HEADS));
+    answer
 }
 
 /// Reads the whole body, so that the request can be sent again.
--- a/crates/th-gateway/src/lookup.rs
+++ b/crates/th-gateway/src/lookup.rs
@@ -22,7 +22,7 @@
     let Some(query) = core.dialect.lookup(request.uri()) else {
         return status(StatusCode::NOT_FOUND);
     };
-    let addresses = core.dispatcher.borrow().lookup(&query.host, &query.zone);
+    let addresses = core.dispatcher.borrow_mut().lookup(&query.host, &query.zone);
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -6,12 +6,13 @@
     sync::Arc,
 };
 
-use th_protocol::{BackendId, ServiceId, Slots, Time, VmId, ZoneId};
+use th_protocol::{BackendId, Bytes, ServiceId, Slots, Time, VmId, ZoneId};
 
 use super::{
     away::Away,
     backend::{Attempt, BackendRow, End},
     job::{Job, Placement},
+    links::Traffic,
     lookup::Topology,
     names::{HOMED_DECAY, Homed},
     place::{Heading, millis},
@@ -50,6 +51,9 @@
     pub(crate) heading: Heading,
     pub(crate) attempts: u64,
     pub(crate) waiters: u64,
+    pub(crate) traffic: Traffic,
+    /// Look-ups answered, by which each takes its part of the rounding.
+    pub(crate) lookups: u32,
 }
 
 impl Dispatcher {
@@ -80,6 +84,8 @@
             heading: Heading::default(),
             attempts: 0,
             waiters: 0,
+            traffic: Traffic::default(),
+            lookups: 0,
         }
     }
 
@@ -251,6 +257,8 @@
 
     /// Forgets objects that nobody asks for, and what was learned of routes and services that are gone.
     pub fn tick(&mut self, now: Time) {
+        let share = self.own_share();
+        self.traffic.tick(share, now);
         let start = now.before(self.settings.object_age);
         for objects in self.objects.values_mut() {
             objects.retain(|_, last| start <= *last);
@@ -288,6 +296,11 @@
         }
     }
 
+    /// Takes note of bytes that passed this VM's link in one direction.
+    pub fn on_moved(&mut self, bytes: Bytes) {
+        self.traffic.add(bytes);
+    }
+
     /// Takes in the load that a backend server reported with an answer.
     pub fn on_load(&mut self, backend: &BackendId, busy: Slots, now: Time) {
         if let Some(row) = self.backends.get_mut(backend) {
--- a/crates/th-steer/src/dispatch/names.rs
+++ b/crates/th-steer/src/dispatch/names.rs
@@ -9,12 +9,15 @@
 
 use super::{
     dispatcher::Dispatcher,
+    links::{bound_shares, vm_shares},
     lookup::{lookup_shares, usable_slots},
     record::EntryRecord,
 };
 
 /// Addresses that a look-up names, repeated by their share; the most that callers take.
 const LOOKUP_ADDRESSES: usize = 24;
+/// The golden ratio's fraction: multiples of it spread evenly over the unit interval.
+const GOLDEN: f64 = 0.618_033_988_749_895;
 /// Requests of a host from which the share of those with homes is taken.
 const HOMED_SAMPLE: f64 = 50.0;
 /// With this share of requests on routes with homes, look-ups of the host keep to the homes: half of the part that may
@@ -30,10 +33,38 @@
     pub(crate) homed: f64,
 }
 
+/// Systematic sampling: `count` picks from parts that add up to one. Each part is picked as often as is due to it, rounded
+/// up or down by the offset between 0 and 1.
+fn sample(parts: &[f64], count: usize, offset: f64) -> Vec<usize> {
+    let mut picks = Vec::with_capacity(count);
+    let mut reached = 0.0;
+    for (index, part) in parts.iter().enumerate() {
+        reached += part * count as f64;
+        while picks.len() < count && picks.len() as f64 + offset < reached {
+            picks.push(index);
+        }
+    }
+    picks
+}
+
 impl Dispatcher {
     /// The entry VMs that a caller of a data centre is named, each as often as its share of the callers.
-    pub fn lookup(&self, host: &str, zone: &ZoneId) -> Vec<SocketAddr> {
-        let allowed = self.allowed_regions(host, zone);
+    pub fn lookup(&mut self, host: &str, zone: &ZoneId) -> Vec<SocketAddr> {
+        self.lookups = self.lookups.wrapping_add(1);
+        let named = self.named(Some(host), zone);
+        let total: f64 = named.iter().map(|it| it.1).sum();
+        if total <= 0.0 {
+            return named.into_iter().map(|it| it.0).collect();
+        }
+        let parts: Vec<f64> = named.iter().map(|it| it.1 / total).collect();
+        let offset = (f64::from(self.lookups) * GOLDEN).fract();
+        let picks = sample(&parts, LOOKUP_ADDRESSES, offset);
+        picks.into_iter().map(|index| named[index].0).collect()
+    }
+
+    /// The entry VMs that callers of a data centre and a host, or of any, may be named, with their shares.
+    fn named(&self, host: Option<&str>, zone: &ZoneId) -> Vec<(SocketAddr, f64)> {
+        let allowed = host.and_then(|it| self.allowed_regions(it, zone));
         let mut by_zone: BTreeMap<ZoneId, Vec<&EntryRecord>> = BTreeMap::new();
         for entry in self.entries.values() {
             let region = self.topology.zones.get(&entry.zone);
@@ -45,20 +76,34 @@
         let zones: Vec<&ZoneId> = by_zone.keys().collect();
         let room = self.room(&zones);
         let shares = lookup_shares(zone, &self.topology, &room);
-        let mut addresses = Vec::new();
+        let mut named = Vec::new();
         for (zone, share) in shares {
             let Some(entries) = by_zone.get(&zone) else {
                 continue;
             };
-            let count = (share * LOOKUP_ADDRESSES as f64).round() as usize;
-            for index in 0..count {
-                addresses.push(entries[index % entries.len()].callers);
+            let mut caps = BTreeMap::new();
+            for entry in entries {
+                caps.insert(entry.vm.clone(), self.traffic.cap(entry));
+            }
+            let parts = vm_shares(share, &caps);
+            for entry in entries {
+                named.push((entry.callers, parts.get(&entry.vm).copied().unwrap_or(0.0)));
             }
         }
-        if addresses.is_empty() {
-            addresses = by_zone.values().flatten().map(|it| it.callers).collect();
+        named
+    }
+
+    /// The share of all callers that this VM is named to.
+    pub(crate) fn own_share(&self) -> f64 {
+        let Some(own) = self.entries.get(&self.vm).map(|it| it.callers) else {
+            return 0.0;
+        };
+        let mut share = 0.0;
+        for zone in self.topology.zones.keys() {
+            let named = self.named(None, zone);
+            share += named.iter().filter(|it| it.0 == own).map(|it| it.1).sum::<f64>();
         }
-        addresses
+        share / self.topology.zones.len().max(1) as f64
     }
 
     /// The share of the work that each data centre can carry: the mean of its shares of the services that routes use,
@@ -88,9 +133,19 @@
                 }
             }
         }
+        self.bound_by_links(&mut room);
         room
     }
 
+    /// Lowers what data centres carry to what the links of their VMs do.
+    fn bound_by_links(&self, room: &mut BTreeMap<ZoneId, f64>) {
+        let mut caps: BTreeMap<ZoneId, f64> = BTreeMap::new();
+        for entry in self.entries.values() {
+            *caps.entry(entry.zone.clone()).or_default() += self.traffic.cap(entry);
+        }
+        bound_shares(room, &caps);
+    }
+
     /// The regions that callers of a host may be sent to; `None` for all. The caller's own is always among them.
     ///
     /// A look-up does not tell the path. The homes of its routes count once requests come on such routes, or, before
--- a/crates/th-steer/src/dispatch/record.rs
+++ b/crates/th-steer/src/dispatch/record.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use th_protocol::{BackendId, Millis, ServiceId, Slots, VmId, ZoneId};
+use th_protocol::{BackendId, Mbit, Millis, ServiceId, Slots, VmId, ZoneId};
 
 /// Whether a backend server takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,4 +45,6 @@
     pub callers: SocketAddr,
     /// Its listener for questions whether it is ready.
     pub ready: SocketAddr,
+    /// What its network link carries; `None` where that is not known.
+    pub link: Option<Mbit>,
 }
--- a/crates/th-steer/tests/dispatch_shares.rs
+++ b/crates/th-steer/tests/dispatch_shares.rs
@@ -6,9 +6,10 @@
 
 use dispatch_world::{START, World, backend, entry, id, route, table, topology};
 use rstest::rstest;
-use th_protocol::{Millis, ServiceId, Slots, ZoneId};
+use th_protocol::{Bytes, Mbit, Millis, ServiceId, Slots, VmId, ZoneId};
 use th_steer::dispatch::{
-    BackendRecord, ColdPace, RetryWindow, Share, Split, WarmSet, lookup_shares,
+    BackendRecord, ColdPace, EntryRecord, RetryWindow, Share, Split, WarmSet, lookup_shares,
+    vm_shares,
 };
 
 fn room(parts: &[(&str, f64)]) -> BTreeMap<ZoneId, f64> {
@@ -58,7 +59,7 @@
     homed.prefix = "/homed/".to_owned();
     homed.homes.insert(id("north"));
     assert!(world.dispatcher.on_routes(table(2, vec![route("look"), homed.clone()])));
-    let names_south = |world: &World| {
+    let names_south = |world: &mut World| {
         let named = world.dispatcher.lookup("desk.example", &id("north-a"));
         named.iter().any(|it| it.port() == 3)
     };
@@ -66,12 +67,12 @@
         let job = world.job(object);
         world.dispatcher.on_request(&job, START);
     }
-    assert!(names_south(&world));
+    assert!(names_south(&mut world));
     for object in 0..20 {
         let job = world.job_of(homed.clone(), object);
         world.dispatcher.on_request(&job, START);
     }
-    assert!(!names_south(&world));
+    assert!(!names_south(&mut world));
 }
 
 #[test]
@@ -83,6 +84,76 @@
     assert!(!named.is_empty() && named.iter().all(|it| it.port() == 1), "{named:?}");
 }
 
+#[rstest]
+#[case::even(0.3, &[1.0, 1.0, 1.0], &[0.1, 0.1, 0.1])]
+#[case::one_small_link(0.3, &[0.04, 1.0, 1.0], &[0.04, 0.13, 0.13])]
+#[case::all_too_small(0.3, &[0.05, 0.1], &[0.1, 0.2])]
+#[case::no_link_left(0.3, &[0.0, 0.0], &[0.0, 0.0])]
+fn a_data_centre_divides_its_callers_by_links(
+    #[case] share: f64,
+    #[case] caps: &[f64],
+    #[case] expected: &[f64],
+) {
+    let mut by_vm = BTreeMap::new();
+    for (number, cap) in caps.iter().enumerate() {
+        by_vm.insert(id::<VmId>(&format!("entry-{number}")), *cap);
+    }
+    let shares: Vec<f64> = vm_shares(share, &by_vm).into_values().collect();
+    for (share, want) in shares.iter().zip(expected) {
+        assert!((share - want).abs() < 1e-9, "{shares:?}, not {expected:?}");
+    }
+}
+
+/// Load pattern: as many slots in both data centres, and a tenth of the link in one of them. Half of the callers would
+/// fill that link twice.
+#[test]
+fn callers_are_named_vms_whose_links_carry_them() {
+    let mut world = World::new(&[("b-1", "north-a"), ("b-2", "north-b"), ("b-3", "south-a")]);
+    for (name, zone, port, link) in [
+        ("entry-1", "north-a", 1, 100),
+        ("entry-2", "north-b", 2, 10),
+        ("entry-3", "south-a", 3, 100),
+    ] {
+        let record = EntryRecord { link: Some(Mbit(link)), ..entry(name, zone, port) };
+        world.dispatcher.on_entry(record);
+    }
+    let named = |world: &mut World| {
+        let mut count = 0;
+        for _ in 0..50 {
+            let named = world.dispatcher.lookup("desk.example", &id("north-b"));
+            count += named.iter().filter(|it| it.port() == 2).count();
+        }
+        count as f64 / (50.0 * 24.0)
+    };
+    assert!(0.99 < named(&mut world), "a link that nobody uses does not matter");
+    for second in 1..30 {
+        // A third of the callers bring this VM 20 Mbit/s.
+        world.dispatcher.on_moved(Bytes(Mbit(20).bytes_per_ms() * 1_000));
+        world.dispatcher.tick(START.after(Millis(second * 1_000)));
+    }
+    // Half of 10 Mbit/s, of 20 that a third of the callers bring.
+    let share = named(&mut world);
+    assert!((0.2..0.35).contains(&share), "{share}");
+}
+
+/// A data centre with three VMs and a small share of the callers: each VM gets its part of them over many look-ups.
+#[test]
+fn look_ups_name_all_vms_of_a_data_centre_as_often() {
+    let mut world = World::new(&[("b-1", "north-a"), ("b-2", "south-a")]);
+    for port in 2..5 {
+        world.dispatcher.on_entry(entry(&format!("entry-{port}"), "south-a", port));
+    }
+    let mut counts: BTreeMap<u16, usize> = BTreeMap::new();
+    for _ in 0..300 {
+        for address in world.dispatcher.lookup("desk.example", &id("south-a")) {
+            *counts.entry(address.port()).or_default() += 1;
+        }
+    }
+    let south: Vec<usize> = (2..5).map(|it| counts[&it]).collect();
+    let (least, most) = (south.iter().min().unwrap(), south.iter().max().unwrap());
+    assert!(most * 100 <= least * 105, "{counts:?}");
+}
+
 #[rstest]
 #[case(&[90.0, 10.0])]
 #[case(&[1.0, 1.0, 1.0])]
