Use another data centre's warm copy until an own one pays

Change: each object has one server in the region, the first in its order over all of the region's servers. A VM sends requests for an object that is cold in its own data centre there, until they have cost as much in distance as a copy of its own would in work (ski rental; other VMs of the data centre are taken to have sent as many), and not to a server that is full, cold or silent. Log lines of requests tell the object.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -50,6 +50,7 @@
     id: String,
     version: u64,
     route: String,
+    object: Option<u64>,
     tries: Vec<String>,
     waited: Millis,
 }
@@ -76,13 +77,14 @@
     let took = core.now().since(arrived);
     let status = answer.status();
     core.metrics.answered(&story.route, status.as_u16(), took);
-    let Story { id, version, route, tries, waited } = story;
+    let Story { id, version, route, object, tries, waited } = story;
+    let object = object.map_or_else(String::new, |it| format!("{it:016x}"));
     let tries = tries.join(",");
     let status = status.as_u16();
     if status < 400 {
-        log::info!(target: "call", "request={id} version={version} route={route} tries=[{tries}] waited={waited} status={status} took={took} Answered.");
+        log::info!(target: "call", "request={id} version={version} route={route} object={object} tries=[{tries}] waited={waited} status={status} took={took} Answered.");
     } else {
-        log::warn!(target: "call", "request={id} version={version} route={route} tries=[{tries}] waited={waited} status={status} took={took} Not served.");
+        log::warn!(target: "call", "request={id} version={version} route={route} object={object} tries=[{tries}] waited={waited} status={status} took={took} Not served.");
     }
 }
 
@@ -136,6 +138,7 @@
     };
     let object = facts.object.as_deref().map(|it| hash_name(&format!("{}/{it}", route.prefix)));
     let size = out.body.len() as u64;
+    story.object = object;
     let job = Job { route, service, object, arrived, limit, tried: Vec::new() };
     core.dispatcher.borrow_mut().on_request(&job, arrived);
     let answer = carry_out(core, job, out, story).await;
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -122,7 +122,9 @@
         now: Time,
     ) -> Option<Candidate> {
         let objects = self.objects.get(&job.service).map_or(0, BTreeMap::len);
-        let pools = self.pools(usable, objects);
+        let local = usable.get(&self.zone).map_or(0, Vec::len);
+        let is_local = 0 < local && objects <= self.settings.warm_objects * local;
+        let pools = self.pools(usable.clone(), objects);
         let near = pools.iter().any(|it| !it.remote && !it.backends.is_empty());
         let settings = &self.settings;
         let away = !near || self.away.is_open(settings.away_share, settings.away_window, now);
@@ -133,9 +135,17 @@
                 continue;
             }
             let found = cheapest(job, pool, &mut self.backends, heading, &scene);
-            if found.is_some() {
-                return found;
+            let Some(found) = found else {
+                continue;
+            };
+            if is_local && !pool.foreign && !found.warm {
+                let lender = self.lend(job, &usable, heading, now);
+                if let Some(lender) = lender {
+                    self.on_lent(job);
+                    return Some(lender);
+                }
             }
+            return Some(found);
         }
         None
     }
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -12,6 +12,7 @@
     away::Away,
     backend::{Attempt, BackendRow, End},
     job::{Job, Placement},
+    lend::Asked,
     links::Traffic,
     lookup::Topology,
     names::{HOMED_DECAY, Homed},
@@ -43,7 +44,7 @@
     pub(crate) work: WorkTimes,
     pub(crate) splits: BTreeMap<String, Split>,
     pub(crate) retries: BTreeMap<ServiceId, RetryWindow>,
-    pub(crate) objects: BTreeMap<ServiceId, BTreeMap<u64, Time>>,
+    pub(crate) objects: BTreeMap<ServiceId, BTreeMap<u64, Asked>>,
     pub(crate) homed: BTreeMap<String, Homed>,
     pub(crate) away: Away,
     pub(crate) waiting: Waiting,
@@ -185,7 +186,8 @@
         seen.all += 1.0;
         seen.homed += if job.route.homes.is_empty() { 0.0 } else { 1.0 };
         if let Some(object) = job.object.filter(|_| job.route.sticky) {
-            self.objects.entry(job.service.clone()).or_default().insert(object, now);
+            let objects = self.objects.entry(job.service.clone()).or_default();
+            objects.entry(object).or_insert(Asked { last: now, lent: 0 }).last = now;
         }
     }
 
@@ -261,7 +263,7 @@
         self.traffic.tick(share, now);
         let start = now.before(self.settings.object_age);
         for objects in self.objects.values_mut() {
-            objects.retain(|_, last| start <= *last);
+            objects.retain(|_, it| start <= it.last);
         }
         for seen in self.homed.values_mut() {
             seen.all *= HOMED_DECAY;
--- /dev/null
+++ b/crates/th-steer/src/dispatch/lend.rs
@@ -0,0 +1,99 @@
+//! Use of another data centre's warm copy of an object.
+//!
+//! Pattern answered: objects that are asked for seldom in each data centre of a region, though often in the region. To
+//! warm a copy in each data centre at the first request makes most of the work cold for a while. Instead each object has
+//! one server in the region that all of its VMs know, and a data centre makes a copy of its own only once its requests
+//! have cost as much in distance as the copy does: the rule of ski rental, which is never worse than twice the best.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use th_protocol::{BackendId, Time, ZoneId};
+
+use super::{
+    backend::BackendRow,
+    dispatcher::Dispatcher,
+    job::Job,
+    place::{Candidate, Heading, Pool, ranked},
+};
+
+/// An object that was asked for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Asked {
+    pub(crate) last: Time,
+    /// Requests of this VM for it that ran in another data centre of the region.
+    pub(crate) lent: u32,
+}
+
+/// The server that an object has in a region, where it lies outside of a data centre.
+fn lender(
+    object: u64,
+    zones: &BTreeMap<ZoneId, Vec<BackendId>>,
+    near: &BTreeSet<ZoneId>,
+    own: &ZoneId,
+    rows: &BTreeMap<BackendId, BackendRow>,
+) -> Option<BackendId> {
+    let mut pool = Pool::default();
+    for zone in near {
+        pool.backends.extend(zones.get(zone).into_iter().flatten().cloned());
+    }
+    let first = ranked(Some(object), &pool, rows).first().copied()?.clone();
+    let zone = &rows.get(&first)?.record.zone;
+    (zone != own).then_some(first)
+}
+
+impl Dispatcher {
+    /// Another data centre's server for an object that is cold in this one, where the copy would not pay yet.
+    pub(crate) fn lend(
+        &mut self,
+        job: &Job,
+        usable: &BTreeMap<ZoneId, Vec<BackendId>>,
+        heading: &Heading,
+        now: Time,
+    ) -> Option<Candidate> {
+        let object = job.object.filter(|_| job.route.sticky)?;
+        let region = self.region_of(&self.zone)?;
+        let mut near = BTreeSet::new();
+        for zone in usable.keys() {
+            if self.region_of(zone) == Some(region) {
+                near.insert(zone.clone());
+            }
+        }
+        let route = &job.route;
+        let cold = self.work.expected(&route.name, false, route.objective);
+        let warm = self.work.expected(&route.name, true, route.objective);
+        let vms = self.entries.values().filter(|it| it.zone == self.zone).count().max(1);
+        let lent = self.objects.get(&job.service)?.get(&object).map_or(0, |it| it.lent);
+        let distance = self.settings.zone_cost.0 as f64;
+        if cold - warm <= distance * f64::from(lent) * vms as f64 {
+            return None;
+        }
+        let id = lender(object, usable, &near, &self.zone, &self.backends)?;
+        let row = self.backends.get_mut(&id)?;
+        let room = row.room(heading.ahead(&id, route.rank), warm, &self.settings, now);
+        if row.is_cold(now) || row.is_silent(now) || !room.free {
+            return None;
+        }
+        let is_warm = row.warm.contains(object);
+        let work = if is_warm { warm } else { cold } * row.effort(now);
+        let cost = room.wait + work + distance;
+        Some(Candidate {
+            backend: id,
+            cost,
+            wait: room.wait,
+            work,
+            warm: is_warm,
+            free: true,
+            remote: false,
+        })
+    }
+
+    /// Takes note that a request for an object ran in another data centre of the region.
+    pub(crate) fn on_lent(&mut self, job: &Job) {
+        let Some(objects) = self.objects.get_mut(&job.service) else {
+            return;
+        };
+        if let Some(asked) = job.object.and_then(|it| objects.get_mut(&it)) {
+            asked.lent += 1;
+        }
+    }
+}
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod decide;
 mod dispatcher;
 mod job;
+mod lend;
 mod links;
 mod lookup;
 mod names;
--- a/crates/th-steer/src/dispatch/place.rs
+++ b/crates/th-steer/src/dispatch/place.rs
@@ -71,7 +71,7 @@
     }
 
     /// Those that are served before a new request of a rank.
-    fn ahead(&self, backend: &BackendId, rank: u32) -> u32 {
+    pub(crate) fn ahead(&self, backend: &BackendId, rank: u32) -> u32 {
         self.counts.get(backend).map_or(0, |it| it.range(..=rank).map(|(_, count)| count).sum())
     }
 }
@@ -82,7 +82,7 @@
 }
 
 /// The pool's backend servers in an object's order, by rendezvous hashing: few objects move when servers come or go.
-fn ranked<'a>(
+pub(crate) fn ranked<'a>(
     object: Option<u64>,
     pool: &'a Pool,
     rows: &BTreeMap<BackendId, BackendRow>,
--- a/crates/th-steer/tests/dispatch_warm.rs
+++ b/crates/th-steer/tests/dispatch_warm.rs
@@ -6,14 +6,14 @@
 
 use dispatch_world::{World, backend};
 use th_protocol::{BackendId, Millis, Slots};
-use th_steer::dispatch::End;
+use th_steer::dispatch::{DispatchSettings, End};
 
 const COLD_WORK: u64 = 600;
 const WARM_WORK: u64 = 180;
 const SERVERS: usize = 40;
 const OBJECTS: u64 = 300;
 
-/// Entry VMs of one data centre before the same backend servers.
+/// Entry VMs before the same backend servers.
 struct Fleet {
     vms: Vec<World>,
     warm: BTreeMap<BackendId, BTreeSet<u64>>,
@@ -21,14 +21,18 @@
 }
 
 impl Fleet {
-    fn new(vms: usize) -> Fleet {
+    /// A VM in each of the data centres, some of which are the same, and as many servers in each data centre.
+    fn new(zones: &[&str]) -> Fleet {
         let mut fleet = Fleet { vms: Vec::new(), warm: BTreeMap::new(), dice: 7 };
-        for _ in 0..vms {
-            let mut world = World::new(&[]);
-            for number in 0..SERVERS {
-                let mut record = backend(&format!("b-{number}"), "north-a");
-                record.slots = Slots(4);
-                world.dispatcher.on_backend(record, world.now);
+        let places: BTreeSet<&str> = zones.iter().copied().collect();
+        for zone in zones {
+            let mut world = World::within(zone, DispatchSettings::default(), &[]);
+            for place in &places {
+                for number in 0..SERVERS {
+                    let mut record = backend(&format!("{place}-{number}"), place);
+                    record.slots = Slots(4);
+                    world.dispatcher.on_backend(record, world.now);
+                }
             }
             fleet.vms.push(world);
         }
@@ -42,6 +46,11 @@
 
     /// Serves a request for an object at one of the VMs; tells whether its server had the object warm.
     fn serve(&mut self, vm: usize, object: u64) -> bool {
+        self.serve_at(vm, object).1
+    }
+
+    /// The same, with the server.
+    fn serve_at(&mut self, vm: usize, object: u64) -> (BackendId, bool) {
         // Work of equal requests differs by a third.
         let part = 85 + self.roll(31);
         let world = &mut self.vms[vm];
@@ -51,7 +60,7 @@
         let was_warm = !known.insert(object);
         let work = if was_warm { WARM_WORK } else { COLD_WORK };
         world.end(&job, &attempt, End::Answered, Millis(work * part / 100));
-        was_warm
+        (attempt.backend, was_warm)
     }
 }
 
@@ -59,7 +68,7 @@
 /// must not keep it from the server that the others have warmed.
 #[test]
 fn entry_vms_warm_the_same_servers() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = Fleet::new(&["north-a"; 3]);
     let mut cold = 0;
     for _ in 0..4 * OBJECTS {
         let (vm, object) = (fleet.roll(3) as usize, fleet.roll(OBJECTS));
@@ -74,7 +83,7 @@
 /// elsewhere, not in the server's queue.
 #[test]
 fn reports_of_load_count_until_newer_ones_come() {
-    let mut fleet = Fleet::new(1);
+    let mut fleet = Fleet::new(&["north-a"]);
     for _ in 0..4 {
         fleet.serve(0, 1);
     }
@@ -94,3 +103,57 @@
     let later = world.job(1);
     assert_eq!(world.send(&later).backend, one.backend);
 }
+
+/// Load pattern: objects that are asked for a few times in each data centre. One copy in the region serves them all.
+#[test]
+fn data_centres_share_the_copies_of_objects_that_are_seldom_asked_for() {
+    let mut fleet = Fleet::new(&["north-a", "north-b"]);
+    let mut cold = 0;
+    for _ in 0..6 * OBJECTS {
+        let (vm, object) = (fleet.roll(2) as usize, fleet.roll(OBJECTS));
+        cold += u64::from(!fleet.serve(vm, object));
+    }
+    // Each object has to be cold once; a tenth more may be, and no data centre has paid for a copy of its own yet.
+    assert!(cold * 10 <= OBJECTS * 11, "{cold} cold requests for {OBJECTS} objects");
+}
+
+/// Load pattern: an object that is asked for again and again in one data centre. It gets a copy there before its
+/// requests have cost twice as much in distance as the copy does.
+#[test]
+fn a_data_centre_makes_its_own_copy_of_an_object_in_demand() {
+    let mut fleet = Fleet::new(&["north-a", "north-b"]);
+    let mut lent = 0;
+    for object in 0..OBJECTS {
+        for _ in 0..3 {
+            fleet.serve(1, object);
+        }
+    }
+    let object = (0..OBJECTS).find(|it| fleet.serve_at(0, *it).0.as_str().starts_with("north-b"));
+    let object = object.expect("half of the objects have their server in the other data centre");
+    for _ in 0..30 {
+        lent += u64::from(fleet.serve_at(0, object).0.as_str().starts_with("north-b"));
+    }
+    let distance = DispatchSettings::default().zone_cost.0;
+    assert!(
+        lent * distance <= 2 * (COLD_WORK - WARM_WORK),
+        "{lent} requests to the other data centre"
+    );
+    assert!(fleet.serve_at(0, object).0.as_str().starts_with("north-a"));
+}
+
+/// A server of another data centre that is full lends nothing.
+#[test]
+fn a_full_server_does_not_lend() {
+    let mut fleet = Fleet::new(&["north-a", "north-b"]);
+    let object = (0..OBJECTS).find(|it| fleet.serve_at(0, *it).0.as_str().starts_with("north-b"));
+    let object = object.expect("half of the objects have their server in the other data centre");
+    let world = &mut fleet.vms[0];
+    let job = world.job(object);
+    let mut used = BTreeMap::new();
+    for _ in 0..6 {
+        *used.entry(world.send(&job).backend).or_insert(0) += 1;
+    }
+    for (backend, count) in used {
+        assert!(count <= 4, "{backend} holds {count} of 4 slots");
+    }
+}
--- a/crates/th-steer/tests/dispatch_world/mod.rs
+++ b/crates/th-steer/tests/dispatch_world/mod.rs
@@ -82,9 +82,18 @@
     }
 
     pub(crate) fn with(settings: DispatchSettings, servers: &[(&str, &str)]) -> World {
-        let (vm, zone): (VmId, ZoneId) = (id("entry-1"), id("north-a"));
-        let mut dispatcher = Dispatcher::new(settings, vm, zone, topology());
-        dispatcher.on_entry(entry("entry-1", "north-a", 1));
+        World::within("north-a", settings, servers)
+    }
+
+    /// An entry VM in a data centre.
+    pub(crate) fn within(
+        zone: &str,
+        settings: DispatchSettings,
+        servers: &[(&str, &str)],
+    ) -> World {
+        let vm: VmId = id("entry-1");
+        let mut dispatcher = Dispatcher::new(settings, vm, id::<ZoneId>(zone), topology());
+        dispatcher.on_entry(entry("entry-1", zone, 1));
         assert!(dispatcher.on_routes(table(1, vec![route("look")])));
         for (name, zone) in servers {
             dispatcher.on_backend(backend(name, zone), START);
