Show operators what lies in the platform's store

`thctl` spoke to our own interface only. `thctl fleet` reads the users' store with the same client and the same readers of items as an entry VM: configuration, backend servers, evacuations, entry VMs with their readiness, and items that VMs skip with key, revision and cause.

--- a/src/bin/thctl/args.rs
+++ b/src/bin/thctl/args.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
 use argh::FromArgs;
 use serde_json::json;
@@ -17,6 +17,7 @@
     note = "First steps: write a bundle (docs/BUNDLE.md), then `bundle keygen`, `bundle check`, `bundle sign`, `bundle roll`, `status`.",
     example = "{command_name} bundle check bundle.json",
     example = "{command_name} bundle roll signed.json --store http://10.0.0.1:7000",
+    example = "{command_name} fleet --store 10.200.1.7:8169",
     example = "{command_name} status --entry 10.0.0.1:8080 --entry 10.0.0.2:8080 --json",
     error_code(0, "done"),
     error_code(1, "refused, or faults were found"),
@@ -38,6 +39,7 @@
     Report(Report),
     Explain(Explain),
     Lookup(Lookup),
+    Fleet(Fleet),
 }
 
 /// check, sign and roll a bundle
@@ -187,6 +189,15 @@
     pub(crate) block: Option<Block>,
 }
 
+/// on the users' platform: the configuration, backend servers and entry VMs in the store
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "fleet")]
+pub(crate) struct Fleet {
+    /// address of the platform's store, such as 10.200.1.7:8169
+    #[argh(option)]
+    pub(crate) store: SocketAddr,
+}
+
 /// Takes `--json` out of the arguments, wherever it stands.
 pub(crate) fn without_json(args: impl Iterator<Item = String>) -> (Vec<String>, bool) {
     let all: Vec<_> = args.collect();
--- /dev/null
+++ b/src/bin/thctl/fleet.rs
@@ -0,0 +1,110 @@
+//! The command on the users' platform: fleet.
+
+use std::{collections::BTreeMap, fmt::Write};
+
+use eyre::Result;
+use platform::{FleetView, StoreClient, ask_ready};
+use serde_json::{Value, json};
+use th_protocol::{ServiceId, ZoneId};
+use th_steer::dispatch::Serving;
+
+use crate::{
+    answer::{Answer, Exit},
+    args::Fleet,
+};
+
+/// Backend servers of a service in a data centre.
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    ready: u32,
+    draining: u32,
+    slots: u32,
+}
+
+type Counts<'a> = BTreeMap<(&'a ServiceId, &'a ZoneId), Count>;
+
+fn count(view: &FleetView) -> Counts<'_> {
+    let mut counts: Counts<'_> = BTreeMap::new();
+    for it in &view.backends {
+        let count = counts.entry((&it.service, &it.zone)).or_default();
+        match it.serving {
+            Serving::Ready => {
+                count.ready += 1;
+                count.slots += it.slots.0;
+            }
+            Serving::Draining => count.draining += 1,
+        }
+    }
+    counts
+}
+
+pub(crate) async fn show(args: &Fleet) -> Result<Answer> {
+    let view = match FleetView::read(&StoreClient::new(args.store)).await {
+        Ok(view) => view,
+        Err(error) => {
+            let help = "entry VMs serve on with what they know; try again when the store answers";
+            return Ok(Answer::failed(Exit::Unreachable, error.to_string()).help(help));
+        }
+    };
+    let client = reqwest::Client::builder().no_proxy().build()?;
+    let asked = view.entries.iter().map(|it| ask_ready(&client, it));
+    let ready = futures_util::future::join_all(asked).await;
+    let counts = count(&view);
+    let text = text(&view, &counts, &ready)?;
+    Ok(Answer::done(text, to_json(&view, &counts, &ready)))
+}
+
+fn word(ready: Option<bool>) -> &'static str {
+    match ready {
+        Some(true) => "ready",
+        Some(false) => "not ready",
+        None => "no answer",
+    }
+}
+
+fn text(view: &FleetView, counts: &Counts<'_>, ready: &[Option<bool>]) -> Result<String> {
+    let mut out = String::new();
+    match &view.config {
+        Some((revision, table)) => {
+            let routes = table.iter().count();
+            let version = table.version();
+            writeln!(out, "configuration {version}, revision {revision}, {routes} routes")?;
+        }
+        None => writeln!(out, "no usable configuration")?,
+    }
+    for ((service, zone), it) in counts {
+        let Count { ready, draining, slots } = it;
+        let closed = if view.evacuated.contains(*zone) { ", evacuated" } else { "" };
+        writeln!(
+            out,
+            "{service} in {zone}: {ready} ready with {slots} slots, {draining} draining{closed}"
+        )?;
+    }
+    for (entry, ready) in view.entries.iter().zip(ready) {
+        writeln!(out, "{} in {}: {} at {}", entry.vm, entry.zone, word(*ready), entry.callers)?;
+    }
+    for it in &view.unusable {
+        writeln!(out, "unusable: {} at revision {}: {}", it.key, it.revision, it.cause)?;
+    }
+    Ok(out)
+}
+
+fn to_json(view: &FleetView, counts: &Counts<'_>, ready: &[Option<bool>]) -> Value {
+    let mut backends = Vec::new();
+    for ((service, zone), it) in counts {
+        backends
+            .push(json!({"service": service, "zone": zone, "ready": it.ready, "slots": it.slots,
+            "draining": it.draining, "evacuated": view.evacuated.contains(*zone)}));
+    }
+    let mut entries = Vec::new();
+    for (entry, ready) in view.entries.iter().zip(ready) {
+        let (vm, zone) = (&entry.vm, &entry.zone);
+        entries.push(json!({"vm": vm, "zone": zone, "callers": entry.callers, "ready": ready}));
+    }
+    let mut unusable = Vec::new();
+    for it in &view.unusable {
+        unusable.push(json!({"key": it.key, "revision": it.revision, "cause": it.cause}));
+    }
+    json!({"version": view.version(), "revision": view.at, "backends": backends, "entries": entries,
+        "evacuated": view.evacuated, "unusable": unusable})
+}
--- a/src/bin/thctl/main.rs
+++ b/src/bin/thctl/main.rs
@@ -4,6 +4,7 @@
 mod args;
 mod bundle;
 mod entries;
+mod fleet;
 mod roll;
 
 use std::process::ExitCode;
@@ -37,6 +38,7 @@
         },
         Command::Explain(it) => entries::explain(&it).await,
         Command::Lookup(it) => entries::lookup(&it).await,
+        Command::Fleet(it) => fleet::show(&it).await,
     };
     result.unwrap_or_else(|e| Answer::failed(Exit::Refused, format!("{e:#}")))
 }
--- /dev/null
+++ b/tests/thctl_fleet.rs
@@ -0,0 +1,68 @@
+//! `thctl fleet` against the stand-in of the users' platform, as a user runs it.
+
+#[path = "../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+mod tool;
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use stand_in::{StandInServer, StandInStore, StoreFault};
+use tokio::task::spawn_blocking;
+use tool::{thctl, thctl_json};
+
+fn config() -> Value {
+    let route = json!({"name": "look", "host": "desk.example", "prefix": "/look/", "kind": "safe",
+        "timeout_ms": 1500, "target_latency_ms": 600, "priority": 1, "service": "desk", "max_attempts": 2});
+    json!({"version": "0000000c", "routes": [route], "services": [{"name": "desk", "cold_per_s": 4.1}], "limits": {}})
+}
+
+async fn fleet(store: &StandInStore) -> (i32, Value) {
+    let address = store.address.to_string();
+    spawn_blocking(move || thctl_json(&["fleet", "--store", &address])).await.unwrap()
+}
+
+#[tokio::test]
+async fn the_fleet_is_shown_with_what_cannot_be_used() {
+    let store = StandInStore::start().await;
+    store.put("op/config", &config());
+    store.put("op/evacuate/south-a", &json!({}));
+    for (number, state) in ["ready", "ready", "draining"].iter().enumerate() {
+        let server = StandInServer::start(&format!("i-{number}"), Duration::ZERO).await;
+        store.put(&format!("servers/{}", server.id), &server.entry(state));
+    }
+    store.put_bytes("servers/i-bad", b"\xffnot json");
+    store.put(
+        "th/vm/vm-1",
+        &json!({"zone": "north-a", "callers": "127.0.0.1:1", "ready": "127.0.0.1:1"}),
+    );
+    let (code, found) = fleet(&store).await;
+    assert_eq!(code, 0, "{found}");
+    assert_eq!(found["version"], 12);
+    assert_eq!(found["evacuated"], json!(["south-a"]));
+    let counts = json!([{"service": "desk", "zone": "north-a", "ready": 2, "slots": 8, "draining": 1, "evacuated": false}]);
+    assert_eq!(found["backends"], counts);
+    assert_eq!(found["entries"][0]["vm"], "vm-1");
+    assert_eq!(found["entries"][0]["ready"], Value::Null, "nobody listens there");
+    assert_eq!(found["unusable"][0]["key"], "servers/i-bad");
+    let address = store.address.to_string();
+    let (code, text) =
+        spawn_blocking(move || thctl(&["fleet", "--store", &address])).await.unwrap();
+    assert_eq!(code, 0);
+    for part in [
+        "configuration 12",
+        "desk in north-a: 2 ready with 8 slots, 1 draining",
+        "vm-1 in north-a: no answer",
+    ] {
+        assert!(text.contains(part), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn a_store_that_is_away_is_told() {
+    let store = StandInStore::start().await;
+    store.set_fault(Some(StoreFault::Busy));
+    let (code, found) = fleet(&store).await;
+    assert_eq!(code, 5);
+    assert!(found["error"].as_str().unwrap().contains("503"), "{found}");
+}
