--- /dev/null
+++ b/tests/entry/mod.rs
@@ -0,0 +1,104 @@
+//! The real program as a process on the users' platform.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{
+    io::Write,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+
+use reqwest::Client;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+/// Where an entry process listens.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Listen {
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) lookups: SocketAddr,
+}
+
+/// An address that nobody else listens at or sends from: each has a loopback host of its own.
+fn free() -> SocketAddr {
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, high | 1, low, COUNT.fetch_add(1, Ordering::Relaxed));
+    TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
+}
+
+impl Listen {
+    pub(crate) fn free() -> Listen {
+        Listen { callers: free(), ready: free(), lookups: free() }
+    }
+}
+
+/// The settings of an entry process.
+pub(crate) fn settings(vm: &str, zone: &str, listen: Listen, store: SocketAddr) -> Value {
+    json!({"vm": vm, "zone": zone, "zones": {"north-a": "north", "south-a": "south"},
+        "callers": listen.callers, "ready": listen.ready, "lookups": listen.lookups, "store": store, "grace": 6})
+}
+
+/// A running entry process, ended with the test.
+pub(crate) struct Entry {
+    child: Child,
+    pub(crate) listen: Listen,
+    pub(crate) client: Client,
+    pub(crate) settings: tempfile::NamedTempFile,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Entry {
+    pub(crate) fn start(listen: Listen, settings: &Value, output: Stdio) -> Entry {
+        let mut file = tempfile::NamedTempFile::new().unwrap();
+        file.write_all(settings.to_string().as_bytes()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_tanagerhollow"))
+            .arg("--platform")
+            .env("TANAGERHOLLOW_SETTINGS", file.path())
+            .stdout(output)
+            .spawn()
+            .unwrap();
+        let client = Client::builder().no_proxy().build().unwrap();
+        Entry { child, listen, client, settings: file }
+    }
+
+    pub(crate) async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/-/readiness", self.listen.ready);
+        let answer = self.client.get(&url).timeout(Duration::from_secs(1)).send().await;
+        answer.is_ok_and(|it| it.status() == 200)
+    }
+
+    pub(crate) async fn until_ready(&self) {
+        for _ in 0..3_000 {
+            if self.is_ready().await {
+                return;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        panic!("not ready");
+    }
+
+    pub(crate) fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// How the process ended, if it has.
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
+    pub(crate) fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,17 +1,13 @@
 //! The real program on the users' platform, over loopback against stand-ins: requests, configurations, entries, stops.
 
+mod entry;
 #[path = "../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 
-use std::{
-    io::Write,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
-    process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU8, Ordering},
-    time::Duration,
-};
+use std::{net::SocketAddr, process::Stdio, time::Duration};
 
-use reqwest::{Client, Method, Response};
+use entry::{Entry, Listen, settings};
+use reqwest::{Method, Response};
 use rstest::rstest;
 use serde_json::{Value, json};
 use stand_in::{Reply, StandInServer, StandInStore, StoreFault, until};
@@ -19,63 +15,14 @@
 
 const WORK: Duration = Duration::from_millis(20);
 
-/// A running entry process, ended with the test.
-struct Entry {
-    child: Child,
-    callers: SocketAddr,
-    ready: SocketAddr,
-    lookups: SocketAddr,
-    client: Client,
-    settings: tempfile::NamedTempFile,
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        // The process may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// An address that nobody else listens at or sends from: each has a loopback host of its own.
-fn free() -> SocketAddr {
-    static COUNT: AtomicU8 = AtomicU8::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let host = Ipv4Addr::new(127, high | 1, low, COUNT.fetch_add(1, Ordering::Relaxed));
-    TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
+fn start(store: &StandInStore) -> Entry {
+    let listen = Listen::free();
+    Entry::start(listen, &settings("vm-1", "north-a", listen, store.address), Stdio::null())
 }
 
 impl Entry {
-    fn start(store: &StandInStore) -> Entry {
-        let (callers, ready, lookups) = (free(), free(), free());
-        let settings = json!({"vm": "vm-1", "zone": "north-a", "zones": {"north-a": "north", "south-a": "south"},
-            "callers": callers, "ready": ready, "lookups": lookups, "store": store.address, "grace": 6});
-        let mut file = tempfile::NamedTempFile::new().unwrap();
-        file.write_all(settings.to_string().as_bytes()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_tanagerhollow"))
-            .arg("--platform")
-            .env("TANAGERHOLLOW_SETTINGS", file.path())
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        let client = Client::builder().no_proxy().build().unwrap();
-        Entry { child, callers, ready, lookups, client, settings: file }
-    }
-
-    async fn until_ready(&self) {
-        let url = format!("http://{}/-/readiness", self.ready);
-        for _ in 0..3_000 {
-            let answer = self.client.get(&url).send().await;
-            if answer.is_ok_and(|it| it.status() == 200) {
-                return;
-            }
-            sleep(Duration::from_millis(10)).await;
-        }
-        panic!("not ready");
-    }
-
     async fn send(&self, method: Method, path: &str, id: &str) -> Response {
-        let url = format!("http://{}{path}", self.callers);
+        let url = format!("http://{}{path}", self.listen.callers);
         let request = self.client.request(method, url).header("host", "desk.example");
         let request = request.header("attempt-id", id).header("request-deadline", "4000");
         request.header("cookie", "Affinity-Key=17").body("body").send().await.unwrap()
@@ -93,7 +40,8 @@
     }
 
     async fn names(&self, address: SocketAddr) -> bool {
-        let url = format!("http://{}/-/resolve?name=desk.example&zone=north-a", self.lookups);
+        let url =
+            format!("http://{}/-/resolve?name=desk.example&zone=north-a", self.listen.lookups);
         let named: Value = self.client.get(url).send().await.unwrap().json().await.unwrap();
         named["addresses"].as_array().unwrap().contains(&json!(address.to_string()))
     }
@@ -107,11 +55,6 @@
         }
         panic!("{address} is not {}", if named { "named" } else { "dropped" });
     }
-
-    fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
-        assert!(sent.unwrap().success());
-    }
 }
 
 fn config(version: u64, prefix: &str) -> Value {
@@ -134,7 +77,7 @@
     // Another writer's entry, and more items than fit on a page.
     store.put_bytes("servers/i-bad", b"\xffnot json");
     store.put("op/config", &config(7, "/look/"));
-    let entry = Entry::start(&store);
+    let entry = start(&store);
     entry.until_ready().await;
     entry.until_status("/look/first", 200).await;
     (store, started, entry)
@@ -151,9 +94,9 @@
     assert_eq!(servers[0].runs("one"), 1);
     assert_eq!(entry.send(Method::GET, "/none/", "two").await.status(), 404);
     until("the VM is registered", || store.keys("th/vm/") == ["th/vm/vm-1"]).await;
-    let url = format!("http://{}/-/resolve?name=desk.example&zone=north-a", entry.lookups);
+    let url = format!("http://{}/-/resolve?name=desk.example&zone=north-a", entry.listen.lookups);
     let named: Value = entry.client.get(url).send().await.unwrap().json().await.unwrap();
-    assert_eq!(named["addresses"][0], json!(entry.callers.to_string()));
+    assert_eq!(named["addresses"][0], json!(entry.listen.callers.to_string()));
 }
 
 #[rstest]
@@ -261,18 +204,45 @@
     entry.until_status("/look/x", 404).await;
 }
 
+/// Reads may lag behind what the VM has seen already.
+#[tokio::test]
+async fn a_stale_read_takes_nothing_back() {
+    let (store, servers, entry) = deployment(1).await;
+    store.set_stale(true);
+    let newcomer = StandInServer::start("i-9", WORK).await;
+    store.put("servers/i-9", &newcomer.entry("ready"));
+    store.put(&format!("servers/{}", servers[0].id), &servers[0].entry("draining"));
+    store.put("op/config", &config(8, "/later/"));
+    entry.until_status("/later/x", 200).await;
+    let reads = store.calls("/-/kv-range");
+    // A change that is forgotten before it was seen.
+    store.put_bytes("servers/i-bad", b"\xffstill not json");
+    store.forget_history();
+    until("everything was read again", || reads + 6 < store.calls("/-/kv-range")).await;
+    let before = servers[0].total();
+    for index in 0..10 {
+        let answer = entry.send(Method::GET, "/later/x", &format!("stale-{index}")).await;
+        assert_eq!(answer.status(), 200, "the newcomer is still known");
+    }
+    assert_eq!(servers[0].total(), before, "the leaver is not taken back");
+    assert_eq!(entry.send(Method::GET, "/look/x", "old").await.status(), 404);
+    store.set_stale(false);
+    store.put("op/config", &config(9, "/last/"));
+    entry.until_status("/last/x", 200).await;
+}
+
 #[tokio::test]
 async fn a_stop_cuts_nothing_and_takes_the_entry_back() {
     let (store, _servers, mut entry) = deployment(1).await;
     until("the VM is registered", || store.keys("th/vm/") == ["th/vm/vm-1"]).await;
     entry.signal("-TERM");
     until("the entry is taken back", || store.keys("th/vm/").is_empty()).await;
-    let url = format!("http://{}/-/readiness", entry.ready);
+    let url = format!("http://{}/-/readiness", entry.listen.ready);
     assert_eq!(entry.client.get(url).send().await.unwrap().status(), 503);
     let answer = entry.send(Method::GET, "/look/x", "late").await;
     assert_eq!(answer.status(), 200);
     assert_eq!(answer.headers()["connection"], "close");
-    assert_eq!(entry.child.wait().unwrap().code(), Some(0));
+    assert_eq!(entry.wait().code(), Some(0));
 }
 
 /// The store may turn a VM away and serve the others; its entry then lapses though it lives.
@@ -280,14 +250,15 @@
 async fn a_vm_that_lost_its_entry_is_named_while_it_is_ready() {
     let (store, _servers, entry) = deployment(1).await;
     let (_other_store, _other_servers, other) = deployment(1).await;
-    let item = json!({"zone": "north-a", "callers": other.callers, "ready": other.ready});
+    let item =
+        json!({"zone": "north-a", "callers": other.listen.callers, "ready": other.listen.ready});
     store.put("th/vm/vm-2", &item);
-    entry.until_named(other.callers, true).await;
+    entry.until_named(other.listen.callers, true).await;
     store.remove("th/vm/vm-2");
     store.put("op/config", &config(8, "/seen/"));
     entry.until_status("/seen/x", 200).await;
     sleep(Duration::from_millis(1_500)).await;
-    assert!(entry.names(other.callers).await, "it answers, so it is still named");
+    assert!(entry.names(other.listen.callers).await, "it answers, so it is still named");
     drop(other);
     let gone: SocketAddr = item["callers"].as_str().unwrap().parse().unwrap();
     entry.until_named(gone, false).await;
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -1,7 +1,6 @@
 //! The real binary: its settings, its start and its end by signals.
 
 mod common;
-#[allow(dead_code, reason = "only its folder is used here")]
 mod tool;
 
 use std::{
--- /dev/null
+++ b/tests/soak/callers.rs
@@ -0,0 +1,167 @@
+//! Callers that look VMs up, send requests and note what they saw.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{RngCore, SeedableRng},
+};
+use reqwest::{Client, Method};
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+use crate::fleet::{Fleet, VMS};
+
+/// Callers at work at the same time.
+const CALLERS: u64 = 16;
+/// Longest time that a caller waits for an answer; beyond every limit of the product.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// Time between a caller's look-ups.
+const LOOKUP: Duration = Duration::from_millis(1_000);
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// How a request ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Seen {
+    /// Status, attempt id and body of the answer.
+    Answer(u16, String, String),
+    /// No connection came about.
+    Refused,
+    /// The connection ended without a whole answer.
+    Cut(String),
+}
+
+/// A request that a caller sent.
+#[derive(Debug, Clone)]
+pub(crate) struct Sent {
+    pub(crate) id: String,
+    pub(crate) vm: usize,
+    pub(crate) path: String,
+    pub(crate) length: usize,
+    pub(crate) safe: bool,
+    /// The version whose own route it asks for.
+    pub(crate) version: Option<u64>,
+    pub(crate) at: Instant,
+    pub(crate) end: Instant,
+    pub(crate) seen: Seen,
+}
+
+/// Requests of all callers.
+#[derive(Default)]
+pub(crate) struct Book {
+    pub(crate) sent: Mutex<Vec<Sent>>,
+    count: AtomicU64,
+    ended: AtomicBool,
+}
+
+impl Book {
+    /// Lets callers end after their present request.
+    pub(crate) fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+    }
+}
+
+struct Caller {
+    fleet: Arc<Fleet>,
+    book: Arc<Book>,
+    client: Client,
+    dice: ChaCha8Rng,
+    named: Vec<SocketAddr>,
+    looked: Option<Instant>,
+}
+
+impl Caller {
+    fn below(&mut self, most: u64) -> u64 {
+        self.dice.next_u64() % most
+    }
+
+    async fn look_up(&mut self) {
+        if self.looked.is_some_and(|it| it.elapsed() < LOOKUP) {
+            return;
+        }
+        let vm = self.below(VMS as u64) as usize;
+        let address = self.fleet.vms[vm].listen.lookups;
+        let url = format!("http://{address}/-/resolve?name=desk.example&zone=north-a");
+        let answer = self.client.get(url).timeout(Duration::from_millis(400)).send().await;
+        let Ok(answer) = answer else { return };
+        let Ok(named) = answer.json::<Value>().await else { return };
+        self.named.clear();
+        for address in named["addresses"].as_array().into_iter().flatten() {
+            if let Some(address) = address.as_str().and_then(|it| it.parse().ok()) {
+                self.named.push(address);
+            }
+        }
+        self.looked = Some(Instant::now());
+    }
+
+    async fn call(&mut self) {
+        self.look_up().await;
+        let most = self.named.len().max(1) as u64;
+        let pick = self.below(most) as usize;
+        let vm = self.named.get(pick).and_then(|it| self.fleet.vm_of(*it));
+        let vm = vm.unwrap_or(self.below(VMS as u64) as usize);
+        let number = self.book.count.fetch_add(1, Ordering::Relaxed);
+        let (id, length) = (format!("soak-{number}"), self.below(3_000) as usize);
+        let version = self.fleet.configs.lock().unwrap().keys().next_back().copied();
+        let (safe, version, path) = match self.below(10) {
+            0..5 => (false, None, format!("/book/{number}")),
+            5..9 => (true, None, format!("/look/{number}")),
+            _ => (true, version, format!("/v{}/{number}", version.unwrap_or_default())),
+        };
+        let method = if safe { Method::GET } else { Method::POST };
+        let url = format!("http://{}{path}", self.fleet.vms[vm].callers.address);
+        let object = self.below(60);
+        let request = self.client.request(method, url).header("host", "desk.example");
+        let request = request.header("attempt-id", &id).header("request-deadline", "4000");
+        let request = request.header("cookie", format!("Affinity-Key={object}"));
+        let at = Instant::now();
+        let answer = request.body("x".repeat(length)).timeout(PATIENCE).send().await;
+        let seen = match answer {
+            Ok(answer) => {
+                let status = answer.status().as_u16();
+                let echoed = answer.headers().get("attempt-id");
+                let echoed = echoed.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned();
+                match answer.text().await {
+                    Ok(body) => Seen::Answer(status, echoed, body),
+                    Err(error) => Seen::Cut(format!("{error:?}")),
+                }
+            }
+            Err(error) if error.is_connect() => Seen::Refused,
+            Err(error) => Seen::Cut(format!("{error:?}")),
+        };
+        let end = Instant::now();
+        let sent = Sent { id, vm, path, length, safe, version, at, end, seen };
+        self.book.sent.lock().unwrap().push(sent);
+    }
+}
+
+/// Sends requests until the book ends.
+pub(crate) async fn run_callers(fleet: &Arc<Fleet>, book: &Arc<Book>, seed: u64) {
+    let mut tasks = Vec::new();
+    for number in 0..CALLERS {
+        let mut caller = Caller {
+            fleet: Arc::clone(fleet),
+            book: Arc::clone(book),
+            client: Client::builder().no_proxy().build().unwrap(),
+            dice: ChaCha8Rng::seed_from_u64(seed * 1_000 + number),
+            named: Vec::new(),
+            looked: None,
+        };
+        tasks.push(tokio::spawn(async move {
+            while !caller.book.ended.load(Ordering::Relaxed) {
+                caller.call().await;
+                sleep(PAUSE).await;
+            }
+        }));
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+}
--- /dev/null
+++ b/tests/soak/fleet.rs
@@ -0,0 +1,323 @@
+//! The processes of a run, what stands around them, and the faults' way to them.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    process::Stdio,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    entry::{Entry, Listen, settings},
+    plan::Event,
+    proxy::{Harm, Proxy},
+    stand_in::{Reply, StandInServer, StandInStore},
+};
+
+/// Entry VMs of a run.
+pub(crate) const VMS: usize = 4;
+/// Backend servers of a run at any time.
+pub(crate) const SERVERS: usize = 8;
+/// Work of a backend server for a request.
+const WORK: Duration = Duration::from_millis(30);
+/// Longest time from SIGTERM to the end of a process; the settings' grace time and a little.
+const STOP: Duration = Duration::from_millis(7_500);
+const ZONES: [&str; 2] = ["north-a", "south-a"];
+
+/// A backend server with the proxy before it.
+#[derive(Clone)]
+pub(crate) struct Server {
+    pub(crate) server: StandInServer,
+    pub(crate) proxy: Proxy,
+    pub(crate) zone: &'static str,
+    /// When the store took in that it drains.
+    pub(crate) drained: Option<Instant>,
+}
+
+impl Server {
+    fn entry(&self, state: &str) -> Value {
+        let mut entry = self.server.entry(state);
+        entry["address"] = json!(self.proxy.address.to_string());
+        entry["zone"] = json!(self.zone);
+        entry
+    }
+}
+
+/// An entry VM with the proxies on its ways.
+pub(crate) struct Vm {
+    name: String,
+    zone: &'static str,
+    pub(crate) listen: Listen,
+    pub(crate) callers: Proxy,
+    store: Proxy,
+    entry: Mutex<Option<Entry>>,
+}
+
+/// Times in which a VM, or all of them, may break promises that bind VMs in touch.
+#[derive(Default)]
+pub(crate) struct Disturbances(Mutex<Vec<(Option<usize>, Instant, Instant)>>);
+
+impl Disturbances {
+    fn add(&self, vm: Option<usize>, span: Duration) {
+        let now = Instant::now();
+        self.0.lock().unwrap().push((vm, now, now + span));
+    }
+
+    /// Whether something disturbed a VM between two moments; any VM for `None`.
+    pub(crate) fn touch(&self, vm: Option<usize>, from: Instant, to: Instant) -> bool {
+        let list = self.0.lock().unwrap();
+        list.iter().any(|(whose, start, end)| {
+            let concerns = vm.is_none() || whose.is_none() || *whose == vm;
+            concerns && *start <= to && from <= *end
+        })
+    }
+}
+
+/// All that takes part in a run.
+pub(crate) struct Fleet {
+    pub(crate) store: StandInStore,
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) servers: Mutex<Vec<Server>>,
+    /// Servers that drained; their runs still count.
+    pub(crate) left: Mutex<Vec<Server>>,
+    pub(crate) disturbed: Disturbances,
+    /// Version of each configuration, and when the store took it in.
+    pub(crate) configs: Mutex<BTreeMap<u64, Instant>>,
+    /// Ends of processes by themselves.
+    pub(crate) exits: AtomicU32,
+    numbers: AtomicU64,
+}
+
+/// A configuration; each version has a route that no other has.
+fn config(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({"name": name, "host": "desk.example", "prefix": prefix, "kind": kind, "timeout_ms": 1500,
+            "target_latency_ms": 600, "priority": 1, "service": "desk", "max_attempts": 2, "sticky": true})
+    };
+    let own = format!("/v{version}/");
+    json!({"version": format!("{version:08x}"),
+        "routes": [route("look", "/look/", "safe"), route("book", "/book/", "unsafe"), route("own", &own, "safe")],
+        "services": [{"name": "desk", "cold_per_s": 4.1}], "limits": {}})
+}
+
+impl Vm {
+    fn start(&self) {
+        let settings = settings(&self.name, self.zone, self.listen, self.store.address);
+        let entry = Entry::start(self.listen, &settings, Stdio::null());
+        *self.entry.lock().unwrap() = Some(entry);
+    }
+
+    fn signal(&self, name: &str) {
+        if let Some(entry) = self.entry.lock().unwrap().as_ref() {
+            entry.signal(name);
+        }
+    }
+
+    pub(crate) async fn is_ready(&self, client: &reqwest::Client) -> bool {
+        let url = format!("http://{}/-/readiness", self.listen.ready);
+        let answer = client.get(url).timeout(Duration::from_millis(500)).send().await;
+        answer.is_ok_and(|it| it.status() == 200)
+    }
+}
+
+impl Fleet {
+    pub(crate) async fn start() -> Arc<Fleet> {
+        let store = StandInStore::start().await;
+        let mut vms = Vec::new();
+        for number in 0..VMS {
+            let listen = Listen::free();
+            vms.push(Vm {
+                name: format!("vm-{number}"),
+                zone: ZONES[number % ZONES.len()],
+                listen,
+                callers: Proxy::start(listen.callers).await,
+                store: Proxy::start(store.address).await,
+                entry: Mutex::default(),
+            });
+        }
+        let fleet = Arc::new(Fleet {
+            store,
+            vms,
+            servers: Mutex::default(),
+            left: Mutex::default(),
+            disturbed: Disturbances::default(),
+            configs: Mutex::default(),
+            exits: AtomicU32::new(0),
+            numbers: AtomicU64::new(0),
+        });
+        for _ in 0..SERVERS {
+            let server = fleet.new_server().await;
+            fleet.servers.lock().unwrap().push(server);
+        }
+        fleet.put_config();
+        for vm in &fleet.vms {
+            vm.start();
+        }
+        fleet
+    }
+
+    async fn new_server(&self) -> Server {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let server = StandInServer::start(&format!("i-{number}"), WORK).await;
+        let proxy = Proxy::start(server.address).await;
+        let zone = ZONES[number as usize % ZONES.len()];
+        let server = Server { server, proxy, zone, drained: None };
+        self.store.put(&format!("servers/{}", server.server.id), &server.entry("ready"));
+        server
+    }
+
+    fn put_config(&self) {
+        let mut configs = self.configs.lock().unwrap();
+        let version = configs.keys().next_back().map_or(1, |it| it + 1);
+        self.store.put("op/config", &config(version));
+        configs.insert(version, Instant::now());
+    }
+
+    /// All servers of the run.
+    pub(crate) fn all_servers(&self) -> Vec<Server> {
+        let mut servers = self.servers.lock().unwrap().clone();
+        servers.extend(self.left.lock().unwrap().iter().cloned());
+        servers
+    }
+
+    /// The VM behind a caller's address.
+    pub(crate) fn vm_of(&self, address: SocketAddr) -> Option<usize> {
+        self.vms.iter().position(|it| it.listen.callers == address)
+    }
+
+    /// Carries out a change or fault, from its start to its end.
+    pub(crate) async fn carry_out(self: Arc<Fleet>, event: Event) {
+        match event {
+            Event::Stop(vm) => self.stop(vm).await,
+            Event::Reload(vm) => self.reload(vm).await,
+            Event::Kill(vm, span) => {
+                self.disturbed.add(Some(vm), span + Duration::from_secs(2));
+                // A process that is being stopped may have been taken out.
+                let taken = self.vms[vm].entry.lock().unwrap().take();
+                let Some(entry) = taken else { return };
+                drop(entry);
+                sleep(span).await;
+                self.vms[vm].start();
+            }
+            Event::Freeze(vm, span) => {
+                self.disturbed.add(Some(vm), span);
+                self.vms[vm].signal("-STOP");
+                sleep(span).await;
+                self.vms[vm].signal("-CONT");
+            }
+            Event::HarmCallers(vm, harm, span) => {
+                self.disturbed.add(Some(vm), span);
+                harm_for(&self.vms[vm].callers, harm, span).await;
+            }
+            Event::HarmStore(vm, harm, span) => {
+                self.disturbed.add(Some(vm), span);
+                harm_for(&self.vms[vm].store, harm, span).await;
+            }
+            Event::HarmServer(server, harm, span) => {
+                self.disturbed.add(None, span);
+                let proxy = self.servers.lock().unwrap()[server].proxy.clone();
+                harm_for(&proxy, harm, span).await;
+            }
+            Event::ResetServer(server) => {
+                self.disturbed.add(None, Duration::from_millis(100));
+                self.servers.lock().unwrap()[server].proxy.reset_all();
+            }
+            Event::ResetCallers(vm) => {
+                self.disturbed.add(Some(vm), Duration::from_millis(100));
+                self.vms[vm].callers.reset_all();
+            }
+            Event::BadAnswers(server, count) => {
+                self.disturbed.add(None, Duration::from_secs(2));
+                let server = self.servers.lock().unwrap()[server].server.clone();
+                for number in 0..count {
+                    let replies = [Reply::Shed, Reply::Crossed, Reply::Broken];
+                    server.reply_next(replies[number as usize % replies.len()]);
+                }
+            }
+            Event::Store(fault, span) => {
+                self.disturbed.add(None, span);
+                self.store.set_fault(Some(fault));
+                sleep(span).await;
+                self.store.set_fault(None);
+            }
+            Event::Forget => {
+                self.disturbed.add(None, Duration::from_secs(1));
+                self.store.forget_history();
+            }
+            Event::Config => self.put_config(),
+            Event::Replace(index) => {
+                let newcomer = self.new_server().await;
+                let mut leaver = {
+                    let mut servers = self.servers.lock().unwrap();
+                    std::mem::replace(&mut servers[index], newcomer)
+                };
+                self.store.put(&format!("servers/{}", leaver.server.id), &leaver.entry("draining"));
+                leaver.drained = Some(Instant::now());
+                let id = leaver.server.id.clone();
+                self.left.lock().unwrap().push(leaver);
+                sleep(Duration::from_secs(3)).await;
+                self.store.remove(&format!("servers/{id}"));
+            }
+            Event::Evacuate(span) => {
+                self.store.put("op/evacuate/south-a", &json!({}));
+                sleep(span).await;
+                self.store.remove("op/evacuate/south-a");
+            }
+        }
+    }
+
+    async fn stop(&self, vm: usize) {
+        let taken = self.vms[vm].entry.lock().unwrap().take();
+        let Some(mut entry) = taken else { return };
+        entry.signal("-TERM");
+        let end = Instant::now() + STOP;
+        while entry.ended().is_none() && Instant::now() < end {
+            sleep(Duration::from_millis(20)).await;
+        }
+        // A process that is still there was held up by another fault; it is killed as the platform would.
+        drop(entry);
+        self.vms[vm].start();
+    }
+
+    async fn reload(&self, vm: usize) {
+        let file = {
+            let entry = self.vms[vm].entry.lock().unwrap();
+            let Some(entry) = entry.as_ref() else { return };
+            entry.settings.path().to_owned()
+        };
+        let good = std::fs::read(&file).unwrap();
+        std::fs::write(&file, "{not settings").unwrap();
+        self.vms[vm].signal("-HUP");
+        sleep(Duration::from_millis(200)).await;
+        // The process, and its file with it, may have been replaced meanwhile.
+        if file.exists() {
+            std::fs::write(&file, good).unwrap();
+            self.vms[vm].signal("-HUP");
+        }
+    }
+
+    /// Counts and starts again processes that ended by themselves.
+    pub(crate) fn watch_exits(&self) {
+        for vm in &self.vms {
+            let ended = vm.entry.lock().unwrap().as_mut().and_then(Entry::ended);
+            if let Some(status) = ended {
+                eprintln!("{}: the process ended by itself: {status}", vm.name);
+                self.exits.fetch_add(1, Ordering::Relaxed);
+                vm.start();
+            }
+        }
+    }
+}
+
+async fn harm_for(proxy: &Proxy, harm: Harm, span: Duration) {
+    proxy.set_harm(harm);
+    sleep(span).await;
+    proxy.set_harm(Harm::None);
+}
--- /dev/null
+++ b/tests/soak/plan.rs
@@ -0,0 +1,124 @@
+//! The faults of a run, drawn from its seed.
+
+use std::time::Duration;
+
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{RngCore, SeedableRng},
+};
+
+use crate::{fleet::SERVERS, fleet::VMS, proxy::Harm, stand_in::StoreFault};
+
+/// Least and most faults a second of a run, in hundredths; several are under way at any time.
+const RATE: (u64, u64) = (60, 180);
+/// Longest time that a fault lasts.
+const LONGEST_MS: u64 = 3_000;
+
+/// A change or a fault.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Event {
+    /// The VM's process gets SIGTERM and starts again.
+    Stop(usize),
+    /// It gets SIGHUP, with settings that cannot be read for a while.
+    Reload(usize),
+    /// It gets SIGKILL and starts again after some time.
+    Kill(usize, Duration),
+    /// It stands still.
+    Freeze(usize, Duration),
+    /// Connections between callers and the VM are harmed.
+    HarmCallers(usize, Harm, Duration),
+    /// Connections between the VM and the store are harmed.
+    HarmStore(usize, Harm, Duration),
+    /// Connections to a backend server are harmed.
+    HarmServer(usize, Harm, Duration),
+    /// Connections to a backend server are reset.
+    ResetServer(usize),
+    /// Connections between callers and the VM are reset.
+    ResetCallers(usize),
+    /// Some answers of a backend server are bad.
+    BadAnswers(usize, u32),
+    /// The store is in trouble.
+    Store(StoreFault, Duration),
+    /// The store drops its history.
+    Forget,
+    /// A new configuration.
+    Config,
+    /// A backend server drains, and another takes its place.
+    Replace(usize),
+    /// A data centre is evacuated for some time.
+    Evacuate(Duration),
+}
+
+impl Event {
+    /// Whether it is planned work, which must cut nothing.
+    pub(crate) fn is_planned(self) -> bool {
+        use Event::{Config, Evacuate, Reload, Replace, Stop};
+        matches!(self, Stop(_) | Reload(_) | Config | Replace(_) | Evacuate(_))
+    }
+}
+
+/// Events by their time from the start of a run.
+#[derive(Debug, Clone)]
+pub(crate) struct Plan {
+    pub(crate) events: Vec<(Duration, Event)>,
+}
+
+struct Dice(ChaCha8Rng);
+
+impl Dice {
+    fn below(&mut self, most: u64) -> u64 {
+        self.0.next_u64() % most.max(1)
+    }
+
+    fn span(&mut self) -> Duration {
+        Duration::from_millis(200 + self.below(LONGEST_MS - 200))
+    }
+
+    fn harm(&mut self) -> Harm {
+        match self.below(5) {
+            0 => Harm::Silent,
+            1 => Harm::DeafThere,
+            2 => Harm::DeafBack,
+            _ => Harm::Delay(Duration::from_millis(5 + self.below(150))),
+        }
+    }
+
+    fn event(&mut self, planned: bool) -> Event {
+        let (vm, server) = (self.below(VMS as u64) as usize, self.below(SERVERS as u64) as usize);
+        match self.below(if planned { 7 } else { 20 }) {
+            0 | 1 => Event::Stop(vm),
+            2 => Event::Reload(vm),
+            3 | 4 => Event::Config,
+            5 => Event::Replace(server),
+            6 => Event::Evacuate(self.span()),
+            7 | 8 => Event::Kill(vm, self.span() / 2),
+            9 => Event::Freeze(vm, self.span()),
+            10 => Event::HarmCallers(vm, self.harm(), self.span()),
+            11 => Event::ResetCallers(vm),
+            12 | 13 => Event::HarmServer(server, self.harm(), self.span()),
+            14 => Event::ResetServer(server),
+            15 => Event::BadAnswers(server, 1 + self.below(8) as u32),
+            16 => Event::HarmStore(vm, self.harm(), self.span()),
+            17 => Event::Store(StoreFault::Busy, self.span()),
+            18 => Event::Store(StoreFault::Lost, self.span()),
+            _ => Event::Forget,
+        }
+    }
+}
+
+impl Plan {
+    /// The events of a run of that length. One seed in three brings planned work alone.
+    pub(crate) fn new(seed: u64, length: Duration) -> Plan {
+        let mut dice = Dice(ChaCha8Rng::seed_from_u64(seed));
+        let planned = seed.is_multiple_of(3);
+        let rate = RATE.0 + dice.below(RATE.1 - RATE.0);
+        let count = length.as_millis() as u64 * rate / 100_000;
+        let mut events = Vec::new();
+        for _ in 0..count.max(2) {
+            let at = Duration::from_millis(dice.below(length.as_millis() as u64));
+            events.push((at, dice.event(planned)));
+        }
+        events.sort_by_key(|it| it.0);
+        Plan { events }
+    }
+}
--- /dev/null
+++ b/tests/soak/promises.rs
@@ -0,0 +1,156 @@
+//! What callers and backend servers must have seen, whatever the faults.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use tokio::time::Instant;
+
+use crate::{
+    callers::{Seen, Sent},
+    fleet::Fleet,
+    stand_in::Run,
+};
+
+/// Time without disturbance before which a VM is not held to bounds in time (the pages' settle window).
+const SETTLE: Duration = Duration::from_secs(4);
+/// Bound on drains and on configurations, from the store's acknowledgement (the pages' bounds of the grown sites).
+const BOUND: Duration = Duration::from_secs(3);
+/// Bound on an answer: the route's time, and half a second.
+const HELD: Duration = Duration::from_millis(2_000);
+/// Requests that may be held longer by a busy machine, in thousandths.
+const HELD_PERMILLE: usize = 5;
+
+/// The promises of a run, and what broke them.
+pub(crate) struct Promises<'a> {
+    fleet: &'a Fleet,
+    sent: &'a [Sent],
+    runs: BTreeMap<String, Vec<(String, Run)>>,
+    pub(crate) broken: Vec<String>,
+}
+
+impl<'a> Promises<'a> {
+    pub(crate) fn new(fleet: &'a Fleet, sent: &'a [Sent]) -> Promises<'a> {
+        let mut runs: BTreeMap<String, Vec<(String, Run)>> = BTreeMap::new();
+        for server in fleet.all_servers() {
+            for (request, list) in server.server.all_runs() {
+                let id = &server.server.id;
+                runs.entry(request)
+                    .or_default()
+                    .extend(list.into_iter().map(|it| (id.clone(), it)));
+            }
+        }
+        Promises { fleet, sent, runs, broken: Vec::new() }
+    }
+
+    fn fail(&mut self, rule: &str, sent: &Sent, why: &str) {
+        let runs = self.runs.get(&sent.id);
+        self.broken.push(format!("{rule}: {why}: {sent:?}, runs {runs:?}"));
+    }
+
+    fn count(&self, sent: &Sent) -> usize {
+        self.runs.get(&sent.id).map_or(0, Vec::len)
+    }
+
+    /// Whether the VM of a request was undisturbed, settle time included, until it ended.
+    fn in_touch(&self, sent: &Sent) -> bool {
+        !self.fleet.disturbed.touch(Some(sent.vm), sent.at - SETTLE, sent.end)
+    }
+
+    /// Promises that hold at any time, however slow the machine.
+    pub(crate) fn check_always(&mut self) {
+        let known: BTreeMap<&str, &Sent> =
+            self.sent.iter().map(|it| (it.id.as_str(), it)).collect();
+        for (id, runs) in &self.runs {
+            for (server, run) in runs {
+                let good = known.get(id.as_str());
+                if !good.is_some_and(|it| it.path == run.path && it.length == run.length) {
+                    self.broken.push(format!("unasked: {server} ran {id}: {run:?}"));
+                }
+            }
+        }
+        for sent in self.sent {
+            let count = self.count(sent);
+            if !sent.safe && 1 < count {
+                self.fail("twice", sent, "an unsafe request ran more than once");
+            }
+            let Seen::Answer(status, echoed, body) = &sent.seen else {
+                continue;
+            };
+            match status {
+                200 => {
+                    let runs = self.runs.get(&sent.id);
+                    let whole =
+                        |id: &String| *body == format!("{id} {} {}", sent.path, sent.length);
+                    let own = runs.is_some_and(|it| it.iter().any(|(id, _)| whole(id)));
+                    if *echoed != sent.id || !own {
+                        self.fail("mixed", sent, "not the whole answer to this request");
+                    }
+                }
+                408 | 421 | 429 | 503 if 0 < count && !sent.safe => {
+                    self.fail("refused", sent, "said not to have run, though it had");
+                }
+                400 | 401 | 403 | 413 => self.fail("denied", sent, "a proper request"),
+                404 if sent.version.is_none() => {
+                    self.fail("denied", sent, "the route is always there")
+                }
+                _ => {}
+            }
+        }
+        if 0 < self.fleet.exits.load(std::sync::atomic::Ordering::Relaxed) {
+            self.broken.push("exit: a process ended by itself".to_owned());
+        }
+    }
+
+    /// Promises with a bound in time, for VMs in touch; not for a machine that is busy with other work.
+    pub(crate) fn check_timed(&mut self) {
+        self.check_drains();
+        let configs = self.fleet.configs.lock().unwrap().clone();
+        let mut held = 0;
+        for sent in self.sent {
+            if !self.in_touch(sent) {
+                continue;
+            }
+            match &sent.seen {
+                Seen::Answer(404, ..) => {
+                    let version = sent.version.unwrap_or_default();
+                    let newer = configs.range(version + 1..).next().map(|it| *it.1);
+                    let due = configs.get(&version).is_some_and(|it| *it + BOUND < sent.at);
+                    if due && newer.is_none_or(|it| sent.end < it) {
+                        self.fail("config", sent, "the route has been in force for long");
+                    }
+                }
+                // A request that crosses a close and is not passed on does not count.
+                Seen::Cut(_) if 0 < self.count(sent) => {
+                    self.fail("lost", sent, "cut by planned work");
+                }
+                _ => {}
+            }
+            held += usize::from(HELD < sent.end - sent.at);
+        }
+        if self.sent.len() * HELD_PERMILLE < held * 1_000 {
+            self.broken.push(format!("held: {held} of {} for over {HELD:?}", self.sent.len()));
+        }
+    }
+
+    fn check_drains(&mut self) {
+        for server in self.fleet.all_servers() {
+            let Some(drained) = server.drained else {
+                continue;
+            };
+            let mut late: Vec<(String, Run)> = Vec::new();
+            for (request, runs) in server.server.all_runs() {
+                late.extend(runs.into_iter().map(|it| (request.clone(), it)));
+            }
+            late.retain(|(_, run)| {
+                drained + BOUND < run.at && !self.disturbed_before(drained, run.at)
+            });
+            if let Some((request, run)) = late.first() {
+                let text = format!("drain: {} ran {request} long after: {run:?}", server.server.id);
+                self.broken.push(text);
+            }
+        }
+    }
+
+    fn disturbed_before(&self, from: Instant, to: Instant) -> bool {
+        self.fleet.disturbed.touch(None, from - SETTLE, to)
+    }
+}
--- /dev/null
+++ b/tests/soak/proxy.rs
@@ -0,0 +1,118 @@
+//! A loopback proxy that harms the connections that pass it.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+    time::sleep,
+};
+
+/// What a proxy does to the bytes that pass it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Harm {
+    /// Nothing.
+    None,
+    /// Each piece comes late.
+    Delay(Duration),
+    /// Nothing passes towards the callee.
+    DeafThere,
+    /// Nothing passes back.
+    DeafBack,
+    /// Nothing passes, and new connections stay without an answer.
+    Silent,
+}
+
+/// A running proxy before one callee.
+#[derive(Clone)]
+pub(crate) struct Proxy {
+    pub(crate) address: SocketAddr,
+    harm: watch::Sender<Harm>,
+    /// Counts the resets; each connection ends at the next one.
+    reset: watch::Sender<u32>,
+    open: Arc<Mutex<u32>>,
+}
+
+impl Proxy {
+    pub(crate) async fn start(callee: SocketAddr) -> Proxy {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (harm, reset) = (watch::Sender::new(Harm::None), watch::Sender::new(0));
+        let proxy = Proxy { address, harm, reset, open: Arc::default() };
+        let served = proxy.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(served.clone().pass(stream, callee));
+            }
+        });
+        proxy
+    }
+
+    pub(crate) fn set_harm(&self, harm: Harm) {
+        self.harm.send_replace(harm);
+    }
+
+    /// Resets all connections.
+    pub(crate) fn reset_all(&self) {
+        self.reset.send_modify(|it| *it += 1);
+    }
+
+    async fn pass(self, caller: TcpStream, callee: SocketAddr) {
+        let mut reset = self.reset.subscribe();
+        *self.open.lock().unwrap() += 1;
+        let Ok(stream) = TcpStream::connect(callee).await else {
+            return;
+        };
+        // Dropping a stream with a zero linger time resets it.
+        for it in [&caller, &stream] {
+            it.set_nodelay(true).unwrap();
+            it.set_zero_linger().unwrap();
+        }
+        let ((caller_in, caller_out), (callee_in, callee_out)) =
+            (caller.into_split(), stream.into_split());
+        let there = copy(caller_in, callee_out, self.harm.subscribe(), Harm::DeafThere);
+        let back = copy(callee_in, caller_out, self.harm.subscribe(), Harm::DeafBack);
+        tokio::select! {
+            _ = async { tokio::join!(there, back) } => {}
+            _ = reset.changed() => {}
+        }
+    }
+}
+
+/// Copies until the sender ends, then ends the other side too.
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut harm: watch::Receiver<Harm>,
+    deaf: Harm,
+) {
+    let mut buffer = vec![0; 16 << 10];
+    loop {
+        let count = from.read(&mut buffer).await.unwrap_or(0);
+        let held = |it: &Harm| *it == deaf || *it == Harm::Silent;
+        // What is held up comes when the harm ends.
+        if harm.wait_for(|it| !held(it)).await.is_err() {
+            return;
+        }
+        let now = *harm.borrow();
+        if let Harm::Delay(span) = now {
+            sleep(span).await;
+        }
+        if count == 0 {
+            // The other side may be gone already.
+            let _ = to.shutdown().await;
+            return;
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/tests/tool/mod.rs
+++ b/tests/tool/mod.rs
@@ -1,5 +1,7 @@
 //! Runs the operators' tool in a folder of the test's own.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
 use std::{
     fs,
     path::{Path, PathBuf},
