--- a/crates/th-steer/tests/dispatch_shares.rs
+++ b/crates/th-steer/tests/dispatch_shares.rs
@@ -8,8 +8,8 @@
 use rstest::rstest;
 use th_protocol::{Bytes, Mbit, Millis, ServiceId, Slots, VmId, ZoneId};
 use th_steer::dispatch::{
-    BackendRecord, ColdPace, EntryRecord, RetryWindow, Share, Split, WarmSet, lookup_shares,
-    vm_shares,
+    Attempt, BackendRecord, ColdPace, End, EntryRecord, Job, Placement, RetryWindow, Share, Split,
+    WarmSet, lookup_shares, vm_shares,
 };
 
 fn room(parts: &[(&str, f64)]) -> BTreeMap<ZoneId, f64> {
@@ -231,3 +231,52 @@
     warm.clear();
     assert!(!warm.contains(1));
 }
+
+/// Load pattern: this region's servers have just started and take little for a while; another region has room. What
+/// goes there rises by steps: at most 15 in 100 requests change the region from one window of 2 s to the next.
+#[test]
+fn requests_change_their_region_by_steps() {
+    let mut world = World::new(&[]);
+    for number in 0..20 {
+        let mut record = backend(&format!("near-{number}"), "north-a");
+        record.cold = Millis(60_000);
+        world.dispatcher.on_backend(record, START);
+        world.dispatcher.on_backend(backend(&format!("far-{number}"), "south-a"), START);
+    }
+    let (mut windows, mut waiting) = (vec![(0u32, 0u32)], BTreeMap::new());
+    let mut running: Vec<(Job, Attempt)> = Vec::new();
+    for step in 0..1_200u64 {
+        world.now = START.after(Millis(step * 10));
+        let window = (step / 200) as usize;
+        windows.resize(window + 1, (0, 0));
+        let job = world.job(step % 40);
+        let (placed, waiter) = world.place(&job);
+        let mut sent = vec![(job.clone(), placed)];
+        if let Some(number) = waiter {
+            waiting.insert(number, job);
+        }
+        for (number, placed) in world.dispatcher.pump(usize::MAX, world.now) {
+            let job = waiting.remove(&number).unwrap();
+            sent.push((job, placed));
+        }
+        for (job, placed) in sent {
+            let Placement::Send { attempt, .. } = placed else {
+                continue;
+            };
+            windows[window].1 += 1;
+            windows[window].0 += u32::from(attempt.backend.as_str().starts_with("far"));
+            running.push((job, attempt));
+        }
+        while running.first().is_some_and(|(_, it)| it.sent.after(Millis(200)) <= world.now) {
+            let (job, attempt) = running.remove(0);
+            world.dispatcher.on_end(&job, &attempt, End::Answered, world.now);
+        }
+    }
+    let mut before = 0.0;
+    for (far, all) in windows {
+        let share = f64::from(far) / f64::from(all.max(1));
+        assert!(share <= before + 0.15, "{share} of the requests after {before}, {all} in all");
+        before = share;
+    }
+    assert!(0.15 < before, "{before}: more than one step in the end");
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -11,7 +11,12 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use stand_in::{Reply, StandInServer, StandInStore, StoreFault, until};
-use tokio::time::sleep;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time::sleep,
+};
 
 const WORK: Duration = Duration::from_millis(20);
 
@@ -135,6 +140,93 @@
     assert!(first == 200 || second == 200, "{first} {second}");
 }
 
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work_for_it() {
+    let (_store, servers, entry) = deployment(1).await;
+    // Far longer than the route's time, so that nothing else ends the work first.
+    servers[0].set_work(Duration::from_secs(600));
+    let url = format!("http://{}/book/left", entry.listen.callers);
+    let request = entry.client.post(url).header("host", "desk.example");
+    let request = request.header("attempt-id", "left").header("request-deadline", "4000");
+    let call = tokio::spawn(request.send());
+    until("the request runs", || servers[0].runs("left") == 1).await;
+    call.abort();
+    until("the work is broken off", || servers[0].broken() == 1).await;
+    servers[0].set_work(WORK);
+    assert_eq!(entry.send(Method::POST, "/book/next", "next").await.status(), 200);
+}
+
+/// A server may turn a request away before it has read the body, keep the connection and read on. What follows is the
+/// rest of that body or the end, never another request's bytes.
+#[tokio::test]
+async fn a_body_that_is_answered_early_is_followed_by_nothing_else() {
+    let (store, servers, entry) = deployment(1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut early = servers[0].entry("ready");
+    early["address"] = json!(listener.local_addr().unwrap().to_string());
+    let (sender, mut bodies) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_early(stream, sender.clone()));
+        }
+    });
+    store.put(
+        "servers/i-2",
+        &json!({"service": "desk", "address": early["address"], "zone": "north-a",
+        "slots": 4, "state": "ready", "cold_remaining_ms": 0, "born": 1_700_000_000_000_u64}),
+    );
+    store.remove(&format!("servers/{}", servers[0].id));
+    entry.until_status("/look/early", 503).await;
+    let body = "x".repeat(4 << 20);
+    for number in 0..3 {
+        let url = format!("http://{}/book/early", entry.listen.callers);
+        let request = entry.client.post(url).header("host", "desk.example");
+        let request = request.header("attempt-id", format!("early-{number}"));
+        let answer = request.body(body.clone()).send().await.unwrap();
+        assert_eq!(answer.status(), 503, "it has not run, and the caller is told so");
+    }
+    drop(entry);
+    let mut large = 0;
+    while large < 3 {
+        let (length, body): (usize, Vec<u8>) = bodies.recv().await.unwrap();
+        large += usize::from(length == 4 << 20);
+        let is_own = body.iter().all(|it| *it == b'x') || body == b"body"[..body.len().min(4)];
+        assert!(is_own, "{}", String::from_utf8_lossy(&body[..body.len().min(200)]));
+    }
+}
+
+/// Answers each request once its head is there, then reads what follows where the body is due; tells both lengths.
+async fn answer_early(mut stream: TcpStream, bodies: mpsc::UnboundedSender<(usize, Vec<u8>)>) {
+    let answer = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    let mut bytes = Vec::new();
+    loop {
+        let end = bytes.windows(4).position(|it| it == b"\r\n\r\n");
+        let Some(end) = end else {
+            // The other side may reset what it has no use for.
+            if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
+                return;
+            }
+            continue;
+        };
+        let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
+        let length = head
+            .split("content-length: ")
+            .nth(1)
+            .map_or(0, |it| it.lines().next().unwrap().parse().unwrap());
+        bytes.drain(..end + 4);
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+        while bytes.len() < length && 0 < stream.read_buf(&mut bytes).await.unwrap_or(0) {}
+        let rest = bytes.split_off(bytes.len().min(length));
+        let whole = bytes.len() == length;
+        // The test may have seen enough.
+        if bodies.send((length, std::mem::replace(&mut bytes, rest))).is_err() || !whole {
+            return;
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_draining_server_gets_no_more_work() {
     let (store, servers, entry) = deployment(2).await;
