Bound the bodies that a VM holds, and give back slots that nobody takes

Bodies are held whole, each up to the bound of the configuration (64 MiB where it names none), so a few large ones could push a VM over its memory: they may take a quarter of it together now (`memory` in the settings, from the platform's template); beyond that a request is refused with the time to come back, before it was sent anywhere. Shown by tests/platform.rs with bodies of 6 MB on a VM of 16 MB, which were passed on before. Answers are still held whole without a bound of their own.

A placement whose waiting request is gone gives its slot back; no way to it was found, but the slot would have been lost for good (dispatch_table).

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -2,10 +2,10 @@
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes as Buffer;
+use bytes::{Bytes as Buffer, BytesMut};
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use th_protocol::{Bytes, Millis, Time, header::drop_hop_headers};
 use th_steer::{
     dispatch::{Attempt, End, Job, Placement, Refusal, RouteTable},
@@ -16,6 +16,7 @@
 use crate::{
     core::{Core, Slot},
     dialect::Facts,
+    held::Held,
     outgoing::{Outcome, Outgoing},
 };
 
@@ -25,6 +26,8 @@
 const NO_ROUTES_BACK: Millis = Millis(500);
 /// Heads of a request and its answer and the network's own, beside the bodies.
 const HEADS: Bytes = Bytes(800);
+/// Asked of callers while bodies fill the memory that they may take; about the time of a few requests.
+const BODIES_BACK: Millis = Millis(500);
 /// Deadline of a request that names none.
 const DEFAULT_DEADLINE: Millis = Millis(30_000);
 
@@ -129,7 +132,8 @@
     story.route = route.name.clone();
     let deadline = facts.deadline.unwrap_or(DEFAULT_DEADLINE);
     let limit = arrived.after(deadline.min(route.timeout));
-    let out = match take_in(&routes, head, body, &facts).await {
+    let mut held = Held::new(core);
+    let out = match take_in(&routes, head, body, &facts, &mut held).await {
         Ok(out) => out,
         Err(answer) => return answer,
     };
@@ -153,17 +157,30 @@
     head: request::Parts,
     body: Incoming,
     facts: &Facts,
+    held: &mut Held,
 ) -> Result<Outgoing, Answer> {
     let limit = usize::try_from(routes.limits().body.0).unwrap_or(usize::MAX);
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "The body is too large."));
-        }
-        Err(error) => {
-            return Err(plain(StatusCode::BAD_REQUEST, &format!("Reading the body: {error}")));
+    let mut body = Limited::new(body, limit);
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        match frame.map(Frame::into_data) {
+            Ok(Ok(data)) => {
+                if !held.grow(data.len() as u64) {
+                    return Err(refuse("This VM holds too many bodies.", BODIES_BACK));
+                }
+                whole.extend_from_slice(&data);
+            }
+            // Trailers are not passed on.
+            Ok(Err(_)) => {}
+            Err(error) if error.is::<LengthLimitError>() => {
+                return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "The body is too large."));
+            }
+            Err(error) => {
+                return Err(plain(StatusCode::BAD_REQUEST, &format!("Reading the body: {error}")));
+            }
         }
-    };
+    }
+    let body = whole.freeze();
     let mut headers = head.headers;
     drop_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -26,6 +26,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<Placement>>>,
     pub(crate) in_flight: Cell<u32>,
+    /// Bytes of requests' bodies that are held.
+    pub(crate) held: Cell<u64>,
     pub(crate) connections: Cell<u32>,
     pub(crate) stopping: Cell<bool>,
     /// Wakes connections when the process takes no more requests.
@@ -46,6 +48,7 @@
             metrics: Metrics::default(),
             waiters: RefCell::new(BTreeMap::new()),
             in_flight: Cell::new(0),
+            held: Cell::new(0),
             connections: Cell::new(0),
             stopping: Cell::new(false),
             closing: Notify::new(),
@@ -67,11 +70,13 @@
         let placed = self.dispatcher.borrow_mut().pump(most, self.now());
         for (number, placement) in placed {
             let waiter = self.waiters.borrow_mut().remove(&number);
-            let Some(waiter) = waiter else {
-                continue;
+            let unsent = match waiter {
+                Some(waiter) => waiter.send(placement).err(),
+                None => Some(placement),
             };
-            if let Err(Placement::Send { attempt, .. }) = waiter.send(placement) {
+            if let Some(Placement::Send { attempt, .. }) = unsent {
                 log::debug!(target: "call", "backend={} The caller left while it was placed.", attempt.backend);
+                self.dispatcher.borrow_mut().give_back(&attempt, self.now());
             }
         }
     }
--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod core;
 mod dialect;
 mod gateway;
+mod held;
 mod lines;
 mod link;
 mod listen;
--- a/crates/th-gateway/src/settings.rs
+++ b/crates/th-gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use th_protocol::Millis;
+use th_protocol::{Bytes, Millis};
 use th_steer::dispatch::DispatchSettings;
 
 use crate::lines::LineCounts;
@@ -43,6 +43,8 @@
     pub linger: Millis,
     /// Longest time from the start of a stop to its end.
     pub grace: Millis,
+    /// Most bytes of requests' bodies that are held at the same time.
+    pub bodies: Bytes,
     /// Dispatch.
     pub dispatch: DispatchSettings,
     /// Counts of the log lines that were left out.
@@ -62,6 +64,7 @@
             tick: Millis(50),
             linger: Millis(2_500),
             grace: Millis(6_000),
+            bodies: Bytes(64 << 20),
             dispatch: DispatchSettings::default(),
             lines: Arc::default(),
         }
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -278,6 +278,13 @@
         }
     }
 
+    /// Gives back the slot of an attempt that was not made.
+    pub fn give_back(&mut self, attempt: &Attempt, now: Time) {
+        if let Some(row) = self.backends.of_mut(&attempt.backend) {
+            row.end(attempt, End::Abandoned, &self.settings, now);
+        }
+    }
+
     /// Takes note of bytes that passed this VM's link in one direction.
     pub fn on_moved(&mut self, bytes: Bytes) {
         self.traffic.add(bytes);
--- a/crates/th-steer/tests/dispatch_table.rs
+++ b/crates/th-steer/tests/dispatch_table.rs
@@ -40,3 +40,14 @@
     world.dispatcher.set_evacuated([id("south-a")].into());
     assert_eq!(world.place(&job).0, gone);
 }
+
+/// A slot that was given to a caller who had left is free again.
+#[test]
+fn a_slot_that_is_given_back_is_used_again() {
+    let mut world = World::new(&[("b-1", "north-a")]);
+    let job = world.job(1);
+    let (_one, two) = (world.send(&job), world.send(&job));
+    assert!(world.place(&job).1.is_some(), "both slots are in use");
+    world.dispatcher.give_back(&two, world.now);
+    assert_eq!(world.dispatcher.pump(1, world.now).len(), 1);
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -140,6 +140,29 @@
     assert!(first == 200 || second == 200, "{first} {second}");
 }
 
+#[tokio::test]
+async fn bodies_beyond_the_memory_for_them_are_refused() {
+    let (store, servers, _entry) = deployment(1).await;
+    let listen = Listen::free();
+    let mut settings = settings("vm-2", "north-a", listen, store.address);
+    settings["memory"] = json!(16);
+    let entry = Entry::start(listen, &settings, Stdio::null());
+    entry.until_ready().await;
+    entry.until_status("/look/first", 200).await;
+    for number in 0..2 {
+        let url = format!("http://{}/book/large", entry.listen.callers);
+        let request = entry.client.post(url).header("host", "desk.example");
+        let request = request.header("attempt-id", format!("large-{number}"));
+        let answer = request.body("x".repeat(6 << 20)).send().await.unwrap();
+        assert_eq!(answer.status(), 503);
+        assert!(answer.headers().contains_key("retry-after"));
+        assert_eq!(servers[0].runs(&format!("large-{number}")), 0);
+        // What was held is given back.
+        let answer = entry.send(Method::POST, "/book/small", &format!("small-{number}")).await;
+        assert_eq!(answer.status(), 200);
+    }
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_ends_the_work_for_it() {
     let (_store, servers, entry) = deployment(1).await;
