--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -1,6 +1,6 @@
 //! The table row of a backend server: what it said of itself, and what was seen of it.
 
-use th_protocol::{BackendId, Millis, RegionId, Slots, Time};
+use th_protocol::{BackendId, Millis, Slots, Time};
 
 use super::{
     cold::ColdPace,
@@ -95,7 +95,6 @@
 #[derive(Debug)]
 pub(crate) struct BackendRow {
     pub(crate) record: BackendRecord,
-    pub(crate) region: Option<RegionId>,
     /// Hash of the id, for rendezvous hashing.
     pub(crate) hash: u64,
     /// Attempts of this VM: number, time sent and expected time.
@@ -114,12 +113,11 @@
 }
 
 impl BackendRow {
-    pub(crate) fn new(record: BackendRecord, region: Option<RegionId>, now: Time) -> BackendRow {
+    pub(crate) fn new(record: BackendRecord, now: Time) -> BackendRow {
         BackendRow {
             hash: crate::route::hash_name(record.id.as_str()),
             cold_until: now.after(record.cold),
             record,
-            region,
             running: Vec::new(),
             others: Others::default(),
             warm: WarmSet::default(),
@@ -136,9 +134,8 @@
     pub(crate) fn on_record(&mut self, record: BackendRecord, now: Time) {
         let restarted = record.born != self.record.born || record.address != self.record.address;
         if restarted {
-            let region = self.region.clone();
             let running = std::mem::take(&mut self.running);
-            *self = BackendRow { running, ..BackendRow::new(record, region, now) };
+            *self = BackendRow { running, ..BackendRow::new(record, now) };
             return;
         }
         if self.record.cold == Millis::ZERO && Millis::ZERO < record.cold {
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -110,8 +110,7 @@
 
     /// Takes in what a backend server says of itself.
     pub fn on_backend(&mut self, record: BackendRecord, now: Time) {
-        let region = self.topology.zones.get(&record.zone).cloned();
-        self.backends.put(record, region, now);
+        self.backends.put(record, now);
     }
 
     /// Forgets a backend server.
--- a/crates/th-steer/src/dispatch/links.rs
+++ b/crates/th-steer/src/dispatch/links.rs
@@ -18,7 +18,7 @@
 
 /// This VM's traffic, and from it the traffic of all entry VMs.
 #[derive(Debug, Clone, Default)]
-pub struct Traffic {
+pub(crate) struct Traffic {
     moved: Bytes,
     at: Option<Time>,
     /// Bytes a millisecond in one direction.
@@ -29,12 +29,12 @@
 
 impl Traffic {
     /// Takes note of bytes that passed this VM's link in one direction.
-    pub fn add(&mut self, bytes: Bytes) {
+    pub(crate) fn add(&mut self, bytes: Bytes) {
         self.moved += bytes;
     }
 
     /// Brings the averages up to date; `share` is the part of the callers that this VM is now named to.
-    pub fn tick(&mut self, share: f64, now: Time) {
+    pub(crate) fn tick(&mut self, share: f64, now: Time) {
         let Some(last) = self.at.replace(now) else {
             (self.moved, self.share) = (Bytes::ZERO, share);
             return;
@@ -55,7 +55,7 @@
     }
 
     /// The largest share of all callers that a VM's link is to carry.
-    pub fn cap(&self, entry: &EntryRecord) -> f64 {
+    pub(crate) fn cap(&self, entry: &EntryRecord) -> f64 {
         let (Some(link), Some(total)) = (entry.link, self.total()) else {
             return 1.0;
         };
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -26,7 +26,7 @@
 pub use cold::ColdPace;
 pub use dispatcher::Dispatcher;
 pub use job::{Job, Placement, Refusal};
-pub use links::{Traffic, vm_shares};
+pub use links::vm_shares;
 pub use lookup::{Topology, lookup_shares};
 pub use record::{BackendRecord, EntryRecord, Serving};
 pub use retry::RetryWindow;
--- a/crates/th-steer/src/dispatch/table.rs
+++ b/crates/th-steer/src/dispatch/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use th_protocol::{BackendId, RegionId, ServiceId, Time, ZoneId};
+use th_protocol::{BackendId, ServiceId, Time, ZoneId};
 
 use super::{backend::BackendRow, record::BackendRecord};
 
@@ -66,7 +66,7 @@
     }
 
     /// Takes in what a backend server says of itself.
-    pub(crate) fn put(&mut self, record: BackendRecord, region: Option<RegionId>, now: Time) {
+    pub(crate) fn put(&mut self, record: BackendRecord, now: Time) {
         let Some(id) = self.id(&record.id) else {
             let id = self.free.pop().unwrap_or_else(|| {
                 self.rows.push(None);
@@ -74,7 +74,7 @@
             });
             self.ids.insert(record.id.clone(), id);
             self.place(id, &record);
-            self.rows[id.0 as usize] = Some(BackendRow::new(record, region, now));
+            self.rows[id.0 as usize] = Some(BackendRow::new(record, now));
             return;
         };
         let before = self.get(id).map(|it| it.record.clone());
@@ -85,7 +85,6 @@
             self.place(id, &record);
         }
         if let Some(row) = self.get_mut(id) {
-            row.region = region;
             row.on_record(record, now);
         }
     }
