--- a/src/bin/thctl/fleet.rs
+++ b/src/bin/thctl/fleet.rs
@@ -1,6 +1,6 @@
 //! The command on the users' platform: fleet.
 
-use std::{collections::BTreeMap, fmt::Write};
+use std::{collections::BTreeMap, fmt::Write, time::Duration};
 
 use eyre::Result;
 use platform::{FleetView, StoreClient, ask_ready};
@@ -13,6 +13,9 @@
     args::Fleet,
 };
 
+/// Bound on the question whether an entry VM is ready: an operator may sit far from it.
+const ASK: Duration = Duration::from_millis(1_000);
+
 /// Backend servers of a service in a data centre.
 #[derive(Debug, Clone, Copy, Default)]
 struct Count {
@@ -47,7 +50,7 @@
         }
     };
     let client = reqwest::Client::builder().no_proxy().build()?;
-    let asked = view.entries.iter().map(|it| ask_ready(&client, it));
+    let asked = view.entries.iter().map(|it| ask_ready(&client, it.ready, ASK));
     let ready = futures_util::future::join_all(asked).await;
     let counts = count(&view);
     let text = text(&view, &counts, &ready)?;
