Read bodies to their end before an early answer

Seen once in tests/platform.rs: after a refusal for the memory of bodies the next request on the connection ended without an answer. Cause: hyper closes a connection whose request body was not read, without saying so in the answer; a caller that still sends may lose the answer itself, as a close with unread bytes resets. The same held for requests that a VM refuses before it knows routes, and for 404: a new test posts 6 MB to a VM without a configuration and got a broken pipe in place of 503.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use th_protocol::{Bytes, Millis, Time, header::drop_hop_headers};
 use th_steer::{
-    dispatch::{Attempt, End, Job, Placement, Refusal, RouteTable},
+    dispatch::{Attempt, CallerLimits, End, Job, Placement, Refusal, RouteTable},
     route::hash_name,
 };
 use tokio::{sync::oneshot, time::sleep};
@@ -123,10 +123,12 @@
     story: &mut Story,
 ) -> Answer {
     let Some(routes) = core.dispatcher.borrow().routes().cloned() else {
+        discard(body, CallerLimits::default().body).await;
         return refuse("This VM knows no routes yet.", NO_ROUTES_BACK);
     };
     story.version = routes.version().0;
     let Some(route) = routes.find(&host(&head), head.uri.path()).cloned() else {
+        discard(body, routes.limits().body).await;
         return plain(StatusCode::NOT_FOUND, "No route matches the host and path.");
     };
     story.route = route.name.clone();
@@ -151,6 +153,18 @@
     answer
 }
 
+/// Reads a body and drops it, up to a length: closing on a caller that still sends could cost it the answer.
+async fn discard(mut body: Incoming, most: Bytes) {
+    let mut left = most.0;
+    while let Some(Ok(frame)) = body.frame().await {
+        let length = frame.data_ref().map_or(0, |it| it.len() as u64);
+        if left < length {
+            return;
+        }
+        left -= length;
+    }
+}
+
 /// Reads the whole body, so that the request can be sent again.
 async fn take_in(
     routes: &RouteTable,
@@ -161,25 +175,35 @@
 ) -> Result<Outgoing, Answer> {
     let limit = usize::try_from(routes.limits().body.0).unwrap_or(usize::MAX);
     let mut body = Limited::new(body, limit);
-    let mut whole = BytesMut::new();
+    let (mut whole, mut fits) = (BytesMut::new(), true);
     while let Some(frame) = body.frame().await {
         match frame.map(Frame::into_data) {
             Ok(Ok(data)) => {
-                if !held.grow(data.len() as u64) {
-                    return Err(refuse("This VM holds too many bodies.", BODIES_BACK));
+                // The rest is dropped, as in `discard`.
+                fits &= held.grow(data.len() as u64);
+                if fits {
+                    whole.extend_from_slice(&data);
+                } else {
+                    whole = BytesMut::new();
+                    held.release();
                 }
-                whole.extend_from_slice(&data);
             }
             // Trailers are not passed on.
             Ok(Err(_)) => {}
             Err(error) if error.is::<LengthLimitError>() => {
-                return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "The body is too large."));
+                let mut answer = plain(StatusCode::PAYLOAD_TOO_LARGE, "The body is too large.");
+                // The rest may be without end; the caller is to send nothing more here.
+                answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                return Err(answer);
             }
             Err(error) => {
                 return Err(plain(StatusCode::BAD_REQUEST, &format!("Reading the body: {error}")));
             }
         }
     }
+    if !fits {
+        return Err(refuse("This VM holds too many bodies.", BODIES_BACK));
+    }
     let body = whole.freeze();
     let mut headers = head.headers;
     drop_hop_headers(&mut headers);
--- a/crates/th-gateway/src/held.rs
+++ b/crates/th-gateway/src/held.rs
@@ -25,10 +25,16 @@
         self.bytes += bytes;
         true
     }
+
+    /// Gives all bytes back.
+    pub(crate) fn release(&mut self) {
+        let bytes = std::mem::take(&mut self.bytes);
+        self.core.held.set(self.core.held.get() - bytes);
+    }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.core.held.set(self.core.held.get() - self.bytes);
+        self.release();
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -163,6 +163,22 @@
     }
 }
 
+/// An answer that comes before the body was read must not cost the caller the answer, nor the next one.
+#[tokio::test]
+async fn a_vm_that_knows_no_routes_refuses_large_requests() {
+    let store = StandInStore::start().await;
+    let entry = start(&store);
+    until("the VM has read the store", || 0 < store.calls("/-/kv-watch")).await;
+    for number in 0..5 {
+        let url = format!("http://{}/book/large", entry.listen.callers);
+        let request = entry.client.post(url).header("host", "desk.example");
+        let request = request.header("attempt-id", format!("early-{number}"));
+        let answer = request.body("x".repeat(6 << 20)).send().await.unwrap();
+        assert_eq!(answer.status(), 503);
+        assert!(answer.headers().contains_key("retry-after"));
+    }
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_ends_the_work_for_it() {
     let (_store, servers, entry) = deployment(1).await;
