--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,10 +1,6 @@
 //! A loopback proxy that harms the connections that pass it.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -38,7 +34,6 @@
     harm: watch::Sender<Harm>,
     /// Counts the resets; each connection ends at the next one.
     reset: watch::Sender<u32>,
-    open: Arc<Mutex<u32>>,
 }
 
 impl Proxy {
@@ -46,7 +41,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (harm, reset) = (watch::Sender::new(Harm::None), watch::Sender::new(0));
-        let proxy = Proxy { address, harm, reset, open: Arc::default() };
+        let proxy = Proxy { address, harm, reset };
         let served = proxy.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -67,7 +62,6 @@
 
     async fn pass(self, caller: TcpStream, callee: SocketAddr) {
         let mut reset = self.reset.subscribe();
-        *self.open.lock().unwrap() += 1;
         let Ok(stream) = TcpStream::connect(callee).await else {
             return;
         };
