Run pipelined requests together, and bound bodies in time and memory

Cause: the HTTP library serves the requests of a connection one after the other, so a pipelined look-up waited for the work of the one before it, and a close by the caller was not seen while bytes of a later request lay in its buffer. A request body was read without a time limit, and answers were buffered without a memory limit. Change: a stream between socket and library hands over one request at a time, starts up to eight idempotent bodyless requests behind it, and delivers answers in order. A planned stop answers those that run before it closes; closing reads on for a moment, so that unread bytes reset nothing. A body must be complete by the deadline (408, not run); a stated length over the limit is rejected at once, and a body without room is not asked for where the caller waits to be asked. Answers reserve memory, and wait for it on their server's connection. Ruled out: other HTTP libraries, which also serve one request at a time; a server of our own, which would replace tested parsing.

--- /dev/null
+++ b/crates/th-gateway/src/answer.rs
@@ -0,0 +1,33 @@
+//! Answers to callers that no backend server gave.
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use th_protocol::Millis;
+
+use crate::body::AnswerBody;
+
+/// An answer to a caller.
+pub(crate) type Answer = Response<AnswerBody>;
+
+pub(crate) fn reply(status: StatusCode, text: &str) -> Answer {
+    let mut answer = Response::new(AnswerBody::new(Bytes::from(text.to_owned())));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    answer
+}
+
+/// Rejects a request that no backend server has run or will run.
+pub(crate) fn reject(text: &str, retry_after: Millis) -> Answer {
+    let mut answer = reply(StatusCode::SERVICE_UNAVAILABLE, text);
+    let seconds = format!("{:.3}", retry_after.0 as f64 / 1_000.0);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        answer.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    answer
+}
+
+/// Marks an answer as the last one on its connection.
+pub(crate) fn closing(mut answer: Answer) -> Answer {
+    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -2,32 +2,33 @@
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::{Bytes as Buffer, BytesMut};
-use http::{HeaderValue, Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Frame, Incoming};
-use th_protocol::{Bytes, Millis, Time, header::remove_hop_by_hop_headers};
+use http::{HeaderMap, Request, Response, StatusCode, Uri, header, request};
+use http_body_util::Empty;
+use hyper::body::Body;
+use th_protocol::{Bytes, Millis, Time};
 use th_steer::{
-    dispatch::{Attempt, AttemptOutcome, CallerLimits, Job, Placement, Rejection, RouteTable},
+    dispatch::{Attempt, AttemptOutcome, CallerLimits, Job, Placement, Rejection},
     route::hash_name,
 };
-use tokio::{sync::oneshot, time::sleep};
+use tokio::{
+    sync::oneshot,
+    time::{sleep, timeout},
+};
 
 use crate::{
-    body_memory::BodyMemory,
+    answer::{Answer, reject, reply},
     core::{Core, Slot},
     dialect::RequestInfo,
+    listen::HandlerFuture,
+    memory::Reservation,
     outgoing::{AttemptResult, Outgoing},
+    request_body::{RequestBody, buffer_request, discard, stalled_body},
 };
 
-type Answer = Response<Full<Buffer>>;
-
 /// Retry delay suggested to callers while this VM has no routes yet; about the time that reading them takes.
 const NO_ROUTES_RETRY_AFTER: Millis = Millis(500);
 /// Link traffic of a request beside the bodies: both message heads and the network's own headers.
 const HEAD_BYTES: Bytes = Bytes(800);
-/// Retry delay suggested to callers while body memory is full; about the duration of a few requests.
-const BODIES_RETRY_AFTER: Millis = Millis(500);
 /// Time until the deadline of a request that states none.
 const DEFAULT_TIME_LEFT: Millis = Millis(30_000);
 
@@ -58,20 +59,32 @@
     waited: Millis,
 }
 
+/// Serves a pipelined request that has no body ahead of its turn; `None` if it must wait for its turn, because it may
+/// run only once or because this VM starts no new work.
+pub(crate) fn serve_ahead(core: &Rc<Core>, request: Request<()>) -> Option<HandlerFuture> {
+    if core.stopping.get() {
+        return None;
+    }
+    let (head, ()) = request.into_parts();
+    let routes = core.dispatcher.borrow().routes().cloned()?;
+    if !routes.find(&host(&head.headers, &head.uri), head.uri.path())?.idempotent {
+        return None;
+    }
+    let request = Request::from_parts(head, Empty::new());
+    Some(Box::pin(serve(Rc::clone(core), request)))
+}
+
 /// Serves one request of a caller.
-pub(crate) async fn serve(
+pub(crate) async fn serve<B: RequestBody>(
     core: Rc<Core>,
-    request: Request<Incoming>,
+    request: Request<B>,
 ) -> Result<Answer, Infallible> {
     let _guard = InFlight::new(&core);
     let arrived = core.now();
     let (head, body) = request.into_parts();
     let info = core.dialect.read_request(&head);
     let mut record = LogRecord { id: info.id.clone(), ..LogRecord::default() };
-    let mut answer = handle(&core, head, body, info, arrived, &mut record).await;
-    if core.stopping.get() {
-        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
+    let answer = handle(&core, head, body, info, arrived, &mut record).await;
     log_request(&core, &answer, &record, arrived);
     Ok(answer)
 }
@@ -91,53 +104,38 @@
     }
 }
 
-fn reply(status: StatusCode, text: &str) -> Answer {
-    let mut answer = Response::new(Full::new(Buffer::from(text.to_owned())));
-    *answer.status_mut() = status;
-    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    answer
-}
-
-/// Rejects a request that no backend server has run or will run.
-fn reject(text: &str, retry_after: Millis) -> Answer {
-    let mut answer = reply(StatusCode::SERVICE_UNAVAILABLE, text);
-    let seconds = format!("{:.3}", retry_after.0 as f64 / 1_000.0);
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        answer.headers_mut().insert(header::RETRY_AFTER, value);
-    }
-    answer
-}
-
-fn host(head: &request::Parts) -> String {
-    let authority = head.headers.get(header::HOST).and_then(|it| it.to_str().ok());
-    let authority = authority.or_else(|| head.uri.host()).unwrap_or_default();
+fn host(headers: &HeaderMap, uri: &Uri) -> String {
+    let authority = headers.get(header::HOST).and_then(|it| it.to_str().ok());
+    let authority = authority.or_else(|| uri.host()).unwrap_or_default();
     authority.rsplit_once(':').map_or(authority, |(host, _)| host).to_ascii_lowercase()
 }
 
-async fn handle(
+async fn handle<B: RequestBody>(
     core: &Rc<Core>,
     head: request::Parts,
-    body: Incoming,
+    body: B,
     info: RequestInfo,
     arrived: Time,
     record: &mut LogRecord,
 ) -> Answer {
     let Some(routes) = core.dispatcher.borrow().routes().cloned() else {
-        discard(body, CallerLimits::default().body).await;
+        discard(&head, body, CallerLimits::default().body).await;
         return reject("This VM knows no routes yet.", NO_ROUTES_RETRY_AFTER);
     };
     record.version = routes.version().0;
-    let Some(route) = routes.find(&host(&head), head.uri.path()).cloned() else {
-        discard(body, routes.limits().body).await;
+    let Some(route) = routes.find(&host(&head.headers, &head.uri), head.uri.path()).cloned() else {
+        discard(&head, body, routes.limits().body).await;
         return reply(StatusCode::NOT_FOUND, "No route matches the host and path.");
     };
     record.route = route.name.clone();
     let time_left = info.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived.after(time_left.min(route.timeout));
-    let mut body_memory = BodyMemory::new(core);
-    let outgoing = match buffer_request(&routes, head, body, &info, &mut body_memory).await {
-        Ok(outgoing) => outgoing,
-        Err(answer) => return answer,
+    let mut memory = Reservation::new(&core.request_memory);
+    let reading = buffer_request(core, &routes, head, body, &info, &mut memory);
+    let outgoing = match timeout(Duration::from_millis(deadline.since(arrived).0), reading).await {
+        Ok(Ok(outgoing)) => outgoing,
+        Ok(Err(answer)) => return answer,
+        Err(_) => return stalled_body(deadline.since(arrived)),
     };
     let Some(service) = core.dispatcher.borrow_mut().choose_service(&route) else {
         return reject("No service of the route takes requests.", NO_ROUTES_RETRY_AFTER);
@@ -153,69 +151,6 @@
     answer
 }
 
-/// Reads and discards a body up to `max`, since closing while the caller still sends could cost it the answer.
-async fn discard(mut body: Incoming, max: Bytes) {
-    let mut remaining = max.0;
-    while let Some(Ok(frame)) = body.frame().await {
-        let length = frame.data_ref().map_or(0, |it| it.len() as u64);
-        if remaining < length {
-            return;
-        }
-        remaining -= length;
-    }
-}
-
-/// Buffers the complete body, so that the request can be sent more than once.
-async fn buffer_request(
-    routes: &RouteTable,
-    head: request::Parts,
-    body: Incoming,
-    info: &RequestInfo,
-    body_memory: &mut BodyMemory,
-) -> Result<Outgoing, Answer> {
-    let limit = usize::try_from(routes.limits().body.0).unwrap_or(usize::MAX);
-    let mut body = Limited::new(body, limit);
-    let (mut collected, mut fits) = (BytesMut::new(), true);
-    while let Some(frame) = body.frame().await {
-        match frame.map(Frame::into_data) {
-            Ok(Ok(data)) => {
-                // Beyond the limit on body memory, the rest is read and discarded, for the reason given at `discard`.
-                fits &= body_memory.reserve(data.len() as u64);
-                if fits {
-                    collected.extend_from_slice(&data);
-                } else {
-                    collected = BytesMut::new();
-                    body_memory.release();
-                }
-            }
-            // Trailers are not forwarded.
-            Ok(Err(_)) => {}
-            Err(error) if error.is::<LengthLimitError>() => {
-                let mut answer = reply(StatusCode::PAYLOAD_TOO_LARGE, "The body is too large.");
-                // The rest may be endless, so the caller must send nothing more on this connection.
-                answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-                return Err(answer);
-            }
-            Err(error) => {
-                return Err(reply(StatusCode::BAD_REQUEST, &format!("Reading the body: {error}")));
-            }
-        }
-    }
-    if !fits {
-        return Err(reject("This VM holds too many bodies.", BODIES_RETRY_AFTER));
-    }
-    let body = collected.freeze();
-    let mut headers = head.headers;
-    remove_hop_by_hop_headers(&mut headers);
-    headers.remove(header::CONTENT_LENGTH);
-    headers.remove(header::EXPECT);
-    let path = head.uri.path_and_query().map_or("/", |it| it.as_str());
-    let Ok(uri) = path.parse() else {
-        return Err(reply(StatusCode::BAD_REQUEST, "The path is not valid."));
-    };
-    Ok(Outgoing { method: head.method, uri, headers, body, id: info.id.clone() })
-}
-
 /// Places a request; waits if no slot is free.
 async fn place(core: &Rc<Core>, job: &Job) -> Placement {
     let (placement, waiter) = core.dispatcher.borrow_mut().place(job.clone(), core.now());
@@ -373,7 +308,7 @@
 
 fn into_answer(result: AttemptResult) -> Option<Answer> {
     let (head, body) = result.answer?;
-    Some(Response::from_parts(head, Full::new(body)))
+    Some(Response::from_parts(head, body))
 }
 
 fn bad_gateway(text: &str) -> Answer {
--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -11,7 +11,10 @@
 use th_steer::dispatch::{Attempt, AttemptOutcome, Dispatcher, Job, Placement};
 use tokio::sync::{Notify, oneshot};
 
-use crate::{connection::Pool, dialect::Dialect, metrics::Metrics, settings::GatewaySettings};
+use crate::{
+    connection::Pool, dialect::Dialect, memory::MemoryPool, metrics::Metrics,
+    settings::GatewaySettings,
+};
 
 /// Maximum number of waiting requests examined when a slot becomes free; the next tick examines all.
 const MAX_EXAMINED_REQUESTS: usize = 12;
@@ -26,8 +29,10 @@
     pub(crate) metrics: Metrics,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<Placement>>>,
     pub(crate) in_flight: Cell<u32>,
-    /// Total size of the buffered request bodies.
-    pub(crate) body_bytes: Cell<u64>,
+    /// Memory for the bodies of requests.
+    pub(crate) request_memory: Rc<MemoryPool>,
+    /// Memory for the bodies of answers.
+    pub(crate) answer_memory: Rc<MemoryPool>,
     pub(crate) connections: Cell<u32>,
     pub(crate) stopping: Cell<bool>,
     /// Wakes callers' connections once the process accepts no more requests, so that they close.
@@ -42,13 +47,14 @@
     ) -> Core {
         Core {
             dispatcher: RefCell::new(dispatcher),
+            request_memory: MemoryPool::new(settings.body_memory),
+            answer_memory: MemoryPool::new(settings.body_memory),
             settings,
             dialect,
             pool: RefCell::new(Pool::default()),
             metrics: Metrics::default(),
             waiters: RefCell::new(BTreeMap::new()),
             in_flight: Cell::new(0),
-            body_bytes: Cell::new(0),
             connections: Cell::new(0),
             stopping: Cell::new(false),
             closing: Notify::new(),
--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -2,20 +2,20 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use eyre::WrapErr;
 use http::Response;
-use http_body_util::Full;
 use th_protocol::{VmId, ZoneId};
 use th_steer::dispatch::{Dispatcher, Topology};
 use tokio::task::{AbortHandle, spawn_local};
 
 use crate::{
-    call::serve,
+    body::AnswerBody,
+    call::{serve, serve_ahead},
     core::Core,
     dialect::Dialect,
-    listen::{Handler, accept, open},
+    listen::{Handler, HandlerFuture, accept, open},
     lookup::{lookup, metrics, readiness},
+    pipeline::StartAhead,
     settings::{GatewaySettings, Listeners},
     stop::stop,
 };
@@ -34,12 +34,13 @@
 }
 
 fn sync_handler(
-    answer: impl Fn(&http::Request<hyper::body::Incoming>) -> Response<Full<Bytes>> + 'static,
+    answer: impl Fn(&http::Request<hyper::body::Incoming>) -> Response<AnswerBody> + 'static,
 ) -> Handler {
-    Rc::new(move |request| {
+    let serve = Rc::new(move |request| -> HandlerFuture {
         let answer = answer(&request);
         Box::pin(async move { Ok(answer) })
-    })
+    });
+    Handler { serve, ahead: None }
 }
 
 impl Gateway {
@@ -55,7 +56,12 @@
         let dispatcher = Dispatcher::new(settings.dispatch.clone(), vm, zone, topology);
         let core = Rc::new(Core::new(dispatcher, settings, dialect));
         let shared = Rc::clone(&core);
-        let callers: Handler = Rc::new(move |request| Box::pin(serve(Rc::clone(&shared), request)));
+        let serve = Rc::new(move |request| -> HandlerFuture {
+            Box::pin(serve(Rc::clone(&shared), request))
+        });
+        let shared = Rc::clone(&core);
+        let ahead: StartAhead = Rc::new(move |request| serve_ahead(&shared, request));
+        let callers = Handler { serve, ahead: Some(ahead) };
         let callers = listen(&core, listeners.callers, callers)?;
         let shared = Rc::clone(&core);
         listen(&core, listeners.lookups, sync_handler(move |it| lookup(&shared, it)))?;
--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //! A single thread runs everything: the listeners for callers and look-ups, the connections to backend servers, and the
 //! decisions of [`th_steer::dispatch`]. A [`Dialect`] defines the headers and paths of the messages.
 
-mod body_memory;
+mod answer;
+mod body;
 mod call;
 mod connection;
 mod core;
@@ -12,8 +13,11 @@
 mod listen;
 mod logging;
 mod lookup;
+mod memory;
 mod metrics;
 mod outgoing;
+mod pipeline;
+mod request_body;
 mod settings;
 mod stop;
 
@@ -21,4 +25,5 @@
 pub use dialect::{AnswerInfo, Dialect, LookupQuery, RequestInfo};
 pub use gateway::{Gateway, Result};
 pub use logging::{LineCounts, start_logging};
+pub use pipeline::{Framing, HeadStatus, RequestHead, parse_head};
 pub use settings::{GatewaySettings, Listeners};
--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -2,9 +2,7 @@
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -12,7 +10,11 @@
     task::spawn_local,
 };
 
-use crate::core::Core;
+use crate::{
+    body::AnswerBody,
+    core::Core,
+    pipeline::{Pipeline, PipelinedStream, StartAhead},
+};
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -22,11 +24,20 @@
 /// first.
 const IDLE_FACTOR: u64 = 2;
 
+/// Minimum size of the buffer for a request head, in bytes.
+const MIN_HEAD_BUFFER: usize = 16 << 10;
+
 /// Handles the requests of a listener.
-pub(crate) type Handler = Rc<dyn Fn(Request<Incoming>) -> HandlerFuture>;
+#[derive(Clone)]
+pub(crate) struct Handler {
+    pub(crate) serve: Rc<dyn Fn(Request<Incoming>) -> HandlerFuture>,
+    /// Starts pipelined requests ahead of their turn.
+    pub(crate) ahead: Option<StartAhead>,
+}
+
 /// Future of a handler's answer.
 pub(crate) type HandlerFuture =
-    std::pin::Pin<Box<dyn Future<Output = Result<Response<Full<Bytes>>, Infallible>>>>;
+    std::pin::Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, Infallible>>>>;
 
 /// Opens a listener whose address can be reused as soon as the process has ended.
 pub(crate) fn open(address: SocketAddr) -> std::io::Result<TcpListener> {
@@ -44,7 +55,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                spawn_local(handle_connection(Rc::clone(&core), stream, Rc::clone(&handler)));
+                spawn_local(handle_connection(Rc::clone(&core), stream, handler.clone()));
             }
             Err(error) => {
                 log::warn!(target: "entry", "Accepting a connection failed: {error}");
@@ -60,21 +71,49 @@
     }
     core.connections.set(core.connections.get() + 1);
     let limits = core.dispatcher.borrow().routes().map(|it| it.limits()).unwrap_or_default();
-    let service = service_fn(move |request| handler(request));
     let idle = Duration::from_millis(limits.idle.plus(limits.send).0 * IDLE_FACTOR);
+    let max_head = (limits.head.0 as usize * 2).max(MIN_HEAD_BUFFER);
+    let depth = core.settings.pipeline_depth;
+    let pipeline = Rc::new(Pipeline::new(handler.ahead.clone(), depth, max_head));
+    let stream = PipelinedStream::new(stream, Rc::clone(&pipeline), idle);
+    let shared = (Rc::clone(&core), Rc::clone(&pipeline));
+    let service = service_fn(move |request| {
+        let (core, pipeline) = shared.clone();
+        let running = pipeline.receive();
+        let serve = Rc::clone(&handler.serve);
+        async move {
+            let answer = match running {
+                Some(answer) => answer.await,
+                None => None,
+            };
+            let mut answer = match answer {
+                Some(answer) => answer,
+                None => serve(request).await?,
+            };
+            // Requests behind a closing answer would be lost, so those that already run are answered first.
+            if core.stopping.get() && !pipeline.has_ahead() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            pipeline.on_answered();
+            Ok::<_, Infallible>(answer)
+        }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .max_buf_size((limits.head.0 as usize * 2).max(16 << 10))
+        .max_buf_size(max_head)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let closing = core.closing.notified();
-    tokio::pin!(closing);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = closing => {
+    // A planned stop notifies repeatedly, until the requests that run ahead of their turn are answered too.
+    let ended = loop {
+        tokio::select! {
+            ended = connection.as_mut() => break ended,
+            () = core.closing.notified() => {}
+        }
+        if !pipeline.has_ahead() {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            break connection.await;
         }
     };
     core.connections.set(core.connections.get() - 1);
--- a/crates/th-gateway/src/lookup.rs
+++ b/crates/th-gateway/src/lookup.rs
@@ -4,15 +4,14 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 
-use crate::core::Core;
+use crate::{body::AnswerBody, core::Core};
 
-type Answer = Response<Full<Bytes>>;
+type Answer = Response<AnswerBody>;
 
 fn status(status: StatusCode) -> Answer {
-    let mut answer = Response::new(Full::new(Bytes::new()));
+    let mut answer = Response::new(AnswerBody::default());
     *answer.status_mut() = status;
     answer
 }
@@ -28,7 +27,7 @@
     }
     core.metrics.lookups.inc();
     let (kind, body) = core.dialect.lookup_answer(&addresses, core.settings.lookup_ttl);
-    let mut answer = Response::new(Full::new(body));
+    let mut answer = Response::new(AnswerBody::new(body));
     answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
     answer
 }
@@ -44,5 +43,5 @@
 /// Returns all metrics.
 pub(crate) fn metrics(core: &Rc<Core>) -> Answer {
     core.metrics.set_state(core);
-    Response::new(Full::new(Bytes::from(core.metrics.text())))
+    Response::new(AnswerBody::new(Bytes::from(core.metrics.text())))
 }
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -2,14 +2,27 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, Uri, response};
 use http_body_util::{BodyExt, Full};
-use th_protocol::{BackendId, Millis, header::remove_hop_by_hop_headers};
+use hyper::body::{Body, Incoming};
+use th_protocol::{BackendId, Bytes as ByteCount, Millis, header::remove_hop_by_hop_headers};
 use th_steer::dispatch::AttemptOutcome;
+use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::{connection::Connection, core::Core};
+use crate::{body::AnswerBody, connection::Connection, core::Core, memory::Reservation};
+
+type Result<T, E = AnswerError> = std::result::Result<T, E>;
+
+/// Reason why the body of an answer could not be received.
+#[derive(Debug, Error)]
+enum AnswerError {
+    #[error("the answer's body exceeds the limit of {0} on all buffered answers")]
+    TooLarge(ByteCount),
+    #[error("reading the answer's body: {0}")]
+    Read(#[from] hyper::Error),
+}
 
 /// A caller's complete request, buffered so that it can be sent more than once.
 #[derive(Debug, Clone)]
@@ -22,13 +35,12 @@
 }
 
 /// Result of an attempt.
-#[derive(Debug)]
 pub(crate) struct AttemptResult {
     pub(crate) outcome: AttemptOutcome,
     /// Whether the server certainly did not run the request.
     pub(crate) not_executed: bool,
     /// Complete answer of the server.
-    pub(crate) answer: Option<(response::Parts, Bytes)>,
+    pub(crate) answer: Option<(response::Parts, AnswerBody)>,
     pub(crate) detail: String,
 }
 
@@ -42,6 +54,33 @@
     }
 }
 
+/// Buffers the complete body of an answer. While memory is full, the server's connection is not read on.
+async fn buffer_answer(core: &Rc<Core>, mut body: Incoming) -> Result<AnswerBody> {
+    let too_large = || AnswerError::TooLarge(core.settings.body_memory);
+    let (mut memory, mut collected) = (Reservation::new(&core.answer_memory), BytesMut::new());
+    // Answers that each held a part of the memory could wait for each other, so a stated length is reserved as a whole.
+    let mut reserved = body.size_hint().lower();
+    if !memory.reserve_in_turn(reserved).await {
+        return Err(too_large());
+    }
+    while let Some(frame) = body.frame().await {
+        // Trailers are not forwarded.
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        let length = data.len() as u64;
+        if !memory.reserve_in_turn(length.saturating_sub(reserved)).await {
+            return Err(too_large());
+        }
+        reserved = reserved.saturating_sub(length);
+        if collected.is_empty() && body.is_end_stream() {
+            return Ok(AnswerBody::reserved(data, memory));
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(AnswerBody::reserved(collected.freeze(), memory))
+}
+
 impl Outgoing {
     fn request(&self, core: &Core, backend: &BackendId, time_left: Millis) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -115,7 +154,7 @@
         core: &Rc<Core>,
         backend: &BackendId,
         mut connection: Connection,
-        response: Response<hyper::body::Incoming>,
+        response: Response<Incoming>,
     ) -> AttemptResult {
         let (mut head, body) = response.into_parts();
         let info = core.dialect.read_answer(&head);
@@ -126,8 +165,8 @@
                 "the answer belongs to another request",
             );
         }
-        let body = match body.collect().await {
-            Ok(body) => body.to_bytes(),
+        let body = match buffer_answer(core, body).await {
+            Ok(body) => body,
             Err(error) => {
                 return AttemptResult::without_answer(AttemptOutcome::Broken, false, error);
             }
--- /dev/null
+++ b/crates/th-gateway/src/pipeline/stream.rs
@@ -0,0 +1,141 @@
+//! The stream between a caller's socket and the HTTP library.
+
+use std::{
+    io::{Error, ErrorKind, Result},
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use bytes::BytesMut;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Sleep, sleep},
+};
+use tokio_util::io::poll_read_buf;
+
+use super::connection::Pipeline;
+
+/// Maximum number of bytes that are read behind the current request. Beyond it, reading pauses until that request is
+/// answered.
+const MAX_BUFFERED: usize = 64 << 10;
+/// Longest time for which a closed connection is read on. Closing it with unread bytes would reset it, which could cost
+/// the caller the last answer.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// A caller's connection, of which the HTTP library sees one request at a time.
+pub(crate) struct PipelinedStream {
+    stream: TcpStream,
+    pipeline: Rc<Pipeline>,
+    /// Whether the caller has closed its side.
+    ended: bool,
+    /// Longest time for which the caller may accept no bytes of an answer.
+    write_timeout: Duration,
+    /// Running time-out of a write.
+    stalled: Option<Pin<Box<Sleep>>>,
+    /// Running time-out of the reads after the end.
+    linger: Option<Pin<Box<Sleep>>>,
+}
+
+impl PipelinedStream {
+    pub(crate) fn new(
+        stream: TcpStream,
+        pipeline: Rc<Pipeline>,
+        write_timeout: Duration,
+    ) -> PipelinedStream {
+        let (ended, stalled, linger) = (false, None, None);
+        PipelinedStream { stream, pipeline, ended, write_timeout, stalled, linger }
+    }
+
+    /// Passes on the result of a write, unless the caller has accepted nothing for too long.
+    fn check_stall<T>(
+        &mut self,
+        written: Poll<Result<T>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<T>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let limit = self.write_timeout;
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(limit)));
+        ready!(stalled.as_mut().poll(cx));
+        let text = format!("the caller accepted no bytes of an answer for {limit:?}");
+        Poll::Ready(Err(Error::new(ErrorKind::TimedOut, text)))
+    }
+}
+
+impl AsyncRead for PipelinedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let pipeline = Rc::clone(&self.pipeline);
+        loop {
+            if pipeline.pass(out, self.ended) || self.ended {
+                return Poll::Ready(Ok(()));
+            }
+            pipeline.start_ahead();
+            pipeline.set_waker(cx.waker());
+            if MAX_BUFFERED <= pipeline.buffered() {
+                return Poll::Pending;
+            }
+            let stream = Pin::new(&mut self.stream);
+            let read = pipeline.fill(|buffer| poll_read_buf(stream, cx, buffer));
+            self.ended = ready!(read)? == 0;
+        }
+    }
+}
+
+impl AsyncWrite for PipelinedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.check_stall(written, cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[std::io::IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        self.check_stall(written, cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            self.linger = Some(Box::pin(sleep(LINGER)));
+        }
+        let mut discarded = BytesMut::with_capacity(4 << 10);
+        while !self.ended {
+            discarded.clear();
+            let stream = Pin::new(&mut self.stream);
+            match poll_read_buf(stream, cx, &mut discarded) {
+                Poll::Ready(read) => self.ended = read? == 0,
+                Poll::Pending => {
+                    if let Some(linger) = &mut self.linger {
+                        ready!(linger.as_mut().poll(cx));
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
--- /dev/null
+++ b/crates/th-gateway/src/request_body.rs
@@ -0,0 +1,136 @@
+//! Bodies of callers' requests.
+//!
+//! A body is buffered before the request is placed, so that a slow or stalled sender occupies nothing but its own
+//! connection and, until its deadline, the memory for what it has sent.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::{Bytes as Buffer, BytesMut};
+use http::{StatusCode, header, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Frame};
+use th_protocol::{Bytes, Millis, header::remove_hop_by_hop_headers};
+use th_steer::dispatch::RouteTable;
+use tokio::time::timeout;
+
+use crate::{
+    answer::{Answer, closing, reject, reply},
+    core::Core,
+    dialect::RequestInfo,
+    memory::Reservation,
+    outgoing::Outgoing,
+};
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+type Result<T, E = Answer> = std::result::Result<T, E>;
+
+/// Retry delay suggested to callers while body memory is full; about the duration of a few requests.
+const BODIES_RETRY_AFTER: Millis = Millis(500);
+/// Longest time for which the body of a rejected request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Body of a caller's request.
+pub(crate) trait RequestBody: Body<Data = Buffer, Error: Into<BoxError>> + Unpin {}
+
+impl<B: Body<Data = Buffer, Error: Into<BoxError>> + Unpin> RequestBody for B {}
+
+/// Whether the caller sends the body only after it has been asked to continue.
+fn awaits_continue(head: &request::Parts) -> bool {
+    head.headers
+        .get(header::EXPECT)
+        .is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
+/// The answer to a request whose caller stopped sending in the middle of the body.
+pub(crate) fn stalled_body(limit: Millis) -> Answer {
+    let text = format!("The body was not complete after {limit}; the request was not run.");
+    closing(reply(StatusCode::REQUEST_TIMEOUT, &text))
+}
+
+/// Reads and discards a body up to `max`, since closing while the caller still sends could cost it the answer. Gives up
+/// on a caller that takes longer than [`DISCARD_TIMEOUT`].
+pub(crate) async fn discard<B: RequestBody>(head: &request::Parts, body: B, max: Bytes) {
+    if awaits_continue(head) {
+        return;
+    }
+    if timeout(DISCARD_TIMEOUT, discard_up_to(body, max)).await.is_err() {
+        log::debug!(target: "call", "path={} The body was not complete after {DISCARD_TIMEOUT:?}; answering without it.", head.uri.path());
+    }
+}
+
+async fn discard_up_to<B: RequestBody>(mut body: B, max: Bytes) {
+    let mut remaining = max.0;
+    while let Some(Ok(frame)) = body.frame().await {
+        let length = frame.data_ref().map_or(0, |it| it.len() as u64);
+        if remaining < length {
+            return;
+        }
+        remaining -= length;
+    }
+}
+
+/// The answer to a request whose body exceeds the limit. The rest of the body may be endless, so the caller must send
+/// nothing more on this connection.
+fn too_large(limit: Bytes) -> Answer {
+    closing(reply(StatusCode::PAYLOAD_TOO_LARGE, &format!("The body is larger than {limit}.")))
+}
+
+fn no_memory() -> Answer {
+    reject("This VM holds too many bodies.", BODIES_RETRY_AFTER)
+}
+
+/// Buffers the complete body, so that the request can be sent more than once.
+pub(crate) async fn buffer_request<B: RequestBody>(
+    core: &Rc<Core>,
+    routes: &RouteTable,
+    head: request::Parts,
+    body: B,
+    info: &RequestInfo,
+    memory: &mut Reservation,
+) -> Result<Outgoing> {
+    let limit = usize::try_from(routes.limits().body.0).unwrap_or(usize::MAX);
+    let stated = body.size_hint().lower();
+    if routes.limits().body.0 < stated {
+        return Err(too_large(routes.limits().body));
+    }
+    if awaits_continue(&head) && !core.request_memory.fits(stated) {
+        return Err(no_memory());
+    }
+    let mut body = Limited::new(body, limit);
+    let (mut collected, mut fits) = (BytesMut::new(), true);
+    while let Some(frame) = body.frame().await {
+        match frame.map(Frame::into_data) {
+            Ok(Ok(data)) => {
+                // Beyond the limit on body memory, the rest is read and discarded, for the reason given at `discard`.
+                fits &= memory.reserve(data.len() as u64);
+                if fits {
+                    collected.extend_from_slice(&data);
+                } else {
+                    collected = BytesMut::new();
+                    memory.release();
+                }
+            }
+            // Trailers are not forwarded.
+            Ok(Err(_)) => {}
+            Err(error) if error.is::<LengthLimitError>() => {
+                return Err(too_large(routes.limits().body));
+            }
+            Err(error) => {
+                return Err(reply(StatusCode::BAD_REQUEST, &format!("Reading the body: {error}")));
+            }
+        }
+    }
+    if !fits {
+        return Err(no_memory());
+    }
+    let body = collected.freeze();
+    let mut headers = head.headers;
+    remove_hop_by_hop_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    let path = head.uri.path_and_query().map_or("/", |it| it.as_str());
+    let Ok(uri) = path.parse() else {
+        return Err(reply(StatusCode::BAD_REQUEST, "The path is not valid."));
+    };
+    Ok(Outgoing { method: head.method, uri, headers, body, id: info.id.clone() })
+}
--- a/crates/th-gateway/src/settings.rs
+++ b/crates/th-gateway/src/settings.rs
@@ -43,8 +43,10 @@
     pub linger: Millis,
     /// Maximum duration of a stop.
     pub grace: Millis,
-    /// Maximum total size of the buffered request bodies.
+    /// Maximum total size of the buffered request bodies, and of the buffered answer bodies.
     pub body_memory: Bytes,
+    /// Maximum number of a connection's requests that run while an earlier one is unanswered.
+    pub pipeline_depth: usize,
     /// Settings of dispatch.
     pub dispatch: DispatchSettings,
     /// Counts of dropped log lines.
@@ -65,6 +67,7 @@
             linger: Millis(2_500),
             grace: Millis(6_000),
             body_memory: Bytes(64 << 20),
+            pipeline_depth: 8,
             dispatch: DispatchSettings::default(),
             line_counts: Arc::default(),
         }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,13 +1,15 @@
 //! The real program on the users' platform, over loopback with stand-ins: requests, configurations, entries, stops.
 
+mod desk;
 mod entry;
 #[path = "../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 
 use std::{net::SocketAddr, process::Stdio, time::Duration};
 
+use desk::{RUN_TIME, config, deployment, start};
 use entry::{EntryProcess, ListenAddresses, settings};
-use reqwest::{Method, Response};
+use reqwest::Method;
 use rstest::rstest;
 use serde_json::{Value, json};
 use stand_in::{Reply, StandInServer, StandInStore, StoreFault, wait_until};
@@ -18,77 +20,6 @@
     time::sleep,
 };
 
-/// Time for which a backend server runs a request.
-const RUN_TIME: Duration = Duration::from_millis(20);
-
-fn start(store: &StandInStore) -> EntryProcess {
-    let listen = ListenAddresses::free();
-    EntryProcess::start(listen, &settings("vm-1", "north-a", listen, store.address), Stdio::null())
-}
-
-impl EntryProcess {
-    async fn send(&self, method: Method, path: &str, id: &str) -> Response {
-        let url = format!("http://{}{path}", self.listen.callers);
-        let request = self.client.request(method, url).header("host", "desk.example");
-        let request = request.header("attempt-id", id).header("request-deadline", "4000");
-        request.header("cookie", "Affinity-Key=17").body("body").send().await.unwrap()
-    }
-
-    /// Sends requests, each as a new attempt, until the answer has that status.
-    async fn wait_for_status(&self, path: &str, status: u16) {
-        for attempt in 0..3_000 {
-            if self.send(Method::GET, path, &format!("until-{attempt}")).await.status() == status {
-                return;
-            }
-            sleep(Duration::from_millis(10)).await;
-        }
-        panic!("{path} does not reach status {status}");
-    }
-
-    async fn is_returned(&self, address: SocketAddr) -> bool {
-        let url =
-            format!("http://{}/-/resolve?name=desk.example&zone=north-a", self.listen.lookups);
-        let answer: Value = self.client.get(url).send().await.unwrap().json().await.unwrap();
-        answer["addresses"].as_array().unwrap().contains(&json!(address.to_string()))
-    }
-
-    async fn wait_until_returned(&self, address: SocketAddr, returned: bool) {
-        for _ in 0..3_000 {
-            if self.is_returned(address).await == returned {
-                return;
-            }
-            sleep(Duration::from_millis(10)).await;
-        }
-        panic!("{address} is not {} by look-ups", if returned { "returned" } else { "omitted" });
-    }
-}
-
-fn config(version: u64, prefix: &str) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str| {
-        json!({"name": name, "host": "desk.example", "prefix": prefix, "kind": kind, "timeout_ms": 1500,
-            "target_latency_ms": 600, "priority": 1, "service": "desk", "max_attempts": 2, "sticky": true})
-    };
-    json!({"version": format!("{version:08x}"), "routes": [route("look", prefix, "safe"), route("book", "/book/", "unsafe")],
-        "services": [{"name": "desk", "cold_per_s": 4.1}], "limits": {}})
-}
-
-async fn deployment(servers: usize) -> (StandInStore, Vec<StandInServer>, EntryProcess) {
-    let store = StandInStore::start().await;
-    let mut started = Vec::new();
-    for index in 1..=servers {
-        let server = StandInServer::start(&format!("i-{index}"), RUN_TIME).await;
-        store.put(&format!("servers/{}", server.id), &server.entry("ready"));
-        started.push(server);
-    }
-    // An invalid entry, and more items than fit on a page.
-    store.put_bytes("servers/i-bad", b"\xffnot json");
-    store.put("op/config", &config(7, "/look/"));
-    let entry = start(&store);
-    entry.wait_until_ready().await;
-    entry.wait_for_status("/look/first", 200).await;
-    (store, started, entry)
-}
-
 #[tokio::test]
 async fn a_request_gets_the_complete_answer_of_its_server() {
     let (store, servers, entry) = deployment(1).await;
