Avoid backend servers that drag, and probe them

Cause: a server that turns slow without failing stayed in use. Its slowness was learnt from answers only, an eighth at a time, while the next server in an object's order counted as one that evicts other objects; and a server found slow was never tried again without load. Change: two requests in a row that take over twice the latency objective, finished or not, take a server out of use, for 0.5 s and then for doubled pauses, each ended by a single probe. Its objects move to the next server in their order. A data centre of which more than half drags is used as it is. Slowness is forgotten with 5 s. Ruled out: ending the pause on a failed answer, since a server also fails when it gives up at the deadline.

--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -20,6 +20,16 @@
 const MIN_REMAINING: f64 = 0.1;
 /// A backend server is unresponsive once a request has run for this many times its expected time there.
 const UNRESPONSIVE_FACTOR: f64 = 3.0;
+/// A request drags once it has run for this many times its latency objective, and for [`DRAG_EXPECTED`] times its
+/// expected time. An object that is cold against expectation explains shorter times.
+const DRAG_OBJECTIVE: f64 = 2.0;
+/// See [`DRAG_OBJECTIVE`].
+const DRAG_EXPECTED: f64 = 2.5;
+/// Number of requests in a row that drag, finished or not, from which a backend server counts as slow.
+const DRAG_LIMIT: u32 = 2;
+/// Time constant with which a measured slowness is forgotten, so that a server that recovered without requests is used
+/// again.
+const SLOWNESS_MEMORY: Millis = Millis(5_000);
 /// Minimum weight of a load report in the moving average.
 const MIN_REPORT_WEIGHT: f64 = 0.25;
 /// A slot counts as free if the estimated probability that another VM occupies it is at most this.
@@ -38,6 +48,23 @@
     pub warm: bool,
     /// Expected duration.
     pub expected: Millis,
+    /// Duration from which it counts as dragging.
+    pub drag: Millis,
+}
+
+/// Returns the duration from which a request drags.
+pub(crate) fn drag_time(expected: Millis, objective: Millis) -> Millis {
+    let (expected, objective) = (expected.0 as f64, objective.0 as f64);
+    Millis((expected * DRAG_EXPECTED).max(objective * DRAG_OBJECTIVE) as u64)
+}
+
+/// A request of this VM that a backend server runs.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Running {
+    number: u64,
+    sent: Time,
+    expected: Millis,
+    drag: Millis,
 }
 
 /// How an attempt ended; the variant names are values of a metric label.
@@ -92,13 +119,24 @@
     }
 }
 
+/// Whether a backend server that was taken out of use until some time may get a request: then one at a time.
+fn is_open(until: Option<Time>, is_idle: bool, now: Time) -> bool {
+    until.is_none_or(|it| it <= now && is_idle)
+}
+
+/// Duration for which a backend server is taken out of use after that many failures in a row.
+fn ejection(failures: u32, settings: &DispatchSettings) -> Millis {
+    let doublings = failures.saturating_sub(1).min(8);
+    Millis(settings.base_ejection.0 << doublings).min(settings.max_ejection)
+}
+
 #[derive(Debug)]
 pub(crate) struct BackendRow {
     pub(crate) record: BackendRecord,
     /// Hash of the id, for rendezvous hashing.
     pub(crate) hash: u64,
-    /// Running attempts of this VM: number, time sent and expected duration.
-    pub(crate) running: Vec<(u64, Time, Millis)>,
+    /// Running attempts of this VM, in the order in which they were sent.
+    pub(crate) running: Vec<Running>,
     /// Load from sources other than this VM.
     external: ExternalLoad,
     pub(crate) warm: WarmSet,
@@ -110,6 +148,12 @@
     ejected: Option<Time>,
     errors: f64,
     slowness: f64,
+    /// When `slowness` was last measured.
+    measured: Time,
+    /// Number of requests in a row that ended and dragged.
+    drags: u32,
+    /// Until when it is avoided because it drags.
+    avoided: Option<Time>,
 }
 
 impl BackendRow {
@@ -127,6 +171,9 @@
             ejected: None,
             errors: 0.0,
             slowness: 1.0,
+            measured: now,
+            drags: 0,
+            avoided: None,
         }
     }
 
@@ -176,9 +223,9 @@
             return SlotEstimate { wait: 0.0, free: true };
         }
         let mut backlog = (load - self.running.len() as f64) * expected_work;
-        for (_, sent, expected) in &self.running {
-            let left = expected.0 as f64 - now.since(*sent).0 as f64;
-            backlog += left.max(expected.0 as f64 * MIN_REMAINING);
+        for it in &self.running {
+            let left = it.expected.0 as f64 - now.since(it.sent).0 as f64;
+            backlog += left.max(it.expected.0 as f64 * MIN_REMAINING);
         }
         let wait = backlog * excess / (load.max(1.0) * slots);
         // External load is an estimate. It is refreshed only by answers to this VM's own requests, so without one
@@ -190,34 +237,43 @@
     /// Whether it may be used: it is not ejected, or its ejection has expired and no request of this VM runs there, so
     /// that a single request can probe it.
     pub(crate) fn is_eligible(&self, now: Time) -> bool {
-        match self.ejected {
-            None => true,
-            Some(until) => until <= now && self.running.is_empty(),
-        }
+        is_open(self.ejected, self.running.is_empty(), now)
+    }
+
+    /// Whether it drags: it answers, but long after the latency objective. Once it has been avoided for a while, a
+    /// single request can probe it.
+    pub(crate) fn is_dragging(&self, now: Time) -> bool {
+        let overdue = self.running.iter().filter(|it| it.drag <= now.since(it.sent)).count();
+        let is_slow = 0 < overdue && DRAG_LIMIT <= self.drags + overdue as u32;
+        is_slow || !is_open(self.avoided, self.running.is_empty(), now)
     }
 
     /// Whether the oldest running request has been unanswered for far longer than expected.
     pub(crate) fn is_unresponsive(&self, now: Time) -> bool {
         let oldest = self.running.first();
-        oldest.is_some_and(|(_, sent, expected)| {
-            UNRESPONSIVE_FACTOR * expected.0 as f64 * self.slowness < now.since(*sent).0 as f64
+        oldest.is_some_and(|it| {
+            UNRESPONSIVE_FACTOR * it.expected.0 as f64 * self.slowness < now.since(it.sent).0 as f64
         })
     }
 
     /// Time that a request takes here, as a multiple of the expected time and including repeats after failures.
     pub(crate) fn slowdown(&self, now: Time) -> f64 {
         let startup = if self.is_cold(now) { COLD_SLOWNESS } else { 1.0 };
-        self.slowness * startup / (1.0 - self.errors.min(0.9))
+        let age = now.since(self.measured).0 as f64;
+        let memory = (-age / SLOWNESS_MEMORY.0 as f64).exp();
+        (1.0 + (self.slowness - 1.0) * memory) * startup / (1.0 - self.errors.min(0.9))
     }
 
     /// Whether a single request should probe it: it has answered none since its start, or its ejection has expired.
     pub(crate) fn needs_probe(&self, now: Time) -> bool {
-        let is_untested = self.answers == 0 || self.ejected.is_some_and(|until| until <= now);
+        let is_due = |until: Option<Time>| until.is_some_and(|it| it <= now);
+        let is_untested = self.answers == 0 || is_due(self.ejected) || is_due(self.avoided);
         is_untested && self.running.is_empty() && !self.is_cold(now)
     }
 
     pub(crate) fn start(&mut self, attempt: &Attempt) {
-        self.running.push((attempt.number, attempt.sent, attempt.expected));
+        let Attempt { number, sent, expected, drag, .. } = *attempt;
+        self.running.push(Running { number, sent, expected, drag });
     }
 
     pub(crate) fn end(
@@ -227,10 +283,14 @@
         settings: &DispatchSettings,
         now: Time,
     ) {
-        let Some(index) = self.running.iter().position(|it| it.0 == attempt.number) else {
+        let Some(index) = self.running.iter().position(|it| it.number == attempt.number) else {
             return;
         };
         self.running.remove(index);
+        let drags = attempt.drag <= now.since(attempt.sent);
+        if drags {
+            self.on_drag(settings, now);
+        }
         let failure = match outcome {
             AttemptOutcome::Abandoned => return,
             AttemptOutcome::Answered => 0.0,
@@ -246,6 +306,12 @@
             let ratio = took / (attempt.expected.0 as f64).max(1.0);
             self.slowness += (ratio - self.slowness) / SMOOTHING;
             self.slowness = self.slowness.max(MIN_SLOWNESS);
+            self.measured = now;
+            // A failure is no sign of recovery: a server also fails when it gives up at the deadline.
+            if !drags {
+                self.drags = 0;
+                self.avoided = None;
+            }
         }
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Failed => {
@@ -261,14 +327,21 @@
                     || settings.failure_limit <= self.failures
                     || self.ejected.is_some()
                 {
-                    let doublings = self.failures.saturating_sub(1).min(8);
-                    let duration = Millis(settings.base_ejection.0 << doublings);
-                    self.eject(duration.min(settings.max_ejection), now);
+                    self.eject(ejection(self.failures, settings), now);
                 }
             }
         }
     }
 
+    /// Counts a request that dragged. Its slowness is forgotten, since a probe decides when it is used again.
+    fn on_drag(&mut self, settings: &DispatchSettings, now: Time) {
+        self.drags += 1;
+        if DRAG_LIMIT <= self.drags {
+            self.avoided = Some(now.after(ejection(self.drags - DRAG_LIMIT + 1, settings)));
+            self.slowness = 1.0;
+        }
+    }
+
     fn eject(&mut self, duration: Millis, now: Time) {
         self.ejected = Some(now.after(duration));
     }
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -6,7 +6,7 @@
 use th_protocol::{RegionId, Time, ZoneId};
 
 use super::{
-    backend::Attempt,
+    backend::{Attempt, drag_time},
     dispatcher::Dispatcher,
     job::{Job, Placement, Rejection},
     place::{Candidate, CostInputs, Pool, WaitCounts, cheapest, millis},
@@ -48,7 +48,8 @@
         usable
     }
 
-    /// Removes ejected backend servers, unless that would leave none.
+    /// Removes ejected backend servers, unless that would leave none, and dragging ones, unless they are more than half
+    /// of their data centre's: the others could not take over their load.
     fn eligible(&self, usable: Usable, now: Time) -> Usable {
         let is_eligible = |id: &RowId| self.backends.get(*id).is_some_and(|it| it.is_eligible(now));
         if !usable.values().flatten().any(is_eligible) {
@@ -59,6 +60,13 @@
             ids.retain(is_eligible);
         }
         eligible.retain(|_, ids| !ids.is_empty());
+        let is_fast = |id: &RowId| self.backends.get(*id).is_some_and(|it| !it.is_dragging(now));
+        for ids in eligible.values_mut() {
+            let fast: Vec<RowId> = ids.iter().copied().filter(is_fast).collect();
+            if ids.len() <= 2 * fast.len() {
+                *ids = fast;
+            }
+        }
         eligible
     }
 
@@ -177,6 +185,7 @@
 
     /// Reserves a slot of the chosen backend server, and returns the attempt that the caller is to send.
     fn start_attempt(&mut self, job: &Job, best: &Candidate, now: Time) -> Placement {
+        let usual = self.work.expected(&job.route.name, best.warm, job.route.objective);
         let Some(row) = self.backends.get_mut(best.row) else {
             return Placement::Wait;
         };
@@ -187,6 +196,7 @@
             sent: now,
             warm: best.warm,
             expected: millis(best.work),
+            drag: drag_time(millis(usual), job.route.objective),
         };
         row.start(&attempt);
         if row.is_cold(now) {
