Let one VM of each data centre watch the store, and the others ask it

Cause: each VM watched all items of the store by itself; calls grew with the number of VMs. Change: the registered VMs of a data centre have a common order; each asks the first one before it that has not failed, by a long poll for the changes after a revision, and the store as soon as an answer is late or its knowledge old. Entries that are written again unchanged are not passed on. Failed calls to the store are spaced up to 1 s apart. thctl fleet names the backend servers that VMs avoid because they drag, and a log line and a metric say so; an attempt that a hedged one overtakes counts as dragging, and a slow answer no longer raises what is expected of all servers. Ruled out: reports of slow servers from VM to VM (design/platform.md, Weighed).

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -198,14 +198,8 @@
 }
 
 /// Sends a request to the chosen backend server and releases the slot afterwards.
-async fn run_attempt(
-    core: Rc<Core>,
-    job: Job,
-    outgoing: Outgoing,
-    attempt: Attempt,
-    address: SocketAddr,
-) -> FinishedAttempt {
-    let slot = Slot::new(Rc::clone(&core), job, attempt);
+async fn run_attempt(slot: Slot, outgoing: Outgoing, address: SocketAddr) -> FinishedAttempt {
+    let core = Rc::clone(slot.core());
     let attempt = slot.attempt().clone();
     let time_left = slot.job().deadline.since(core.now());
     let wait = time_left.plus(core.settings.answer_slack);
@@ -264,8 +258,9 @@
 ) -> FinishedAttempt {
     job.tried.push(attempt.backend.clone());
     let delay = hedge_delay(core, job, attempt.expected);
-    let first = run_attempt(Rc::clone(core), job.clone(), outgoing.clone(), attempt, address);
-    let mut first = Box::pin(first);
+    let slot = Slot::new(Rc::clone(core), job.clone(), attempt);
+    let first_outcome = slot.outcome();
+    let mut first = Box::pin(run_attempt(slot, outgoing.clone(), address));
     let Some(delay) = delay else {
         return first.await;
     };
@@ -278,13 +273,16 @@
         return first.await;
     };
     job.tried.push(attempt.backend.clone());
-    let second = run_attempt(Rc::clone(core), job.clone(), outgoing.clone(), attempt, address);
-    let mut second = Box::pin(second);
+    let slot = Slot::new(Rc::clone(core), job.clone(), attempt);
+    let mut second = Box::pin(run_attempt(slot, outgoing.clone(), address));
     let (ended, first_ended) = tokio::select! {
         done = &mut first => (done, true),
         done = &mut second => (done, false),
     };
     if matches!(ended.result.outcome, AttemptOutcome::Answered) {
+        if !first_ended {
+            first_outcome.set(AttemptOutcome::Overtaken);
+        }
         return ended;
     }
     // The other attempt may still succeed.
--- a/crates/th-gateway/src/connection.rs
+++ b/crates/th-gateway/src/connection.rs
@@ -13,13 +13,16 @@
 /// The result of opening a connection.
 pub(crate) type Result<T, E = ConnectError> = std::result::Result<T, E>;
 
-/// Reason why a connection to a backend server could not be opened.
+/// Reason why a connection to a backend server or another entry VM could not be opened.
 #[derive(Debug, Error)]
-pub(crate) enum ConnectError {
+pub enum ConnectError {
+    /// The other side did not answer.
     #[error("connecting to {0}: no answer in time")]
     Timeout(SocketAddr),
+    /// The other side rejected the connection.
     #[error("connecting to {0}: {1}")]
     Connect(SocketAddr, std::io::Error),
+    /// HTTP could not be set up on the connection.
     #[error("setting up HTTP with {0}: {1}")]
     Handshake(SocketAddr, hyper::Error),
 }
--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::{
-    connection::Pool, dialect::Dialect, memory::MemoryPool, metrics::Metrics,
+    connection::Pool, dialect::Dialect, memory::MemoryPool, metrics::Metrics, relay::Relay,
     settings::GatewaySettings,
 };
 
@@ -23,6 +23,8 @@
 pub struct Core {
     /// Decides where each request runs.
     pub dispatcher: RefCell<Dispatcher>,
+    /// What this VM passes on to others.
+    pub relay: Relay,
     pub(crate) settings: GatewaySettings,
     pub(crate) dialect: Rc<dyn Dialect>,
     pub(crate) pool: RefCell<Pool>,
@@ -47,6 +49,7 @@
     ) -> Core {
         Core {
             dispatcher: RefCell::new(dispatcher),
+            relay: Relay::default(),
             request_memory: MemoryPool::new(settings.body_memory),
             answer_memory: MemoryPool::new(settings.body_memory),
             settings,
@@ -98,12 +101,22 @@
     core: Rc<Core>,
     job: Job,
     attempt: Attempt,
-    outcome: AttemptOutcome,
+    /// Outcome so far; another task may change it before it drops the attempt.
+    outcome: Rc<Cell<AttemptOutcome>>,
 }
 
 impl Slot {
     pub(crate) fn new(core: Rc<Core>, job: Job, attempt: Attempt) -> Slot {
-        Slot { core, job, attempt, outcome: AttemptOutcome::Abandoned }
+        let outcome = Rc::new(Cell::new(AttemptOutcome::Abandoned));
+        Slot { core, job, attempt, outcome }
+    }
+
+    pub(crate) fn outcome(&self) -> Rc<Cell<AttemptOutcome>> {
+        Rc::clone(&self.outcome)
+    }
+
+    pub(crate) fn core(&self) -> &Rc<Core> {
+        &self.core
     }
 
     pub(crate) fn attempt(&self) -> &Attempt {
@@ -114,8 +127,8 @@
         &self.job
     }
 
-    pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
-        self.outcome = outcome;
+    pub(crate) fn finish(self, outcome: AttemptOutcome) {
+        self.outcome.set(outcome);
     }
 }
 
@@ -123,8 +136,13 @@
     fn drop(&mut self) {
         let now = self.core.now();
         let mut dispatcher = self.core.dispatcher.borrow_mut();
-        dispatcher.on_attempt_end(&self.job, &self.attempt, self.outcome, now);
+        let changed = dispatcher.on_attempt_end(&self.job, &self.attempt, self.outcome.get(), now);
         drop(dispatcher);
+        if let Some(avoided) = changed {
+            let (backend, service) = (&self.attempt.backend, &self.job.service);
+            let (took, limit) = (now.since(self.attempt.sent), self.attempt.drag);
+            log::warn!(target: "backend", "backend={backend} service={service} avoided={avoided} took={took} limit={limit} Changed whether a backend server is avoided because it drags.");
+        }
         self.core.place_waiting(MAX_EXAMINED_REQUESTS);
     }
 }
--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -16,6 +16,7 @@
     listen::{Handler, HandlerFuture, accept, open},
     lookup::{lookup, metrics, readiness},
     pipeline::StartAhead,
+    relay::serve_peer,
     settings::{GatewaySettings, Listeners},
     stop::stop,
 };
@@ -71,6 +72,13 @@
             let shared = Rc::clone(&core);
             listen(&core, address, sync_handler(move |_| metrics(&shared)))?;
         }
+        if let Some(address) = listeners.peers {
+            let shared = Rc::clone(&core);
+            let serve = Rc::new(move |request| -> HandlerFuture {
+                Box::pin(serve_peer(Rc::clone(&shared), request))
+            });
+            listen(&core, address, Handler { serve, ahead: None })?;
+        }
         spawn_local(tick(Rc::clone(&core)));
         log::info!(target: "entry", "vm={} callers={} Listening.", core.dispatcher.borrow().vm(), listeners.callers);
         Ok(Gateway { core, callers })
--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -17,13 +17,16 @@
 mod metrics;
 mod outgoing;
 mod pipeline;
+mod relay;
 mod request_body;
 mod settings;
 mod stop;
 
 pub use crate::core::Core;
+pub use connection::ConnectError;
 pub use dialect::{AnswerInfo, Dialect, LookupQuery, RequestInfo};
 pub use gateway::{Gateway, Result};
 pub use logging::{LineCounts, start_logging};
 pub use pipeline::{Framing, HeadStatus, RequestHead, parse_head};
+pub use relay::{Changes, DRAGGING_PATH, Relay, RelayClient, RelayError};
 pub use settings::{GatewaySettings, Listeners};
--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     waiting: IntGauge,
     version: IntGauge,
     lines: IntGaugeVec,
+    dragging: IntGauge,
 }
 
 fn add<C: Collector + Clone + 'static>(registry: &Registry, metric: prometheus::Result<C>) -> C {
@@ -58,6 +59,10 @@
             in_flight: add(&registry, IntGauge::new("th_gateway_in_flight", "Requests.")),
             waiting: add(&registry, IntGauge::new("th_gateway_waiting", "Waiting requests.")),
             version: add(&registry, IntGauge::new("th_gateway_version", "Version in force.")),
+            dragging: add(
+                &registry,
+                IntGauge::new("th_gateway_dragging", "Backend servers avoided because they drag."),
+            ),
             lines: add(
                 &registry,
                 IntGaugeVec::new(
@@ -90,6 +95,7 @@
         let dispatcher = core.dispatcher.borrow();
         self.in_flight.set(core.in_flight.get().into());
         self.waiting.set(dispatcher.waiting() as i64);
+        self.dragging.set(dispatcher.dragging().len() as i64);
         self.version.set(dispatcher.routes().map_or(0, |it| it.version().0 as i64));
     }
 
--- a/crates/th-gateway/src/settings.rs
+++ b/crates/th-gateway/src/settings.rs
@@ -18,6 +18,8 @@
     pub lookups: SocketAddr,
     /// Metrics; `None` for no such listener.
     pub metrics: Option<SocketAddr>,
+    /// Other entry VMs; `None` for no such listener.
+    pub peers: Option<SocketAddr>,
 }
 
 /// Settings of the data path.
--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -86,6 +86,8 @@
     Silent,
     /// The caller abandoned the request.
     Abandoned,
+    /// A hedged attempt that was sent later, to another server, was answered first.
+    Overtaken,
 }
 
 /// Estimate of when a slot becomes free at a backend server.
@@ -248,6 +250,11 @@
         is_slow || !is_open(self.avoided, self.running.is_empty(), now)
     }
 
+    /// Whether this VM's own requests dragged, and none has been answered in time since.
+    pub(crate) fn is_avoided(&self) -> bool {
+        self.avoided.is_some()
+    }
+
     /// Whether the oldest running request has been unanswered for far longer than expected.
     pub(crate) fn is_unresponsive(&self, now: Time) -> bool {
         let oldest = self.running.first();
@@ -287,12 +294,12 @@
             return;
         };
         self.running.remove(index);
-        let drags = attempt.drag <= now.since(attempt.sent);
+        let drags = attempt.drag <= now.since(attempt.sent) || outcome == AttemptOutcome::Overtaken;
         if drags {
             self.on_drag(settings, now);
         }
         let failure = match outcome {
-            AttemptOutcome::Abandoned => return,
+            AttemptOutcome::Abandoned | AttemptOutcome::Overtaken => return,
             AttemptOutcome::Answered => 0.0,
             AttemptOutcome::Failed | AttemptOutcome::Shed | AttemptOutcome::Moved => 1.0,
             AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::Silent => 1.0,
@@ -318,7 +325,7 @@
                 self.failures = 0;
                 self.ejected = None;
             }
-            AttemptOutcome::Shed | AttemptOutcome::Abandoned => {}
+            AttemptOutcome::Shed | AttemptOutcome::Abandoned | AttemptOutcome::Overtaken => {}
             AttemptOutcome::Moved => self.eject(settings.max_ejection, now),
             AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::Silent => {
                 self.failures += 1;
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -259,14 +259,15 @@
         }
     }
 
-    /// Releases the slot of an attempt and updates the statistics with its outcome.
+    /// Releases the slot of an attempt and updates the statistics with its outcome. Returns whether the server is avoided
+    /// from now on because it drags, or used again; `None` if neither changed.
     pub fn on_attempt_end(
         &mut self,
         job: &Job,
         attempt: &Attempt,
         outcome: AttemptOutcome,
         now: Time,
-    ) {
+    ) -> Option<bool> {
         let mut attempt = attempt.clone();
         if outcome == AttemptOutcome::Answered {
             let took = now.since(attempt.sent);
@@ -277,11 +278,13 @@
                 attempt.warm = true;
                 attempt.expected = millis(warm);
             }
-            self.work.add(&route.name, attempt.warm, took);
-        }
-        if let Some(row) = self.backends.by_id_mut(&attempt.backend) {
-            row.end(&attempt, outcome, &self.settings, now);
+            // One slow server must not raise what is expected of all.
+            self.work.add(&route.name, attempt.warm, took.min(attempt.drag));
         }
+        let row = self.backends.by_id_mut(&attempt.backend)?;
+        let before = row.is_avoided();
+        row.end(&attempt, outcome, &self.settings, now);
+        (before != row.is_avoided()).then_some(!before)
     }
 
     /// Releases the slot of an attempt that was never sent.
@@ -296,6 +299,24 @@
         self.traffic.add(bytes);
     }
 
+    /// The backend servers that this VM avoids because its own requests dragged there.
+    pub fn dragging(&self) -> Vec<BackendId> {
+        let rows = self.backends.iter().filter(|it| it.is_avoided());
+        rows.map(|it| it.record.id.clone()).collect()
+    }
+
+    /// The record of a backend server.
+    pub fn backend(&self, id: &BackendId) -> Option<&BackendRecord> {
+        let row = self.backends.id(id).and_then(|it| self.backends.get(it));
+        row.map(|it| &it.record)
+    }
+
+    /// The entry VMs of this VM's data centre that other VMs can ask, with the addresses for that; includes this VM.
+    pub fn peers(&self) -> BTreeMap<VmId, SocketAddr> {
+        let near = self.entries.values().filter(|it| it.zone == self.zone);
+        near.filter_map(|it| Some((it.vm.clone(), it.peers?))).collect()
+    }
+
     /// Applies the load that a backend server reported with an answer.
     pub fn on_load(&mut self, backend: &BackendId, busy: Slots, now: Time) {
         if let Some(row) = self.backends.by_id_mut(backend) {
--- a/crates/th-steer/src/dispatch/record.rs
+++ b/crates/th-steer/src/dispatch/record.rs
@@ -45,6 +45,8 @@
     pub callers: SocketAddr,
     /// Its listener for readiness probes.
     pub ready: SocketAddr,
+    /// Its listener for other entry VMs; `None` if it has none.
+    pub peers: Option<SocketAddr>,
     /// Capacity of its network link; `None` if unknown.
     pub link: Option<Mbit>,
 }
--- /dev/null
+++ b/crates/th-steer/src/relay/mod.rs
@@ -0,0 +1,11 @@
+//! Changes of the store's items, passed on from VM to VM.
+//!
+//! Handles many VMs that all follow the same changing items, each with its own calls to a store whose calls are few and
+//! priced. In each data centre one VM watches the store, and the others receive its changes. The order of the VMs follows
+//! from their registration, so nothing is agreed on: a VM whose source fails asks the next one, and finally the store.
+
+mod change_log;
+mod upstream;
+
+pub use change_log::{ChangeLog, ItemChange};
+pub use upstream::{Source, Upstream};
--- a/crates/th-steer/tests/dispatch_slow.rs
+++ b/crates/th-steer/tests/dispatch_slow.rs
@@ -166,6 +166,22 @@
     assert!(cold * 20 <= simulation.sent, "{cold} cold requests of {}", simulation.sent);
 }
 
+/// A hedged attempt hides a slow server from the callers. It must not hide it from the entry VM.
+#[test]
+fn a_server_that_hedged_attempts_overtake_is_avoided() {
+    let mut world = World::new(&[("b-1", "north-a"), ("b-2", "north-a"), ("b-3", "north-a")]);
+    let usual = world.serve(7, Millis(200));
+    for outcome in [AttemptOutcome::Abandoned, AttemptOutcome::Overtaken] {
+        for _ in 0..2 {
+            let job = world.job(7);
+            let attempt = world.send(&job);
+            assert_eq!(attempt.backend, usual, "before {outcome:?}");
+            world.end(&job, &attempt, outcome, Millis(420));
+        }
+    }
+    assert_ne!(world.serve(7, Millis(200)), usual);
+}
+
 /// If most servers drag, as in an overload, the others could not take over their load.
 #[test]
 fn servers_stay_in_use_if_most_of_them_drag() {
--- a/crates/th-steer/tests/dispatch_world/mod.rs
+++ b/crates/th-steer/tests/dispatch_world/mod.rs
@@ -67,7 +67,7 @@
 
 pub(crate) fn entry(name: &str, zone: &str, port: u16) -> EntryRecord {
     let (callers, ready) = (([127, 0, 0, 1], port).into(), ([127, 0, 0, 2], port).into());
-    EntryRecord { vm: id(name), zone: id(zone), callers, ready, link: None }
+    EntryRecord { vm: id(name), zone: id(zone), callers, ready, peers: None, link: None }
 }
 
 pub(crate) struct World {
--- a/src/bin/thctl/fleet.rs
+++ b/src/bin/thctl/fleet.rs
@@ -5,7 +5,8 @@
 use eyre::Result;
 use platform::{FleetView, StoreClient, probe_readiness};
 use serde_json::{Value, json};
-use th_protocol::{ServiceId, ZoneId};
+use th_gateway::DRAGGING_PATH;
+use th_protocol::{BackendId, ServiceId, VmId, ZoneId};
 use th_steer::dispatch::Serving;
 
 use crate::{
@@ -24,6 +25,8 @@
     slots: u32,
 }
 
+/// The entry VMs that avoid each backend server because it drags.
+type Dragging = BTreeMap<BackendId, Vec<VmId>>;
 type BackendCounts<'a> = BTreeMap<(&'a ServiceId, &'a ZoneId), BackendCount>;
 
 fn count_backends(view: &FleetView) -> BackendCounts<'_> {
@@ -54,8 +57,27 @@
     let probes = view.entries.iter().map(|it| probe_readiness(&client, it.ready, PROBE_TIMEOUT));
     let ready = futures_util::future::join_all(probes).await;
     let counts = count_backends(&view);
-    let text = to_text(&view, &counts, &ready)?;
-    Ok(Output::done(text, to_json(&view, &counts, &ready)))
+    let dragging = find_dragging(&client, &view).await;
+    let text = to_text(&view, &counts, &ready, &dragging)?;
+    Ok(Output::done(text, to_json(&view, &counts, &ready, &dragging)))
+}
+
+/// Asks all entry VMs which backend servers they avoid because they drag. VMs that do not answer are left out; the text
+/// shows whether they are ready.
+async fn find_dragging(client: &reqwest::Client, view: &FleetView) -> Dragging {
+    let asked = view.entries.iter().map(|it| async {
+        let url = format!("http://{}{DRAGGING_PATH}", it.peers?);
+        let answer = client.get(url).timeout(PROBE_TIMEOUT).send().await.ok()?;
+        let backends: Vec<BackendId> = answer.json().await.ok()?;
+        Some((it.vm.clone(), backends))
+    });
+    let mut dragging = Dragging::new();
+    for (vm, backends) in futures_util::future::join_all(asked).await.into_iter().flatten() {
+        for backend in backends {
+            dragging.entry(backend).or_default().push(vm.clone());
+        }
+    }
+    dragging
 }
 
 fn readiness_text(ready: Option<bool>) -> &'static str {
@@ -66,7 +88,12 @@
     }
 }
 
-fn to_text(view: &FleetView, counts: &BackendCounts<'_>, ready: &[Option<bool>]) -> Result<String> {
+fn to_text(
+    view: &FleetView,
+    counts: &BackendCounts<'_>,
+    ready: &[Option<bool>],
+    dragging: &Dragging,
+) -> Result<String> {
     let mut out = String::new();
     match &view.config {
         Some((revision, table)) => {
@@ -84,6 +111,10 @@
             "{service} in {zone}: {ready} ready with {slots} slots, {draining} draining{evacuated}"
         )?;
     }
+    for (backend, vms) in dragging {
+        let vms: Vec<&str> = vms.iter().map(VmId::as_str).collect();
+        writeln!(out, "{backend} drags, found by {}", vms.join(", "))?;
+    }
     for (entry, ready) in view.entries.iter().zip(ready) {
         writeln!(
             out,
@@ -100,7 +131,12 @@
     Ok(out)
 }
 
-fn to_json(view: &FleetView, counts: &BackendCounts<'_>, ready: &[Option<bool>]) -> Value {
+fn to_json(
+    view: &FleetView,
+    counts: &BackendCounts<'_>,
+    ready: &[Option<bool>],
+    dragging: &Dragging,
+) -> Value {
     let mut backends = Vec::new();
     for ((service, zone), it) in counts {
         backends
@@ -117,5 +153,5 @@
         unusable.push(json!({"key": it.key, "revision": it.revision, "cause": it.cause}));
     }
     json!({"version": view.version(), "revision": view.at, "backends": backends, "entries": entries,
-        "evacuated": view.evacuated, "unusable": unusable})
+        "evacuated": view.evacuated, "dragging": dragging, "unusable": unusable})
 }
--- a/tests/entry/mod.rs
+++ b/tests/entry/mod.rs
@@ -4,7 +4,7 @@
 
 use std::{
     io::Write,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU8, Ordering},
     time::Duration,
@@ -12,7 +12,7 @@
 
 use reqwest::Client;
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::{net::TcpSocket, time::sleep};
 
 /// Addresses on which an entry process listens.
 #[derive(Debug, Clone, Copy)]
@@ -20,6 +20,7 @@
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) lookups: SocketAddr,
+    pub(crate) peers: SocketAddr,
 }
 
 /// Returns an address that nothing else listens on or sends from: each has its own loopback host.
@@ -27,19 +28,24 @@
     static COUNT: AtomicU8 = AtomicU8::new(1);
     let [.., high, low] = std::process::id().to_be_bytes();
     let host = Ipv4Addr::new(127, high | 1, low, COUNT.fetch_add(1, Ordering::Relaxed));
-    TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
+    // Bound, but not listening: a process that another thread starts at this moment holds a copy of the socket until it
+    // runs its own program, and a copy that listens would keep the address in use.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind((host, 0).into()).unwrap();
+    socket.local_addr().unwrap()
 }
 
 impl ListenAddresses {
     pub(crate) fn free() -> ListenAddresses {
-        ListenAddresses { callers: free(), ready: free(), lookups: free() }
+        ListenAddresses { callers: free(), ready: free(), lookups: free(), peers: free() }
     }
 }
 
 /// Returns the settings of an entry process.
 pub(crate) fn settings(vm: &str, zone: &str, listen: ListenAddresses, store: SocketAddr) -> Value {
     json!({"vm": vm, "zone": zone, "zones": {"north-a": "north", "south-a": "south"},
-        "callers": listen.callers, "ready": listen.ready, "lookups": listen.lookups, "store": store, "grace": 6})
+        "callers": listen.callers, "ready": listen.ready, "lookups": listen.lookups, "peers": listen.peers, "store": store, "grace": 6})
 }
 
 /// A running entry process; killed on drop.
--- a/tests/thctl_fleet.rs
+++ b/tests/thctl_fleet.rs
@@ -1,11 +1,15 @@
 //! `thctl fleet` against the stand-in of the users' platform, as a user runs it.
 
+mod desk;
+mod entry;
 #[path = "../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 mod tool;
 
 use std::time::Duration;
 
+use desk::deployment;
+use reqwest::Method;
 use serde_json::{Value, json};
 use stand_in::{StandInServer, StandInStore, StoreFault};
 use tokio::task::spawn_blocking;
@@ -58,6 +62,34 @@
     }
 }
 
+/// "We cannot yet tell which backends are dragging": a server that answers, but far too late, is named.
+#[tokio::test]
+async fn a_server_that_drags_is_named() {
+    let (store, servers, entry) = deployment(3).await;
+    assert_eq!(entry.send(Method::POST, "/book/x", "first").await.status(), 200);
+    let used = servers.iter().find(|it| it.runs("first") == 1).unwrap();
+    // Over twice the route's objective, but before its time-out.
+    used.set_work(Duration::from_millis(1_350));
+    for round in 0..10 {
+        let send = |index: u32| {
+            let (path, id) = (format!("/book/{index}"), format!("{round}-{index}"));
+            let entry = &entry;
+            async move { entry.send(Method::POST, &path, &id).await }
+        };
+        futures_util::future::join_all((0..3).map(send)).await;
+        let (code, output) = run_fleet(&store).await;
+        assert_eq!(code, 0, "{output}");
+        if output["dragging"] == json!({&used.id: ["vm-1"]}) {
+            let address = store.address.to_string();
+            let text =
+                spawn_blocking(move || thctl(&["fleet", "--store", &address])).await.unwrap().1;
+            assert!(text.contains(&format!("{} drags, found by vm-1", used.id)), "{text}");
+            return;
+        }
+    }
+    panic!("no server was found to drag");
+}
+
 #[tokio::test]
 async fn an_unavailable_store_is_reported() {
     let store = StandInStore::start().await;
