--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -17,7 +17,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::mpsc,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 #[tokio::test]
@@ -260,6 +260,32 @@
     wait_until("the VM is registered again", || store.keys("th/vm/") == ["th/vm/vm-1"]).await;
 }
 
+/// Many changes while the store rejects a VM: an answer to a watch holds only a part of them, and the rest must not wait
+/// for the next interval.
+#[tokio::test]
+async fn a_backlog_of_changes_is_read_without_pauses() {
+    let (store, servers, _entry) = deployment(1).await;
+    let listen = ListenAddresses::free();
+    let mut settings = settings("vm-2", "north-a", listen, store.address);
+    (settings["config_limit"], settings["drain_limit"]) = (json!(2_500), json!(2_500));
+    let entry = EntryProcess::start(listen, &settings, Stdio::null());
+    entry.wait_until_ready().await;
+    store.set_fault(Some(StoreFault::Busy));
+    let calls = store.calls("/-/kv-watch");
+    wait_until("watches have failed", || calls + 4 < store.calls("/-/kv-watch")).await;
+    for sequence in 0..4_000 {
+        let mut item = servers[0].entry("ready");
+        item["sequence"] = json!(sequence);
+        store.put(&format!("servers/{}", servers[0].id), &item);
+    }
+    store.put("op/config", &config(8, "/later/"));
+    store.set_fault(None);
+    let back = Instant::now();
+    entry.wait_for_status("/later/x", 200).await;
+    let took = back.elapsed();
+    assert!(took <= Duration::from_millis(2_500), "in force {took:?} after the store was back");
+}
+
 #[tokio::test]
 async fn everything_is_read_again_after_the_history_is_dropped() {
     let (store, _servers, entry) = deployment(1).await;
