Estimate how many objects are in use from the few that a VM sees

Cause: a VM takes its data centre's servers for enough if they keep all objects that it saw in 20 s. Change: the number of objects is estimated by Chao1, from those seen once and twice.

--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -9,6 +9,7 @@
     backend::{Attempt, drag_time},
     dispatcher::Dispatcher,
     job::{Job, Placement, Rejection},
+    objects::ObjectsInUse,
     place::{Candidate, CostInputs, Pool, WaitCounts, cheapest, millis},
     table::RowId,
 };
@@ -152,7 +153,7 @@
         wait_counts: &WaitCounts,
         now: Time,
     ) -> Option<Candidate> {
-        let objects = self.objects.get(&job.service).map_or(0, BTreeMap::len);
+        let objects = self.objects.get(&job.service).map_or(0, ObjectsInUse::estimate);
         let local = usable.get(&self.zone).map_or(0, Vec::len);
         let is_local = 0 < local && objects <= self.settings.warm_objects * local;
         let pools = self.pools(usable.clone(), objects);
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -14,9 +14,9 @@
     job::{Job, Placement},
     links::Traffic,
     lookup::Topology,
+    objects::ObjectsInUse,
     place::{WaitCounts, millis},
     record::{BackendRecord, EntryRecord},
-    remote_copy::ObjectUse,
     retry::RetryWindow,
     round_robin::RoundRobin,
     route::{Route, RouteTable},
@@ -44,7 +44,7 @@
     pub(crate) work: WorkTimes,
     pub(crate) round_robins: BTreeMap<String, RoundRobin>,
     pub(crate) retries: BTreeMap<ServiceId, RetryWindow>,
-    pub(crate) objects: BTreeMap<ServiceId, BTreeMap<u64, ObjectUse>>,
+    pub(crate) objects: BTreeMap<ServiceId, ObjectsInUse>,
     pub(crate) host_counts: BTreeMap<String, HostCounts>,
     pub(crate) spill: SpillWindow,
     pub(crate) waiting: Waiting,
@@ -165,8 +165,7 @@
         counts.total += 1.0;
         counts.with_homes += if job.route.home_regions.is_empty() { 0.0 } else { 1.0 };
         if let Some(object) = job.object.filter(|_| job.route.sticky) {
-            let objects = self.objects.entry(job.service.clone()).or_default();
-            objects.entry(object).or_insert(ObjectUse { last: now, remote_uses: 0 }).last = now;
+            self.objects.entry(job.service.clone()).or_default().add(object, now);
         }
     }
 
@@ -243,7 +242,7 @@
         self.traffic.tick(share, now);
         let start = now.before(self.settings.object_age);
         for objects in self.objects.values_mut() {
-            objects.retain(|_, it| start <= it.last);
+            objects.update(start);
         }
         for counts in self.host_counts.values_mut() {
             counts.total *= HOST_COUNT_DECAY;
--- a/crates/th-steer/src/dispatch/remote_copy.rs
+++ b/crates/th-steer/src/dispatch/remote_copy.rs
@@ -17,14 +17,6 @@
 };
 use crate::route::mix;
 
-/// Recent use of an object.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ObjectUse {
-    pub(crate) last: Time,
-    /// Requests of this VM for the object that another data centre of the region served.
-    pub(crate) remote_uses: u32,
-}
-
 impl Dispatcher {
     /// Returns another data centre's server for an object that is cold in this one, as long as a local copy does not
     /// pay off.
@@ -41,7 +33,7 @@
         let warm = self.work.expected(&route.name, true, route.objective);
         let vms = self.entries.values().filter(|it| it.zone == self.zone).count().max(1);
         let remote_uses =
-            self.objects.get(&job.service)?.get(&object).map_or(0, |it| it.remote_uses);
+            self.objects.get(&job.service)?.get(object).map_or(0, |it| it.remote_uses);
         let distance = self.settings.zone_cost.0 as f64;
         if cold - warm <= distance * f64::from(remote_uses) * vms as f64 {
             return None;
@@ -92,7 +84,7 @@
         let Some(objects) = self.objects.get_mut(&job.service) else {
             return;
         };
-        if let Some(usage) = job.object.and_then(|it| objects.get_mut(&it)) {
+        if let Some(usage) = job.object.and_then(|it| objects.get_mut(it)) {
             usage.remote_uses += 1;
         }
     }
