--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -23,14 +23,16 @@
 /// Factor between the idle time-out stated to callers and the one enforced here, so that callers close idle connections
 /// first.
 const IDLE_FACTOR: u64 = 2;
-
 /// Minimum size of the buffer for a request head, in bytes.
 const MIN_HEAD_BUFFER: usize = 16 << 10;
 
+/// Answers a request.
+pub(crate) type Serve = Rc<dyn Fn(Request<Incoming>) -> HandlerFuture>;
+
 /// Handles the requests of a listener.
 #[derive(Clone)]
 pub(crate) struct Handler {
-    pub(crate) serve: Rc<dyn Fn(Request<Incoming>) -> HandlerFuture>,
+    pub(crate) serve: Serve,
     /// Starts pipelined requests ahead of their turn.
     pub(crate) ahead: Option<StartAhead>,
 }
@@ -65,6 +67,29 @@
     }
 }
 
+/// Returns the answer to the next request of a connection, which may already run.
+async fn answer_in_turn(
+    core: Rc<Core>,
+    pipeline: Rc<Pipeline>,
+    serve: Serve,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let answer = match pipeline.receive() {
+        Some(answer) => answer.await,
+        None => None,
+    };
+    let mut answer = match answer {
+        Some(answer) => answer,
+        None => serve(request).await?,
+    };
+    // Requests behind a closing answer would be lost, so those that already run are answered first.
+    if core.stopping.get() && !pipeline.has_ahead() {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    pipeline.on_answered();
+    Ok(answer)
+}
+
 async fn handle_connection(core: Rc<Core>, stream: TcpStream, handler: Handler) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "entry", "Setting TCP_NODELAY failed: {error}");
@@ -79,25 +104,7 @@
     let shared = (Rc::clone(&core), Rc::clone(&pipeline));
     let service = service_fn(move |request| {
         let (core, pipeline) = shared.clone();
-        let running = pipeline.receive();
-        let serve = Rc::clone(&handler.serve);
-        async move {
-            let answer = match running {
-                Some(answer) => answer.await,
-                None => None,
-            };
-            let mut answer = match answer {
-                Some(answer) => answer,
-                None => serve(request).await?,
-            };
-            // Requests behind a closing answer would be lost, so those that already run are answered first.
-            if core.stopping.get() && !pipeline.has_ahead() {
-                let close = HeaderValue::from_static("close");
-                answer.headers_mut().insert(header::CONNECTION, close);
-            }
-            pipeline.on_answered();
-            Ok::<_, Infallible>(answer)
-        }
+        answer_in_turn(core, pipeline, Rc::clone(&handler.serve), request)
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/th-gateway/src/pipeline/connection.rs
+++ b/crates/th-gateway/src/pipeline/connection.rs
@@ -181,8 +181,9 @@
             let Some(request) = read_request(&bytes[..head.length]) else {
                 return;
             };
-            // Requests ahead have numbers in a row; the first follows the request handed over last.
-            let number = state.passed + state.ahead.len() as u64 + 1;
+            // The last one ahead may already have been handed over, if the service has not received it yet.
+            let last = state.ahead.back().map_or(0, |it| it.number);
+            let number = state.passed.max(last) + 1;
             drop(state);
             let Some(answer) = start(request) else {
                 return;
