--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -5,13 +5,13 @@
 #[path = "../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 
-use std::time::Duration;
+use std::{process::Stdio, time::Duration};
 
 use desk::{config, deployment};
 use entry::{EntryProcess, ListenAddresses, settings};
 use reqwest::Method;
 use serde_json::json;
-use stand_in::{Reply, wait_until};
+use stand_in::{Reply, StandInServer, StandInStore, wait_until};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -32,6 +32,18 @@
     config
 }
 
+/// A deployment with an entry VM that has 250 kB for the bodies of requests, and as much for those of answers.
+async fn small_deployment() -> (StandInStore, Vec<StandInServer>, EntryProcess) {
+    let (store, servers, _entry) = deployment(1).await;
+    let listen = ListenAddresses::free();
+    let mut settings = settings("vm-2", "north-a", listen, store.address);
+    settings["memory"] = json!(1);
+    let entry = EntryProcess::start(listen, &settings, Stdio::null());
+    entry.wait_until_ready().await;
+    entry.wait_for_status("/look/first", 200).await;
+    (store, servers, entry)
+}
+
 /// Sends these bytes and returns all that comes back until the connection ends.
 async fn exchange(entry: &EntryProcess, sent: &str) -> String {
     let mut stream = TcpStream::connect(entry.listen.callers).await.unwrap();
@@ -98,13 +110,7 @@
 /// A caller that waits to be asked for its body learns at once that the body has no room.
 #[tokio::test]
 async fn a_body_without_room_is_not_asked_for() {
-    let (store, servers, _entry) = deployment(1).await;
-    let listen = ListenAddresses::free();
-    let mut settings = settings("vm-2", "north-a", listen, store.address);
-    settings["memory"] = json!(1);
-    let entry = EntryProcess::start(listen, &settings, std::process::Stdio::null());
-    entry.wait_until_ready().await;
-    entry.wait_for_status("/look/first", 200).await;
+    let (_store, servers, entry) = small_deployment().await;
     let head = "POST /book/large HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: large\r\nExpect: 100-continue\r\n\
         Content-Length: 300000\r\nConnection: close\r\n\r\n";
     let answer = exchange(&entry, head).await;
@@ -116,13 +122,7 @@
 /// Answers beyond the memory for them wait in their servers' connections until others are delivered.
 #[tokio::test]
 async fn answers_together_larger_than_the_memory_are_all_delivered() {
-    let (store, servers, _entry) = deployment(1).await;
-    let listen = ListenAddresses::free();
-    let mut settings = settings("vm-2", "north-a", listen, store.address);
-    settings["memory"] = json!(1);
-    let entry = EntryProcess::start(listen, &settings, std::process::Stdio::null());
-    entry.wait_until_ready().await;
-    entry.wait_for_status("/look/first", 200).await;
+    let (_store, servers, entry) = small_deployment().await;
     servers[0].set_answer_size(200_000);
     let mut calls = Vec::new();
     for number in 0..4 {
