Log and count the limits that backend servers state

A changed limit is a log line, and the number of servers with a limit the metric th_gateway_limited. Nothing is decided by it yet.

--- a/crates/th-gateway/src/dialect.rs
+++ b/crates/th-gateway/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Uri, request, response};
-use th_protocol::{BackendId, Millis, Slots, ZoneId};
+use th_protocol::{BackendId, Millis, RequestRate, Slots, ZoneId};
 
 /// Properties of a caller's request beside its method, path and body.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -18,7 +18,7 @@
 }
 
 /// Properties of a backend server's answer beside its status and body.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerInfo {
     /// Id of the attempt that it answers, if it states one.
     pub id: Option<String>,
@@ -30,6 +30,8 @@
     pub signed: bool,
     /// Number of requests that the server runs or queues.
     pub busy: Option<Slots>,
+    /// Requests a second that the server accepts from all VMs together; `None` if it states no limit.
+    pub limit: Option<RequestRate>,
     /// Time after which the server closes an idle connection.
     pub idle_timeout: Option<Millis>,
 }
--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     version: IntGauge,
     lines: IntGaugeVec,
     dragging: IntGauge,
+    limited: IntGauge,
 }
 
 fn add<C: Collector + Clone + 'static>(registry: &Registry, metric: prometheus::Result<C>) -> C {
@@ -63,6 +64,10 @@
                 &registry,
                 IntGauge::new("th_gateway_dragging", "Backend servers avoided because they drag."),
             ),
+            limited: add(
+                &registry,
+                IntGauge::new("th_gateway_limited", "Backend servers that limit their requests."),
+            ),
             lines: add(
                 &registry,
                 IntGaugeVec::new(
@@ -96,6 +101,7 @@
         self.in_flight.set(core.in_flight.get().into());
         self.waiting.set(dispatcher.waiting() as i64);
         self.dragging.set(dispatcher.dragging().len() as i64);
+        self.limited.set(dispatcher.limited().len() as i64);
         self.version.set(dispatcher.routes().map_or(0, |it| it.version().0 as i64));
     }
 
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -6,7 +6,9 @@
 use http::{HeaderMap, Method, Request, Response, Uri, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use th_protocol::{BackendId, Bytes as ByteCount, Millis, header::remove_hop_by_hop_headers};
+use th_protocol::{
+    BackendId, Bytes as ByteCount, Millis, RequestRate, header::remove_hop_by_hop_headers,
+};
 use th_steer::dispatch::AttemptOutcome;
 use thiserror::Error;
 use tokio::time::timeout;
@@ -81,6 +83,15 @@
     Ok(AnswerBody::reserved(collected.freeze(), memory))
 }
 
+/// Applies the limit on requests that a backend server stated with an answer.
+fn apply_limit(core: &Core, backend: &BackendId, limit: Option<RequestRate>) {
+    if !core.dispatcher.borrow_mut().on_limit(backend, limit) {
+        return;
+    }
+    let limit = limit.map_or_else(|| "none".to_owned(), |it| it.to_string());
+    log::info!(target: "backend", "backend={backend} limit={limit} The backend server changed its limit on requests from all VMs.");
+}
+
 impl Outgoing {
     fn request(&self, core: &Core, backend: &BackendId, time_left: Millis) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -175,6 +186,10 @@
         if let Some(busy) = info.busy {
             core.dispatcher.borrow_mut().on_load(backend, busy, now);
         }
+        // An answer without the attempt's id may come from something else at the address.
+        if info.id.is_some() && !info.moved {
+            apply_limit(core, backend, info.limit);
+        }
         let settings = &core.settings;
         let idle =
             info.idle_timeout.map_or(settings.idle_timeout, |it| it.minus(settings.retire_margin));
--- a/crates/th-protocol/src/lib.rs
+++ b/crates/th-protocol/src/lib.rs
@@ -7,6 +7,7 @@
 mod load;
 mod lookup;
 mod peer;
+mod rate;
 mod status;
 mod units;
 mod verdict;
@@ -30,6 +31,7 @@
     BundleAnswer, BundleHead, BundleRequest, CheckAnswer, HeadroomDigest, Heartbeat, IndirectCheck,
     LeavingNotice, LeavingSource, MemberState, PeerRecord,
 };
+pub use rate::{RateError, RequestRate};
 pub use status::Status;
 pub use units::{
     AttemptId, Bytes, Connections, Incarnation, Mbit, Millis, Permille, Revision, Slots, Time,
--- a/crates/th-protocol/tests/units.rs
+++ b/crates/th-protocol/tests/units.rs
@@ -1,7 +1,7 @@
 //! Ids, units and blocks: values survive formatting and parsing, and malformed texts are rejected.
 
 use rstest::rstest;
-use th_protocol::{Block, IdError, Mbit, Millis, Permille, Time, ZoneId};
+use th_protocol::{Block, IdError, Mbit, Millis, Permille, RateError, RequestRate, Time, ZoneId};
 
 #[rstest]
 #[case("pl-1", true)]
@@ -24,6 +24,23 @@
     assert_eq!(expected.to_string().parse(), Ok(expected));
 }
 
+#[rstest]
+#[case("4.4", 4.4)]
+#[case("0.25/s", 0.25)]
+fn rates_are_read_with_or_without_their_unit(#[case] text: &str, #[case] expected: f64) {
+    let rate: RequestRate = text.parse().unwrap();
+    assert_eq!(rate.requests(), expected);
+    assert_eq!(rate.to_string().parse(), Ok(rate));
+}
+
+#[rstest]
+#[case("-0.5")]
+#[case("inf")]
+#[case("1e300")]
+fn rates_out_of_range_are_rejected(#[case] text: &str) {
+    assert!(matches!(text.parse::<RequestRate>(), Err(RateError::OutOfRange(_))));
+}
+
 #[rstest]
 #[case("10.1.2.3/24", "10.1.2.0/24")]
 #[case("10.1.2.3", "10.1.2.3/32")]
--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -1,6 +1,6 @@
 //! The table row of a backend server: its own record, and the load, errors and latency observed from this VM.
 
-use th_protocol::{BackendId, Millis, Slots, Time};
+use th_protocol::{BackendId, Millis, RequestRate, Slots, Time};
 
 use super::{
     cold::ColdLimiter,
@@ -144,6 +144,8 @@
     pub(crate) warm: WarmSet,
     pub(crate) cold_until: Time,
     pub(crate) cold_limiter: ColdLimiter,
+    /// Requests a second that it accepts from all VMs together, as of its last answer.
+    pub(crate) limit: Option<RequestRate>,
     /// Answers received since its latest start.
     answers: u64,
     failures: u32,
@@ -168,6 +170,7 @@
             external: ExternalLoad::default(),
             warm: WarmSet::default(),
             cold_limiter: ColdLimiter::default(),
+            limit: None,
             answers: 0,
             failures: 0,
             ejected: None,
