Keep to the limit that a backend server states for all VMs together

Cause: no VM read the limit. Class: a budget over all VMs, which each must keep alone.

Why it works: each VM takes its part in the limit from the registered VMs of the server's region, and leaves the same time between its requests there; unused time does not add up. Where there are more VMs than the limit carries, a few have most of it, in an order that all compute alike, and the others only try whether it has ended. The wait for a turn is part of the server's cost, so requests go to other servers first, and one that can't get a turn before its deadline is rejected at once.

--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -85,7 +85,7 @@
 
 /// Applies the limit on requests that a backend server stated with an answer.
 fn apply_limit(core: &Core, backend: &BackendId, limit: Option<RequestRate>) {
-    if !core.dispatcher.borrow_mut().on_limit(backend, limit) {
+    if !core.dispatcher.borrow_mut().on_limit(backend, limit, core.now()) {
         return;
     }
     let limit = limit.map_or_else(|| "none".to_owned(), |it| it.to_string());
--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -1,9 +1,10 @@
 //! The table row of a backend server: its own record, and the load, errors and latency observed from this VM.
 
-use th_protocol::{BackendId, Millis, RequestRate, Slots, Time};
+use th_protocol::{BackendId, Millis, Slots, Time};
 
 use super::{
     cold::ColdLimiter,
+    limited::Limited,
     record::{BackendRecord, Serving},
     settings::DispatchSettings,
     warm::WarmSet,
@@ -144,8 +145,8 @@
     pub(crate) warm: WarmSet,
     pub(crate) cold_until: Time,
     pub(crate) cold_limiter: ColdLimiter,
-    /// Requests a second that it accepts from all VMs together, as of its last answer.
-    pub(crate) limit: Option<RequestRate>,
+    /// Limit on its requests that it stated with its last answer.
+    pub(crate) limited: Option<Limited>,
     /// Answers received since its latest start.
     answers: u64,
     failures: u32,
@@ -170,7 +171,7 @@
             external: ExternalLoad::default(),
             warm: WarmSet::default(),
             cold_limiter: ColdLimiter::default(),
-            limit: None,
+            limited: None,
             answers: 0,
             failures: 0,
             ejected: None,
@@ -212,7 +213,8 @@
         self.running.len() as f64 + self.external.expected(settings, now)
     }
 
-    /// Estimates the wait for a slot behind the running requests and `ahead` waiting ones. Each waiting request and
+    /// Estimates the wait for a slot, and for this VM's turn if the server limits its requests, behind the running
+    /// requests and `ahead` waiting ones. Each waiting request and
     /// each request of the external load is assumed to take `expected_work` milliseconds.
     pub(crate) fn estimate_slot(
         &self,
@@ -220,6 +222,21 @@
         expected_work: f64,
         settings: &DispatchSettings,
         now: Time,
+    ) -> SlotEstimate {
+        let slot = self.estimate_capacity(ahead, expected_work, settings, now);
+        let Some(limited) = self.limited else {
+            return slot;
+        };
+        let pause = limited.pace.wait(ahead, now);
+        SlotEstimate { wait: slot.wait.max(pause), free: slot.free && pause <= 0.0 }
+    }
+
+    fn estimate_capacity(
+        &self,
+        ahead: u32,
+        expected_work: f64,
+        settings: &DispatchSettings,
+        now: Time,
     ) -> SlotEstimate {
         let slots = f64::from(self.record.slots.0.max(1));
         let load = self.load(settings, now) + f64::from(ahead);
@@ -284,6 +301,9 @@
     pub(crate) fn start(&mut self, attempt: &Attempt) {
         let Attempt { number, sent, expected, drag, .. } = *attempt;
         self.running.push(Running { number, sent, expected, drag });
+        if let Some(limited) = &mut self.limited {
+            limited.pace.take(sent);
+        }
     }
 
     pub(crate) fn end(
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use th_protocol::{BackendId, Bytes, RequestRate, ServiceId, Slots, Time, VmId, ZoneId};
+use th_protocol::{BackendId, Bytes, ServiceId, Slots, Time, VmId, ZoneId};
 
 use super::{
     addresses::{HOST_COUNT_DECAY, HostCounts},
@@ -240,6 +240,7 @@
     pub fn tick(&mut self, now: Time) {
         let share = self.own_share();
         self.traffic.tick(share, now);
+        self.update_limits(now);
         let start = now.before(self.settings.object_age);
         for objects in self.objects.values_mut() {
             objects.update(start);
@@ -323,21 +324,6 @@
         }
     }
 
-    /// Applies the limit on requests that a backend server stated with an answer; `None` if it stated none. Returns
-    /// whether that differs from its last answer.
-    pub fn on_limit(&mut self, backend: &BackendId, limit: Option<RequestRate>) -> bool {
-        let Some(row) = self.backends.by_id_mut(backend) else {
-            return false;
-        };
-        std::mem::replace(&mut row.limit, limit) != limit
-    }
-
-    /// The backend servers that limit their requests, with their limits.
-    pub fn limited(&self) -> Vec<(BackendId, RequestRate)> {
-        let rows = self.backends.iter();
-        rows.filter_map(|it| Some((it.record.id.clone(), it.limit?))).collect()
-    }
-
     /// This VM's id.
     pub fn vm(&self) -> &VmId {
         &self.vm
--- a/crates/th-steer/src/dispatch/place.rs
+++ b/crates/th-steer/src/dispatch/place.rs
@@ -149,7 +149,7 @@
         // Without a probe, a new server or one that has failed would never be warm enough to be chosen. Only an object
         // that prefers the server above all others probes it: the work is not lost, because the object stays there.
         let is_first = object.is_none() || rank == 0;
-        if row.needs_probe(now) && is_first && route.idempotent && !pool.foreign {
+        if row.needs_probe(now) && slot.free && is_first && route.idempotent && !pool.foreign {
             cost = 0.0;
         }
         if best.as_ref().is_some_and(|it| it.cost <= cost) {
--- a/crates/th-steer/tests/dispatch_limit.rs
+++ b/crates/th-steer/tests/dispatch_limit.rs
@@ -64,6 +64,7 @@
     /// When each VM first got an answer with a limit, by server.
     told: BTreeMap<(usize, BackendId), Time>,
     arrivals: Vec<Arrival>,
+    sent: Vec<(Time, BackendId)>,
     /// Time that each rejected request had waited.
     rejected: Vec<(Rejection, Millis)>,
     served: u64,
@@ -102,6 +103,7 @@
             limits: BTreeMap::new(),
             told: BTreeMap::new(),
             arrivals: Vec::new(),
+            sent: Vec::new(),
             rejected: Vec::new(),
             served: 0,
             random_state: 11,
@@ -124,6 +126,7 @@
             Placement::Wait => return,
         };
         let backend = attempt.backend.clone();
+        self.sent.push((self.now, backend.clone()));
         if self.limits.contains_key(&backend) {
             self.arrivals.push(Arrival { at: self.now, vm, backend: backend.clone() });
         }
@@ -144,7 +147,7 @@
             let busy = self.runs.iter().filter(|it| it.attempt.backend == backend).count() as u32;
             dispatcher.on_load(&backend, Slots(busy), self.now);
             let limit = self.limits.get(&backend).copied();
-            dispatcher.on_limit(&backend, limit);
+            dispatcher.on_limit(&backend, limit, self.now);
             dispatcher.on_attempt_end(&job, &attempt, AttemptOutcome::Answered, self.now);
             self.served += 1;
             if limit.is_some() {
@@ -221,6 +224,11 @@
         most
     }
 
+    /// Returns how many requests reached a server since `from`, whether it limited them or not.
+    fn sent_since(&self, backend: &BackendId, from: Time) -> usize {
+        self.sent.iter().filter(|it| it.1 == *backend && from <= it.0).count()
+    }
+
     /// When a server first stated its limit.
     fn first_told(&self, backend: &BackendId) -> Time {
         let times = self.told.iter().filter(|((_, it), _)| it == backend);
@@ -253,3 +261,46 @@
     let most = fleet.most_arrivals(&limited, from);
     assert!(most <= allowed(limit), "{most} requests in {WINDOW} at a limit of {limit}");
 }
+
+/// Guards against a server that gets nothing while it states a limit, and against VMs that do not notice that a limit
+/// has ended.
+#[rstest]
+#[case::small_fleet(7, 4.4)]
+#[case::more_vms_than_requests(26, 4.0)]
+fn a_limited_server_is_used_within_its_limit_and_fully_afterwards(
+    #[case] vms: usize,
+    #[case] limit: f64,
+) {
+    let limited: BackendId = id("b-4");
+    let mut fleet = Fleet::new(vms, 10);
+    fleet.run(WARM_UP, 1.0);
+    fleet.run(WINDOW, 1.0);
+    let usual = fleet.sent_since(&limited, fleet.now.before(WINDOW));
+    fleet.limits.insert(limited.clone(), RequestRate::per_second(limit).unwrap());
+    fleet.run(LIMITED_TIME, 1.0);
+    let during = fleet.sent_since(&limited, fleet.now.before(WINDOW)) as f64;
+    assert!(limit <= during, "{during} requests in {WINDOW} at a limit of {limit}/s");
+    assert!(fleet.rejected.is_empty(), "other servers have free slots: {:?}", fleet.rejected);
+    fleet.limits.clear();
+    fleet.run(LIMITED_TIME, 1.0);
+    let after = fleet.sent_since(&limited, fleet.now.before(WINDOW));
+    assert!(usual <= 2 * after, "{after} requests in {WINDOW}, {usual} before the limit");
+}
+
+/// Guards against requests that wait for servers whose limits leave them no turn before their deadline.
+#[test]
+fn requests_beyond_all_limits_are_rejected_before_their_deadline() {
+    let limit = RequestRate::per_second(2.0).unwrap();
+    let mut fleet = Fleet::new(7, 10);
+    fleet.run(WARM_UP, 1.0);
+    for server in 0..10 {
+        fleet.limits.insert(id(&format!("b-{server}")), limit);
+    }
+    fleet.run(LIMITED_TIME, 1.0);
+    let expired = fleet.rejected.iter().filter(|it| it.0 == Rejection::Expired).count();
+    assert_eq!(expired, 0, "of {} rejected", fleet.rejected.len());
+    let served = fleet.sent.iter().filter(|it| fleet.now.before(LIMITED_TIME) <= it.0).count();
+    let wanted = 10.0 * limit.requests() * LIMITED_TIME.0 as f64 / 1_000.0;
+    assert!(wanted / 2.0 <= served as f64, "{served} served of {wanted}");
+    assert!(!fleet.rejected.is_empty());
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -112,6 +112,33 @@
     }
 }
 
+/// Guards against a server that is sent more than the limit that it states in its answers.
+#[tokio::test]
+async fn a_server_that_limits_its_requests_gets_no_more() {
+    const LIMIT: f64 = 1.0;
+    const TIME: Duration = Duration::from_secs(4);
+    let (_store, servers, entry) = deployment(2).await;
+    let limited = servers.iter().max_by_key(|it| it.total_runs()).unwrap();
+    limited.set_limit(Some(LIMIT));
+    assert_eq!(entry.send(Method::GET, "/look/x", "told").await.status(), 200);
+    let (start, before) = (Instant::now(), limited.total_runs());
+    let mut sent = 0;
+    while start.elapsed() < TIME {
+        let answer = entry.send(Method::GET, "/look/x", &format!("limited-{sent}")).await;
+        assert_eq!(answer.status(), 200);
+        sent += 1;
+    }
+    let runs = limited.total_runs() - before;
+    // A VM that is alone has the whole limit.
+    assert!(f64::from(runs) <= LIMIT * TIME.as_secs_f64() + 1.0, "{runs} of {sent} requests");
+    limited.set_limit(None);
+    let (start, before) = (Instant::now(), limited.total_runs());
+    while limited.total_runs() < before + 20 {
+        assert!(start.elapsed() < TIME, "the server is not used again");
+        assert_eq!(entry.send(Method::GET, "/look/x", "after").await.status(), 200);
+    }
+}
+
 #[tokio::test]
 async fn a_request_abandoned_by_its_caller_is_cancelled() {
     let (_store, servers, entry) = deployment(1).await;
