Pass requests on to another entry VM while this one reaches no backend server

Cause: a VM's own connections were its only way to a server, and all that it could do without them was to refuse. Class: a single path without an alternative; the readiness check did not show it, since the VM itself was sound.

Evidence: tests/cutoff.rs, two real processes.

Why it works: when servers fail or keep requests too long and no server has given a sign for 0.3 s, the VM opens connections to three servers; if none answers, it passes its callers' requests on to the nearest VMs over the listener that they already share, and goes on checking every 0.25 s. A request whose connections fail is passed on too, so that kept connections that still work are used. A VM that is cut off itself, is stopping or has an older configuration declines, and the next one is asked; none passes a request on twice. An answer that says not run is given only if no server can have run it. When a link is back, failures of that time are not held against the servers.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -1,13 +1,14 @@
 //! Handling of a caller's request, from its head to the final answer.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
+use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, Request, Response, StatusCode, Uri, header, request};
 use http_body_util::Empty;
 use hyper::body::Body;
-use th_protocol::{Bytes, Millis, Time};
+use th_protocol::{Bytes, Millis, Time, Version, VmId};
 use th_steer::{
-    dispatch::{Attempt, AttemptOutcome, CallerLimits, Job, Placement, Rejection},
+    dispatch::{Attempt, AttemptOutcome, CallerLimits, Job, Placement, Rejection, Route},
     route::hash_name,
 };
 use tokio::{
@@ -19,6 +20,7 @@
     answer::{Answer, reject, reply},
     core::{Core, Slot},
     dialect::RequestInfo,
+    forward::{Forwarded, decline, forward},
     listen::HandlerFuture,
     memory::Reservation,
     outgoing::{AttemptResult, Outgoing},
@@ -57,6 +59,8 @@
     object: Option<u64>,
     attempts: Vec<String>,
     waited: Millis,
+    /// The entry VM that passed the request on.
+    forwarder: Option<VmId>,
 }
 
 /// Serves a pipelined request that has no body ahead of its turn; `None` if it must wait for its turn, because it may
@@ -79,28 +83,54 @@
     core: Rc<Core>,
     request: Request<B>,
 ) -> Result<Answer, Infallible> {
+    let (head, body) = request.into_parts();
+    Ok(serve_from(core, head, body, None).await)
+}
+
+/// Serves a caller's request that another entry VM passes on.
+pub(crate) async fn serve_forwarded<B: RequestBody>(
+    core: Rc<Core>,
+    request: Request<B>,
+) -> Result<Answer, Infallible> {
+    let (mut head, body) = request.into_parts();
+    let forwarded = Forwarded::take(&mut head);
+    if !forwarded.as_ref().is_some_and(|it| it.is_accepted(&core)) {
+        let limits = core.dispatcher.borrow().routes().map(|it| it.limits()).unwrap_or_default();
+        discard(&head, body, limits.body).await;
+        return Ok(decline());
+    }
+    Ok(serve_from(core, head, body, forwarded).await)
+}
+
+async fn serve_from<B: RequestBody>(
+    core: Rc<Core>,
+    head: request::Parts,
+    body: B,
+    forwarded: Option<Forwarded>,
+) -> Answer {
     let _guard = InFlight::new(&core);
     let arrived = core.now();
-    let (head, body) = request.into_parts();
     let info = core.dialect.read_request(&head);
-    let mut record = LogRecord { id: info.id.clone(), ..LogRecord::default() };
-    let answer = handle(&core, head, body, info, arrived, &mut record).await;
+    let forwarder = forwarded.as_ref().map(|it| it.vm.clone());
+    let mut record = LogRecord { id: info.id.clone(), forwarder, ..LogRecord::default() };
+    let answer = handle(&core, head, body, info, arrived, forwarded, &mut record).await;
     log_request(&core, &answer, &record, arrived);
-    Ok(answer)
+    answer
 }
 
 fn log_request(core: &Core, answer: &Answer, record: &LogRecord, arrived: Time) {
     let took = core.now().since(arrived);
     let status = answer.status();
     core.metrics.count_answer(&record.route, status.as_u16(), took);
-    let LogRecord { id, version, route, object, attempts, waited } = record;
+    let LogRecord { id, version, route, object, attempts, waited, forwarder } = record;
+    let forwarder = forwarder.as_ref().map_or_else(String::new, |it| format!(" forwarder={it}"));
     let object = object.map_or_else(String::new, |it| format!("{it:016x}"));
     let attempts = attempts.join(",");
     let status = status.as_u16();
     if status < 400 {
-        log::info!(target: "call", "request={id} version={version} route={route} object={object} tries=[{attempts}] waited={waited} status={status} took={took} Request answered.");
+        log::info!(target: "call", "request={id}{forwarder} version={version} route={route} object={object} tries=[{attempts}] waited={waited} status={status} took={took} Request answered.");
     } else {
-        log::warn!(target: "call", "request={id} version={version} route={route} object={object} tries=[{attempts}] waited={waited} status={status} took={took} Request answered with an error status.");
+        log::warn!(target: "call", "request={id}{forwarder} version={version} route={route} object={object} tries=[{attempts}] waited={waited} status={status} took={took} Request answered with an error status.");
     }
 }
 
@@ -116,6 +146,7 @@
     body: B,
     info: RequestInfo,
     arrived: Time,
+    forwarded: Option<Forwarded>,
     record: &mut LogRecord,
 ) -> Answer {
     let Some(routes) = core.dispatcher.borrow().routes().cloned() else {
@@ -140,6 +171,10 @@
     let Some(service) = core.dispatcher.borrow_mut().choose_service(&route) else {
         return reject("No service of the route takes requests.", NO_ROUTES_RETRY_AFTER);
     };
+    let route = match &forwarded {
+        Some(it) => limit_attempts(route, it.attempts),
+        None => route,
+    };
     let object = info.object.as_deref().map(|it| hash_name(&format!("{}/{it}", route.prefix)));
     let size = outgoing.body.len() as u64;
     record.object = object;
@@ -214,9 +249,37 @@
     FinishedAttempt { result, summary }
 }
 
+/// Lowers a route's number of attempts, for a request that another VM has already sent to some servers.
+fn limit_attempts(route: Arc<Route>, attempts: u32) -> Arc<Route> {
+    if route.attempts <= attempts {
+        route
+    } else {
+        Arc::new(Route { attempts, ..(*route).clone() })
+    }
+}
+
+/// Passes a request on to another entry VM. `attempts` is the number of backend servers that it may still be sent to.
+async fn pass_on(
+    core: &Rc<Core>,
+    job: &Job,
+    outgoing: &Outgoing,
+    attempts: u32,
+    version: u64,
+) -> FinishedAttempt {
+    let started = core.now();
+    core.metrics.forwards.inc();
+    let result = forward(core, job, outgoing, Version(version), attempts).await;
+    let took = core.now().since(started);
+    let summary = format!("forwarded took={took}: {}", result.detail);
+    FinishedAttempt { result, summary }
+}
+
 async fn run(core: &Rc<Core>, mut job: Job, outgoing: Outgoing, record: &mut LogRecord) -> Answer {
+    let forwarded = record.forwarder.is_some();
     let mut not_executed = true;
     let mut last: Option<AttemptResult> = None;
+    // Number of backend servers that the request may have reached.
+    let mut reached = 0;
     loop {
         let started = core.now();
         let placement = place(core, &job).await;
@@ -224,6 +287,17 @@
         record.waited += now.since(started);
         let (attempt, address) = match placement {
             Placement::Send { attempt, address } => (attempt, address),
+            Placement::Reject(Rejection::Isolated, _) if forwarded && not_executed => {
+                record.attempts.push(format!("{:?}", Rejection::Isolated));
+                return decline();
+            }
+            Placement::Reject(Rejection::Isolated, retry_after) if !forwarded => {
+                let attempts = job.route.attempts.saturating_sub(reached).max(1);
+                let done = pass_on(core, &job, &outgoing, attempts, record.version).await;
+                record.attempts.push(done.summary);
+                let late = job.deadline <= core.now();
+                return finish(done.result, last, not_executed, late, retry_after);
+            }
             Placement::Reject(rejection, retry_after) => {
                 record.attempts.push(format!("{rejection:?}"));
                 return fail(last, not_executed, job.deadline <= now, retry_after);
@@ -235,14 +309,47 @@
         if matches!(done.result.outcome, AttemptOutcome::Answered) {
             return into_answer(done.result).unwrap_or_else(|| bad_gateway("No answer."));
         }
+        let unreachable = done.result.outcome == AttemptOutcome::Unreachable;
+        reached += u32::from(!unreachable);
         not_executed &= done.result.not_executed;
         let allowed = done.result.not_executed || job.route.idempotent;
         let retry = allowed && core.dispatcher.borrow_mut().take_retry(&job, core.now());
-        if !retry {
-            let retry_after = core.settings.dispatch.backoff_min;
-            return fail(Some(done.result), not_executed, job.deadline <= core.now(), retry_after);
+        if retry {
+            last = Some(done.result);
+            continue;
+        }
+        let retry_after = core.settings.dispatch.backoff_min;
+        // This VM's own links may be broken.
+        if allowed && unreachable && reached < job.route.attempts {
+            if forwarded && not_executed {
+                return decline();
+            }
+            if !forwarded {
+                let attempts = job.route.attempts - reached;
+                let passed = pass_on(core, &job, &outgoing, attempts, record.version).await;
+                record.attempts.push(passed.summary);
+                let late = job.deadline <= core.now();
+                return finish(passed.result, Some(done.result), not_executed, late, retry_after);
+            }
         }
-        last = Some(done.result);
+        return fail(Some(done.result), not_executed, job.deadline <= core.now(), retry_after);
+    }
+}
+
+/// Returns the answer of the VM that a request was passed on to, or that no server answered it. `not_executed` tells
+/// whether no server has run it before; otherwise an answer that says so would be false.
+fn finish(
+    passed: AttemptResult,
+    last: Option<AttemptResult>,
+    not_executed: bool,
+    deadline_passed: bool,
+    retry_after: Millis,
+) -> Answer {
+    let is_true = not_executed || !passed.not_executed;
+    let not_executed = not_executed && passed.not_executed;
+    match into_answer(passed) {
+        Some(answer) if is_true => answer,
+        _ => fail(last, not_executed, deadline_passed, retry_after),
     }
 }
 
@@ -268,13 +375,9 @@
         done = &mut first => return done,
         () = sleep(Duration::from_millis(delay.0)) => {}
     }
-    let hedge = core.dispatcher.borrow_mut().place_hedge(job, core.now());
-    let Some((attempt, address)) = hedge else {
+    let Some(mut second) = start_hedge(core, job, outgoing, record) else {
         return first.await;
     };
-    job.tried.push(attempt.backend.clone());
-    let slot = Slot::new(Rc::clone(core), job.clone(), attempt);
-    let mut second = Box::pin(run_attempt(slot, outgoing.clone(), address));
     let (ended, first_ended) = tokio::select! {
         done = &mut first => (done, true),
         done = &mut second => (done, false),
@@ -292,6 +395,36 @@
     done
 }
 
+/// Starts a hedged attempt at another backend server, or by another VM if this one reaches none; `None` if there is no
+/// room for one.
+fn start_hedge<'a>(
+    core: &'a Rc<Core>,
+    job: &mut Job,
+    outgoing: &'a Outgoing,
+    record: &LogRecord,
+) -> Option<LocalBoxFuture<'a, FinishedAttempt>> {
+    let mut dispatcher = core.dispatcher.borrow_mut();
+    if !dispatcher.is_isolated() {
+        let (attempt, address) = dispatcher.place_hedge(job, core.now())?;
+        job.tried.push(attempt.backend.clone());
+        let slot = Slot::new(Rc::clone(core), job.clone(), attempt);
+        return Some(Box::pin(run_attempt(slot, outgoing.clone(), address)));
+    }
+    if record.forwarder.is_some() || !dispatcher.take_retry(job, core.now()) {
+        return None;
+    }
+    let attempts = job.route.attempts.saturating_sub(job.tried.len() as u32);
+    let (job, version) = (job.clone(), record.version);
+    Some(Box::pin(async move {
+        let mut done = pass_on(core, &job, outgoing, attempts, version).await;
+        if done.result.not_executed {
+            // The first attempt may have run it.
+            done.result.answer = None;
+        }
+        done
+    }))
+}
+
 /// Returns the delay of a hedged attempt; `None` if the request must not be sent twice, or if this VM is stopping and
 /// starts no new work.
 fn hedge_delay(core: &Core, job: &Job, expected: Millis) -> Option<Millis> {
--- a/crates/th-gateway/src/connection.rs
+++ b/crates/th-gateway/src/connection.rs
@@ -1,15 +1,22 @@
 //! Connections to backend servers.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{SendRequest, handshake},
+};
 use hyper_util::rt::TokioIo;
-use th_protocol::{BackendId, Millis, Time};
+use prometheus::IntCounter;
+use th_protocol::{Millis, Time};
 use thiserror::Error;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
+use crate::core::Core;
+
 /// The result of opening a connection.
 pub(crate) type Result<T, E = ConnectError> = std::result::Result<T, E>;
 
@@ -27,7 +34,7 @@
     Handshake(SocketAddr, hyper::Error),
 }
 
-/// A connection to a backend server; closed on drop.
+/// A connection to a backend server or another entry VM; closed on drop.
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) address: SocketAddr,
@@ -61,21 +68,42 @@
     }
 }
 
-/// Idle connections, by backend server.
-#[derive(Default)]
-pub(crate) struct Pool {
-    idle: BTreeMap<BackendId, Vec<Connection>>,
+/// Reason why a request got no answer.
+#[derive(Debug, Error)]
+pub(crate) enum SendError {
+    /// No connection could be opened.
+    #[error("{0}")]
+    Connect(#[from] ConnectError),
+    /// The connection failed before the request was sent.
+    #[error("{0}")]
+    Unsent(hyper::Error),
+    /// The connection failed after that.
+    #[error("{0}")]
+    Broken(hyper::Error),
+}
+
+impl SendError {
+    /// Whether nothing of the request was sent.
+    pub(crate) fn is_unsent(&self) -> bool {
+        !matches!(self, SendError::Broken(_))
+    }
 }
 
-impl Pool {
+/// Idle connections, by the server or entry VM at their other end.
+pub(crate) struct Pool<K> {
+    idle: BTreeMap<K, Vec<Connection>>,
+}
+
+impl<K> Default for Pool<K> {
+    fn default() -> Pool<K> {
+        Pool { idle: BTreeMap::new() }
+    }
+}
+
+impl<K: Ord + Clone> Pool<K> {
     /// Removes and returns the most recently used connection that is still usable.
-    pub(crate) fn take(
-        &mut self,
-        backend: &BackendId,
-        address: SocketAddr,
-        now: Time,
-    ) -> Option<Connection> {
-        let connections = self.idle.get_mut(backend)?;
+    pub(crate) fn take(&mut self, key: &K, address: SocketAddr, now: Time) -> Option<Connection> {
+        let connections = self.idle.get_mut(key)?;
         while let Some(connection) = connections.pop() {
             let usable = connection.address == address && now < connection.expires;
             if usable && connection.sender.is_ready() {
@@ -85,15 +113,20 @@
         None
     }
 
-    pub(crate) fn put(&mut self, backend: &BackendId, connection: Connection) {
-        self.idle.entry(backend.clone()).or_default().push(connection);
+    pub(crate) fn put(&mut self, key: &K, connection: Connection) {
+        self.idle.entry(key.clone()).or_default().push(connection);
+    }
+
+    pub(crate) fn remove(&mut self, key: &K) {
+        self.idle.remove(key);
     }
 
-    pub(crate) fn remove(&mut self, backend: &BackendId) {
-        self.idle.remove(backend);
+    /// Closes all connections.
+    pub(crate) fn clear(&mut self) {
+        self.idle.clear();
     }
 
-    /// Closes expired connections and those that the server closed.
+    /// Closes expired connections and those that the other side closed.
     pub(crate) fn sweep(&mut self, now: Time) {
         for connections in self.idle.values_mut() {
             connections.retain(|it| now < it.expires && !it.sender.is_closed());
@@ -101,3 +134,34 @@
         self.idle.retain(|_, connections| !connections.is_empty());
     }
 }
+
+/// Sends a request over an idle connection, or over a new one if there is none or if it closed before the request was
+/// sent; `opened` counts the latter. Returns the head of the answer, and the connection for its body.
+pub(crate) async fn send_pooled<K: Ord + Clone>(
+    core: &Core,
+    pool: &RefCell<Pool<K>>,
+    key: &K,
+    address: SocketAddr,
+    mut request: Request<Full<Bytes>>,
+    opened: &IntCounter,
+) -> Result<(Response<Incoming>, Connection), SendError> {
+    let pooled = pool.borrow_mut().take(key, address, core.now());
+    if let Some(mut connection) = pooled {
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return Ok((response, connection)),
+            Err(mut error) => match error.take_message() {
+                Some(unsent) => request = unsent,
+                None => return Err(SendError::Broken(error.into_error())),
+            },
+        }
+    }
+    let mut connection = Connection::open(address, core.settings.connect_timeout).await?;
+    opened.inc();
+    match connection.sender.try_send_request(request).await {
+        Ok(response) => Ok((response, connection)),
+        Err(mut error) => Err(match error.take_message() {
+            Some(_) => SendError::Unsent(error.into_error()),
+            None => SendError::Broken(error.into_error()),
+        }),
+    }
+}
--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -7,7 +7,7 @@
 };
 
 use th_platform::{BootClock, Clock};
-use th_protocol::{BackendId, Time};
+use th_protocol::{BackendId, Time, VmId};
 use th_steer::dispatch::{Attempt, AttemptOutcome, Dispatcher, Job, Placement};
 use tokio::sync::{Notify, oneshot};
 
@@ -27,7 +27,10 @@
     pub relay: Relay,
     pub(crate) settings: GatewaySettings,
     pub(crate) dialect: Rc<dyn Dialect>,
-    pub(crate) pool: RefCell<Pool>,
+    /// Connections to backend servers.
+    pub(crate) pool: RefCell<Pool<BackendId>>,
+    /// Connections to other entry VMs.
+    pub(crate) vm_pool: RefCell<Pool<VmId>>,
     pub(crate) metrics: Metrics,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<Placement>>>,
     pub(crate) in_flight: Cell<u32>,
@@ -54,7 +57,8 @@
             answer_memory: MemoryPool::new(settings.body_memory),
             settings,
             dialect,
-            pool: RefCell::new(Pool::default()),
+            pool: RefCell::default(),
+            vm_pool: RefCell::default(),
             metrics: Metrics::default(),
             waiters: RefCell::new(BTreeMap::new()),
             in_flight: Cell::new(0),
--- a/crates/th-gateway/src/dialect.rs
+++ b/crates/th-gateway/src/dialect.rs
@@ -51,6 +51,8 @@
     fn read_request(&self, head: &request::Parts) -> RequestInfo;
     /// Sets the headers that a backend server needs; `time_left` is the time until the answer is due.
     fn set_request_headers(&self, headers: &mut HeaderMap, backend: &BackendId, time_left: Millis);
+    /// Sets the time until the answer is due, for another entry VM.
+    fn set_time_left(&self, headers: &mut HeaderMap, time_left: Millis);
     /// Reads the properties of a backend server's answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerInfo;
     /// Parses a request on the look-up listener; `None` if it is not a look-up.
--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
     call::{serve, serve_ahead},
     core::Core,
     dialect::Dialect,
+    forward::check_links,
     listen::{Handler, HandlerFuture, accept, open},
     lookup::{lookup, metrics, readiness},
     pipeline::StartAhead,
@@ -80,6 +81,7 @@
             listen(&core, address, Handler { serve, ahead: None })?;
         }
         spawn_local(tick(Rc::clone(&core)));
+        spawn_local(check_links(Rc::clone(&core)));
         log::info!(target: "entry", "vm={} callers={} Listening.", core.dispatcher.borrow().vm(), listeners.callers);
         Ok(Gateway { core, callers })
     }
@@ -111,6 +113,7 @@
             let now = core.now();
             core.dispatcher.borrow_mut().tick(now);
             core.pool.borrow_mut().sweep(now);
+            core.vm_pool.borrow_mut().sweep(now);
         }
     }
 }
--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod core;
 mod dialect;
+mod forward;
 mod gateway;
 mod listen;
 mod logging;
--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -28,6 +28,9 @@
     lines: IntGaugeVec,
     dragging: IntGauge,
     limited: IntGauge,
+    isolated: IntGauge,
+    pub(crate) forwards: IntCounter,
+    pub(crate) vm_connections: IntCounter,
 }
 
 fn add<C: Collector + Clone + 'static>(registry: &Registry, metric: prometheus::Result<C>) -> C {
@@ -64,6 +67,18 @@
                 &registry,
                 IntGauge::new("th_gateway_dragging", "Backend servers avoided because they drag."),
             ),
+            isolated: add(
+                &registry,
+                IntGauge::new("th_gateway_isolated", "Whether all links to servers are lost."),
+            ),
+            vm_connections: add(
+                &registry,
+                IntCounter::new("th_gateway_vm_links_total", "Connections to other VMs."),
+            ),
+            forwards: add(
+                &registry,
+                IntCounter::new("th_gateway_forwards_total", "Requests passed on to other VMs."),
+            ),
             limited: add(
                 &registry,
                 IntGauge::new("th_gateway_limited", "Backend servers that limit their requests."),
@@ -101,6 +116,7 @@
         self.in_flight.set(core.in_flight.get().into());
         self.waiting.set(dispatcher.waiting() as i64);
         self.dragging.set(dispatcher.dragging().len() as i64);
+        self.isolated.set(dispatcher.is_isolated().into());
         self.limited.set(dispatcher.limited().len() as i64);
         self.version.set(dispatcher.routes().map_or(0, |it| it.version().0 as i64));
     }
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -13,13 +13,18 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::{body::AnswerBody, connection::Connection, core::Core, memory::Reservation};
+use crate::{
+    body::AnswerBody,
+    connection::{Connection, SendError, send_pooled},
+    core::Core,
+    memory::Reservation,
+};
 
-type Result<T, E = AnswerError> = std::result::Result<T, E>;
+pub(crate) type Result<T, E = AnswerError> = std::result::Result<T, E>;
 
 /// Reason why the body of an answer could not be received.
 #[derive(Debug, Error)]
-enum AnswerError {
+pub(crate) enum AnswerError {
     #[error("the answer's body exceeds the limit of {0} on all buffered answers")]
     TooLarge(ByteCount),
     #[error("reading the answer's body: {0}")]
@@ -47,7 +52,7 @@
 }
 
 impl AttemptResult {
-    fn without_answer(
+    pub(crate) fn without_answer(
         outcome: AttemptOutcome,
         not_executed: bool,
         detail: impl ToString,
@@ -57,7 +62,7 @@
 }
 
 /// Buffers the complete body of an answer. While memory is full, the server's connection is not read on.
-async fn buffer_answer(core: &Rc<Core>, mut body: Incoming) -> Result<AnswerBody> {
+pub(crate) async fn buffer_answer(core: &Rc<Core>, mut body: Incoming) -> Result<AnswerBody> {
     let too_large = || AnswerError::TooLarge(core.settings.body_memory);
     let (mut memory, mut collected) = (Reservation::new(&core.answer_memory), BytesMut::new());
     // Answers that each held a part of the memory could wait for each other, so a stated length is reserved as a whole.
@@ -93,11 +98,17 @@
 }
 
 impl Outgoing {
-    fn request(&self, core: &Core, backend: &BackendId, time_left: Millis) -> Request<Full<Bytes>> {
+    /// The request without the headers that depend on where it is sent.
+    pub(crate) fn unaddressed(&self) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
+        request
+    }
+
+    fn request(&self, core: &Core, backend: &BackendId, time_left: Millis) -> Request<Full<Bytes>> {
+        let mut request = self.unaddressed();
         core.dialect.set_request_headers(request.headers_mut(), backend, time_left);
         request
     }
@@ -127,35 +138,16 @@
         address: SocketAddr,
         time_left: Millis,
     ) -> AttemptResult {
-        let pooled = core.pool.borrow_mut().take(backend, address, core.now());
-        let mut request = self.request(core, backend, time_left);
-        if let Some(mut connection) = pooled {
-            match connection.sender.try_send_request(request).await {
-                Ok(response) => return self.receive(core, backend, connection, response).await,
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => {
-                        return AttemptResult::without_answer(
-                            AttemptOutcome::Broken,
-                            false,
-                            error.error(),
-                        );
-                    }
-                },
-            }
-        }
-        let mut connection = match Connection::open(address, core.settings.connect_timeout).await {
-            Ok(connection) => connection,
+        let request = self.request(core, backend, time_left);
+        let opened = &core.metrics.connections;
+        match send_pooled(core, &core.pool, backend, address, request, opened).await {
+            Ok((response, connection)) => self.receive(core, backend, connection, response).await,
             Err(error) => {
-                return AttemptResult::without_answer(AttemptOutcome::Unreachable, true, error);
-            }
-        };
-        core.metrics.connections.inc();
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => self.receive(core, backend, connection, response).await,
-            Err(mut error) => {
-                let unsent = error.take_message().is_some();
-                AttemptResult::without_answer(AttemptOutcome::Broken, unsent, error.error())
+                let outcome = match error {
+                    SendError::Connect(_) => AttemptOutcome::Unreachable,
+                    SendError::Unsent(_) | SendError::Broken(_) => AttemptOutcome::Broken,
+                };
+                AttemptResult::without_answer(outcome, error.is_unsent(), error)
             }
         }
     }
--- a/crates/th-gateway/src/relay.rs
+++ b/crates/th-gateway/src/relay.rs
@@ -18,8 +18,10 @@
 use crate::{
     answer::{Answer, reply},
     body::AnswerBody,
+    call::serve_forwarded,
     connection::{ConnectError, Connection},
     core::Core,
+    forward::is_forwarded,
 };
 
 /// The result of asking another VM.
@@ -124,11 +126,14 @@
     }
 }
 
-/// Serves another entry VM, or an operator's tool that asks which backend servers drag.
+/// Serves another entry VM, which asks for changes or passes on a request, or an operator's tool that asks which backend servers drag.
 pub(crate) async fn serve_peer(
     core: Rc<Core>,
     request: Request<Incoming>,
 ) -> std::result::Result<Answer, Infallible> {
+    if is_forwarded(&request) {
+        return serve_forwarded(core, request).await;
+    }
     let answer = match (request.method(), request.uri().path()) {
         (&Method::POST, CHANGES_PATH) => pass_changes(&core, request).await,
         (&Method::GET, DRAGGING_PATH) => Ok(dragging(&core)),
--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -283,6 +283,20 @@
         })
     }
 
+    /// Whether a running request has taken so long that it drags.
+    pub(crate) fn is_overdue(&self, now: Time) -> bool {
+        self.running.iter().any(|it| it.drag <= now.since(it.sent))
+    }
+
+    /// Forgets failed and dragging requests, since the fault was not the server's.
+    pub(crate) fn forget_failures(&mut self) {
+        self.failures = 0;
+        self.ejected = None;
+        self.errors = 0.0;
+        self.drags = 0;
+        self.avoided = None;
+    }
+
     /// Time that a request takes here, as a multiple of the expected time and including repeats after failures.
     pub(crate) fn slowdown(&self, now: Time) -> f64 {
         let startup = if self.is_cold(now) { COLD_SLOWNESS } else { 1.0 };
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -120,6 +120,9 @@
         if job.deadline <= now {
             return Placement::Reject(Rejection::Expired, self.settings.backoff_min);
         }
+        if self.is_isolated() {
+            return Placement::Reject(Rejection::Isolated, self.settings.backoff_min);
+        }
         let usable = self.usable(job);
         if usable.is_empty() {
             return Placement::Reject(Rejection::NoBackend, self.settings.backoff_max);
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -16,6 +16,7 @@
     lookup::Topology,
     objects::ObjectsInUse,
     place::{WaitCounts, millis},
+    reach::Reach,
     record::{BackendRecord, EntryRecord},
     retry::RetryWindow,
     round_robin::RoundRobin,
@@ -53,6 +54,7 @@
     pub(crate) last_attempt: u64,
     pub(crate) last_waiter: u64,
     pub(crate) traffic: Traffic,
+    pub(crate) reach: Reach,
     /// Number of look-ups answered; it shifts the sampling offset, so that rounding evens out over look-ups.
     pub(crate) lookups: u32,
 }
@@ -85,6 +87,7 @@
             last_attempt: 0,
             last_waiter: 0,
             traffic: Traffic::default(),
+            reach: Reach::default(),
             lookups: 0,
         }
     }
@@ -284,7 +287,9 @@
         let row = self.backends.by_id_mut(&attempt.backend)?;
         let before = row.is_avoided();
         row.end(&attempt, outcome, &self.settings, now);
-        (before != row.is_avoided()).then_some(!before)
+        let changed = (before != row.is_avoided()).then_some(!before);
+        self.on_sign(&attempt.backend, outcome, now);
+        changed
     }
 
     /// Releases the slot of an attempt that was never sent.
--- a/crates/th-steer/src/dispatch/job.rs
+++ b/crates/th-steer/src/dispatch/job.rs
@@ -35,6 +35,8 @@
 pub enum Rejection {
     /// No backend server of the service may be used.
     NoBackend,
+    /// This VM reaches no backend server; another entry VM may take the request.
+    Isolated,
     /// It would finish after its deadline.
     TooLate,
     /// Its deadline has passed, for example while it waited.
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 mod objects;
 mod pace;
 mod place;
+mod reach;
 mod record;
 mod remote_copy;
 mod retry;
--- a/crates/th-steer/src/dispatch/table.rs
+++ b/crates/th-steer/src/dispatch/table.rs
@@ -41,6 +41,10 @@
         self.rows.iter().flatten()
     }
 
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut BackendRow> {
+        self.rows.iter_mut().flatten()
+    }
+
     /// The rows of a service, by data centre.
     pub(crate) fn of_service(&self, service: &ServiceId) -> Option<&BTreeMap<ZoneId, Vec<RowId>>> {
         self.by_service.get(service)
--- a/tests/cutoff.rs
+++ b/tests/cutoff.rs
@@ -136,28 +136,30 @@
     streams
 }
 
-/// Two entry VMs and the same servers; the first reaches them over links that can be cut.
+/// Two entry VMs and the same servers, which each reaches over links of its own that can be cut.
 struct Deployment {
     servers: Vec<StandInServer>,
-    links: Vec<Link>,
+    /// Links of the VM that callers use, and of the other.
+    links: [Vec<Link>; 2],
     entry: EntryProcess,
     _other: EntryProcess,
-    _stores: [StandInStore; 2],
+    stores: [StandInStore; 2],
 }
 
 impl Deployment {
     async fn start() -> Deployment {
         let stores = [StandInStore::start().await, StandInStore::start().await];
-        let (mut servers, mut links) = (Vec::new(), Vec::new());
+        let (mut servers, mut links) = (Vec::new(), [Vec::new(), Vec::new()]);
         for number in 1..=SERVERS {
             let server = StandInServer::start(&format!("i-{number}"), RUN_TIME).await;
-            let link = Link::start(server.address);
-            let mut entry = server.entry("ready");
-            stores[1].put(&format!("servers/{}", server.id), &entry);
-            entry["address"] = json!(link.address.to_string());
-            stores[0].put(&format!("servers/{}", server.id), &entry);
+            for (store, links) in stores.iter().zip(&mut links) {
+                let link = Link::start(server.address);
+                let mut entry = server.entry("ready");
+                entry["address"] = json!(link.address.to_string());
+                store.put(&format!("servers/{}", server.id), &entry);
+                links.push(link);
+            }
             servers.push(server);
-            links.push(link);
         }
         // In different data centres, so that neither asks the other for changes of the store.
         let (near, far) = (ListenAddresses::free(), ListenAddresses::free());
@@ -174,11 +176,11 @@
             process.wait_until_ready().await;
             process.wait_for_status("/look/first", 200).await;
         }
-        Deployment { servers, links, entry, _other: other, _stores: stores }
+        Deployment { servers, links, entry, _other: other, stores }
     }
 
-    fn set_links(&self, cut: Cut) {
-        for link in &self.links {
+    fn set_links(&self, vms: std::ops::Range<usize>, cut: Cut) {
+        for link in self.links[vms].iter().flatten() {
             link.cut.send_replace(cut);
         }
     }
@@ -223,7 +225,7 @@
     }
 
     fn accepted(&self) -> u32 {
-        self.links.iter().map(|it| it.accepted.load(Ordering::Relaxed)).sum()
+        self.links[0].iter().map(|it| it.accepted.load(Ordering::Relaxed)).sum()
     }
 }
 
@@ -238,11 +240,11 @@
     let deployment = Deployment::start().await;
     let (served, sent) = deployment.call(WARM_UP, "before", CALLERS_BEFORE).await;
     assert_eq!(served, sent, "before the cut");
-    deployment.set_links(cut);
+    deployment.set_links(0..1, cut);
     deployment.call(SETTLE, "settling", CALLERS).await;
     let (served, sent) = deployment.call(MEASURED, "cut", CALLERS).await;
     assert!(10 < sent && 2 * sent <= 3 * served, "{served} of {sent} served while cut off");
-    deployment.set_links(Cut::None);
+    deployment.set_links(0..1, Cut::None);
     let before = deployment.accepted();
     deployment.call(SETTLE, "healing", CALLERS).await;
     let (served, sent) = deployment.call(MEASURED, "after", CALLERS).await;
@@ -252,3 +254,46 @@
     }
     assert_eq!(deployment.run_twice(), Vec::<String>::new());
 }
+
+/// Guards against requests that VMs without links pass to each other in circles or hold until their deadline.
+#[tokio::test]
+async fn callers_are_rejected_at_once_while_no_vm_reaches_a_server() {
+    /// Time for the answers of the other VM and for a busy machine; the requests have 1,500 ms.
+    const AT_ONCE: Duration = Duration::from_millis(500);
+    let deployment = Deployment::start().await;
+    deployment.set_links(0..2, Cut::Silent);
+    deployment.call(SETTLE, "settling", CALLERS).await;
+    for number in 0..10 {
+        let (sent, id) = (Instant::now(), format!("cut-{number}"));
+        let answer = deployment.entry.send(Method::POST, "/book/x", &id).await;
+        let took = sent.elapsed();
+        assert_eq!(answer.status(), 503, "after {took:?}");
+        assert!(answer.headers().contains_key("retry-after"));
+        assert!(took < AT_ONCE, "{took:?}");
+        let runs: u32 = deployment.servers.iter().map(|it| it.runs(&id)).sum();
+        assert_eq!(runs, 0);
+        sleep(Duration::from_millis(100)).await;
+    }
+    deployment.set_links(0..2, Cut::None);
+    deployment.call(SETTLE, "healing", CALLERS).await;
+    let (served, sent) = deployment.call(MEASURED, "after", CALLERS).await;
+    assert_eq!(served, sent, "after the cut");
+}
+
+/// Guards against a request that an older configuration routes, because it is passed to a VM that has not read the newer
+/// one yet.
+#[tokio::test]
+async fn a_vm_with_an_older_configuration_gets_no_requests() {
+    let deployment = Deployment::start().await;
+    deployment.set_links(0..1, Cut::Reset);
+    deployment.call(SETTLE, "settling", CALLERS).await;
+    assert_eq!(deployment.entry.send(Method::GET, "/look/x", "same").await.status(), 200);
+    deployment.stores[0].put("op/config", &config(8, "/look/"));
+    sleep(SETTLE).await;
+    let answer = deployment.entry.send(Method::GET, "/look/x", "newer").await;
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+    deployment.stores[1].put("op/config", &config(8, "/look/"));
+    sleep(SETTLE).await;
+    assert_eq!(deployment.entry.send(Method::GET, "/look/x", "equal").await.status(), 200);
+}
