--- a/crates/th-steer/tests/dispatch_world/mod.rs
+++ b/crates/th-steer/tests/dispatch_world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub(crate) mod fleet;
+
 use std::{collections::BTreeMap, sync::Arc};
 
 use th_protocol::{BackendId, Millis, ServiceId, Slots, Time, Version, VmId, ZoneId};
