Space requests to cold servers so that all VMs together keep to the rate

Cause: each VM kept its part of the rate in a bucket that starts full, so VMs that learn of a cold server together each sent a request at once; and a VM that lost sight of the others took a larger part.

Why it works: the mechanism of the limits that servers state is used for both. Requests of a VM to a cold server have equal time between them and start at different moments; of many VMs a few have most of the rate, so that one request of each fits into a second; a VM that is no longer registered counts for 30 s more.

--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -3,8 +3,8 @@
 use th_protocol::{BackendId, Millis, Slots, Time};
 
 use super::{
-    cold::ColdLimiter,
     limited::Limited,
+    pace::Pace,
     record::{BackendRecord, Serving},
     settings::DispatchSettings,
     warm::WarmSet,
@@ -144,7 +144,8 @@
     external: ExternalLoad,
     pub(crate) warm: WarmSet,
     pub(crate) cold_until: Time,
-    pub(crate) cold_limiter: ColdLimiter,
+    /// Spacing of this VM's requests while it is cold.
+    pub(crate) cold_pace: Option<Pace>,
     /// Limit on its requests that it stated with its last answer.
     pub(crate) limited: Option<Limited>,
     /// Answers received since its latest start.
@@ -170,7 +171,7 @@
             running: Vec::new(),
             external: ExternalLoad::default(),
             warm: WarmSet::default(),
-            cold_limiter: ColdLimiter::default(),
+            cold_pace: None,
             limited: None,
             answers: 0,
             failures: 0,
@@ -208,6 +209,11 @@
         now < self.cold_until
     }
 
+    /// Whether it is cold, and this VM has sent it all that it may for now.
+    pub(crate) fn is_paused(&self, now: Time) -> bool {
+        self.is_cold(now) && self.cold_pace.is_some_and(|it| 0.0 < it.wait(0, now))
+    }
+
     /// Estimated number of requests that it runs or has queued.
     pub(crate) fn load(&self, settings: &DispatchSettings, now: Time) -> f64 {
         self.running.len() as f64 + self.external.expected(settings, now)
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -103,12 +103,6 @@
         pools
     }
 
-    /// This VM's share of the requests a second that a cold backend server accepts.
-    fn cold_rate(&self, job: &Job) -> f64 {
-        let rate = self.routes.as_ref().and_then(|it| it.cold_rate(&job.service)).unwrap_or(1.0);
-        rate / self.entries.len().max(1) as f64
-    }
-
     /// Decides where a request goes. Reserves a slot if it can be sent now, and counts it in `wait_counts` if it waits
     /// for a particular backend server.
     pub(crate) fn decide(
@@ -164,9 +158,7 @@
         let settings = &self.settings;
         let may_spill = !has_local_pool
             || self.spill.has_budget(settings.spill_share, settings.spill_window, now);
-        let cold_rate = self.cold_rate(job);
-        let inputs =
-            CostInputs { settings: &self.settings, work: &self.work, objects, cold_rate, now };
+        let inputs = CostInputs { settings: &self.settings, work: &self.work, objects, now };
         for pool in &pools {
             if pool.cross_region && !may_spill {
                 continue;
@@ -203,8 +195,10 @@
             drag: drag_time(millis(usual), job.route.objective),
         };
         row.start(&attempt);
-        if row.is_cold(now) {
-            row.cold_limiter.take_token();
+        if row.is_cold(now)
+            && let Some(pace) = &mut row.cold_pace
+        {
+            pace.take(now);
         }
         if let Some(object) = job.object {
             row.warm.touch(object, self.settings.warm_objects);
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -21,6 +21,7 @@
     retry::RetryWindow,
     round_robin::RoundRobin,
     route::{Route, RouteTable},
+    server_share::Members,
     settings::DispatchSettings,
     spill::SpillWindow,
     table::BackendTable,
@@ -42,6 +43,7 @@
     pub(crate) backends: BackendTable,
     pub(crate) evacuated: BTreeSet<ZoneId>,
     pub(crate) entries: BTreeMap<VmId, EntryRecord>,
+    pub(crate) members: Members,
     pub(crate) work: WorkTimes,
     pub(crate) round_robins: BTreeMap<String, RoundRobin>,
     pub(crate) retries: BTreeMap<ServiceId, RetryWindow>,
@@ -76,6 +78,7 @@
             backends: BackendTable::default(),
             evacuated: BTreeSet::new(),
             entries: BTreeMap::new(),
+            members: Members::default(),
             work: WorkTimes::default(),
             round_robins: BTreeMap::new(),
             retries: BTreeMap::new(),
@@ -113,7 +116,14 @@
 
     /// Applies the record that a backend server registered.
     pub fn on_backend(&mut self, record: BackendRecord, now: Time) {
-        self.backends.put(record, now);
+        let before = self.backends.id(&record.id).and_then(|it| self.backends.get(it));
+        let was_cold = before.is_some_and(|it| it.is_cold(now) && it.cold_pace.is_some());
+        let id = self.backends.put(record, now);
+        let row = self.backends.get(id);
+        let is_new = row.is_some_and(|it| it.is_cold(now) && (!was_cold || it.cold_pace.is_none()));
+        if is_new {
+            self.start_cold_pace(id, now);
+        }
     }
 
     /// Removes a backend server.
@@ -133,6 +143,7 @@
 
     /// Adds or updates an entry VM.
     pub fn on_entry(&mut self, record: EntryRecord) {
+        self.members.add(&record);
         self.entries.insert(record.vm.clone(), record);
     }
 
@@ -243,7 +254,9 @@
     pub fn tick(&mut self, now: Time) {
         let share = self.own_share();
         self.traffic.tick(share, now);
+        self.members.update(&self.entries, now);
         self.update_limits(now);
+        self.update_cold_paces(now);
         let start = now.before(self.settings.object_age);
         for objects in self.objects.values_mut() {
             objects.update(start);
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -5,7 +5,6 @@
 
 mod addresses;
 mod backend;
-mod cold;
 mod decide;
 mod dispatcher;
 mod job;
@@ -21,6 +20,7 @@
 mod retry;
 mod round_robin;
 mod route;
+mod server_share;
 mod settings;
 mod spill;
 mod table;
@@ -29,13 +29,12 @@
 mod work;
 
 pub use backend::{Attempt, AttemptOutcome};
-pub use cold::ColdLimiter;
 pub use dispatcher::Dispatcher;
 pub use job::{Job, Placement, Rejection};
 pub use links::vm_shares;
 pub use lookup::{Topology, lookup_shares};
 pub use objects::ObjectsInUse;
-pub use pace::rate_share;
+pub use pace::{Pace, rate_share};
 pub use record::{BackendRecord, EntryRecord, Serving};
 pub use retry::RetryWindow;
 pub use round_robin::RoundRobin;
--- a/crates/th-steer/src/dispatch/pace.rs
+++ b/crates/th-steer/src/dispatch/pace.rs
@@ -26,7 +26,7 @@
 
 /// Spaces the requests of this VM to a server.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct Pace {
+pub struct Pace {
     /// Milliseconds from a request to the next; infinite if this VM sends none.
     interval: f64,
     /// Time from which the next request may be sent, in milliseconds.
@@ -40,7 +40,7 @@
 impl Pace {
     /// Starts at a rate of `share` requests a second. The first request may be sent after the fraction `delay` of the
     /// time between two requests; VMs that learn of a limit together should have different ones.
-    pub(crate) fn new(share: f64, delay: f64, now: Time) -> Pace {
+    pub fn new(share: f64, delay: f64, now: Time) -> Pace {
         let interval = interval(share);
         let wait = if interval.is_finite() { interval * delay } else { interval };
         Pace { interval, next: now.0 as f64 + wait }
@@ -57,14 +57,14 @@
     }
 
     /// Milliseconds until a request may be sent that has `ahead` others before it.
-    pub(crate) fn wait(&self, ahead: u32, now: Time) -> f64 {
+    pub fn wait(&self, ahead: u32, now: Time) -> f64 {
         let wait = (self.next - now.0 as f64).max(0.0);
         // Zero times infinity is not a number.
         if ahead == 0 { wait } else { wait + self.interval * f64::from(ahead) }
     }
 
     /// Counts a request that is sent.
-    pub(crate) fn take(&mut self, now: Time) {
+    pub fn take(&mut self, now: Time) {
         self.next = self.next.max(now.0 as f64) + self.interval;
     }
 }
--- a/crates/th-steer/src/dispatch/place.rs
+++ b/crates/th-steer/src/dispatch/place.rs
@@ -30,8 +30,6 @@
     pub(crate) work: &'a WorkTimes,
     /// Number of objects of the service that were requested recently.
     pub(crate) objects: usize,
-    /// Requests a second that this VM may send to a cold backend server.
-    pub(crate) cold_rate: f64,
     pub(crate) now: Time,
 }
 
@@ -128,8 +126,8 @@
         let Some(row) = rows.get_mut(id) else {
             continue;
         };
-        // A cold server that has reached its rate limit is skipped: requests do not wait for it.
-        if row.is_cold(now) && !row.cold_limiter.has_token(inputs.cold_rate, now) {
+        // Requests do not wait for a cold server's rate.
+        if row.is_paused(now) {
             continue;
         }
         let is_warm = object.is_some_and(|it| pool.foreign || row.warm.contains(it));
--- a/crates/th-steer/src/dispatch/settings.rs
+++ b/crates/th-steer/src/dispatch/settings.rs
@@ -35,6 +35,10 @@
     pub retry_window: Millis,
     /// Fraction of the retry budget that is used, because windows slide and VMs count independently.
     pub safety_factor: f64,
+    /// Requests that a cold backend server may get in a second, as a multiple of its rate.
+    pub cold_multiplier: f64,
+    /// Requests that a cold backend server may get in a second beyond that.
+    pub cold_slack: f64,
     /// Shortest time after which the caller of a rejected request is told to retry.
     pub backoff_min: Millis,
     /// Longest time after which the caller of a rejected request is told to retry.
@@ -58,6 +62,8 @@
             retry_slack: 50.0,
             retry_window: Millis(10_000),
             safety_factor: 0.7,
+            cold_multiplier: 1.5,
+            cold_slack: 5.0,
             backoff_min: Millis(150),
             backoff_max: Millis(1_500),
         }
--- a/crates/th-steer/src/dispatch/table.rs
+++ b/crates/th-steer/src/dispatch/table.rs
@@ -45,6 +45,10 @@
         self.rows.iter_mut().flatten()
     }
 
+    pub(crate) fn row_ids(&self) -> Vec<RowId> {
+        self.ids.values().copied().collect()
+    }
+
     /// The rows of a service, by data centre.
     pub(crate) fn of_service(&self, service: &ServiceId) -> Option<&BTreeMap<ZoneId, Vec<RowId>>> {
         self.by_service.get(service)
@@ -68,8 +72,8 @@
         }
     }
 
-    /// Adds or updates the row of a backend server from its record.
-    pub(crate) fn put(&mut self, record: BackendRecord, now: Time) {
+    /// Adds or updates the row of a backend server from its record; returns its index.
+    pub(crate) fn put(&mut self, record: BackendRecord, now: Time) -> RowId {
         let Some(id) = self.id(&record.id) else {
             let id = self.free.pop().unwrap_or_else(|| {
                 self.rows.push(None);
@@ -78,7 +82,7 @@
             self.ids.insert(record.id.clone(), id);
             self.index_row(id, &record);
             self.rows[id.0 as usize] = Some(BackendRow::new(record, now));
-            return;
+            return id;
         };
         let before = self.get(id).map(|it| it.record.clone());
         if let Some(before) = before
@@ -90,6 +94,7 @@
         if let Some(row) = self.get_mut(id) {
             row.on_record(record, now);
         }
+        id
     }
 
     pub(crate) fn remove(&mut self, backend: &BackendId) {
