Heed servers that say in an answer that they leave, or want a pause

A server that leaves says so in its answers, and one that turns a request away may say for how long it wants none.

What a server states holds until its next start, told by the time in its entry, also if the entry vanishes and comes back. A leaving server gets nothing more, not as a last resort either, and loses its objects as in a drain. A pausing one gets nothing until the end, then a single request until it answers; a pause is bounded by a setting (60 s), counts as no failure, and while all servers of a service pause a caller is refused with the time that is left. Other VMs are not told: they learn it with their own next answer, and a drain from the store.

--- a/crates/th-gateway/src/dialect.rs
+++ b/crates/th-gateway/src/dialect.rs
@@ -32,6 +32,10 @@
     pub busy: Option<Slots>,
     /// Requests a second that the server accepts from all VMs together; `None` if it states no limit.
     pub limit: Option<RequestRate>,
+    /// Whether the server leaves.
+    pub leaving: bool,
+    /// Time for which the server wants no more requests.
+    pub rest: Option<Millis>,
     /// Time after which the server closes an idle connection.
     pub idle_timeout: Option<Millis>,
 }
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -6,9 +6,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use th_protocol::{
-    BackendId, Bytes as ByteCount, Millis, RequestRate, header::remove_hop_by_hop_headers,
-};
+use th_protocol::{BackendId, Bytes as ByteCount, Millis, header::remove_hop_by_hop_headers};
 use th_steer::dispatch::AttemptOutcome;
 use thiserror::Error;
 use tokio::time::timeout;
@@ -17,6 +15,7 @@
     body::AnswerBody,
     connection::{Connection, SendError, send_pooled},
     core::Core,
+    dialect::AnswerInfo,
     memory::Reservation,
 };
 
@@ -88,13 +87,22 @@
     Ok(AnswerBody::reserved(collected.freeze(), memory))
 }
 
-/// Applies the limit on requests that a backend server stated with an answer.
-fn apply_limit(core: &Core, backend: &BackendId, limit: Option<RequestRate>) {
-    if !core.dispatcher.borrow_mut().on_limit(backend, limit, core.now()) {
-        return;
+/// Applies what a backend server states about itself in the head of an answer.
+fn apply_statements(core: &Core, backend: &BackendId, info: &AnswerInfo) {
+    let (mut dispatcher, now) = (core.dispatcher.borrow_mut(), core.now());
+    if info.leaving && dispatcher.on_leaving(backend) {
+        log::info!(target: "backend", "backend={backend} The backend server leaves; it gets no more requests.");
+    }
+    if let Some(pause) = info.rest {
+        dispatcher.on_rest(backend, pause, now);
+        let limit = core.settings.dispatch.max_rest;
+        log::info!(target: "backend", "backend={backend} pause={pause} limit={limit} The backend server wants no requests for a while.");
+    }
+    // An answer without the attempt's id may come from something in between, which knows no limit.
+    if info.id.is_some() && dispatcher.on_limit(backend, info.limit, now) {
+        let limit = info.limit.map_or_else(|| "none".to_owned(), |it| it.to_string());
+        log::info!(target: "backend", "backend={backend} limit={limit} The backend server changed its limit on requests from all VMs.");
     }
-    let limit = limit.map_or_else(|| "none".to_owned(), |it| it.to_string());
-    log::info!(target: "backend", "backend={backend} limit={limit} The backend server changed its limit on requests from all VMs.");
 }
 
 impl Outgoing {
@@ -161,6 +169,9 @@
     ) -> AttemptResult {
         let (mut head, body) = response.into_parts();
         let info = core.dialect.read_answer(&head);
+        if !info.moved {
+            apply_statements(core, backend, &info);
+        }
         if info.id.as_ref().is_some_and(|it| *it != self.id) {
             return AttemptResult::without_answer(
                 AttemptOutcome::Broken,
@@ -178,10 +189,6 @@
         if let Some(busy) = info.busy {
             core.dispatcher.borrow_mut().on_load(backend, busy, now);
         }
-        // An answer without the attempt's id may come from something else at the address.
-        if info.id.is_some() && !info.moved {
-            apply_limit(core, backend, info.limit);
-        }
         let settings = &core.settings;
         let idle =
             info.idle_timeout.map_or(settings.idle_timeout, |it| it.minus(settings.retire_margin));
@@ -195,11 +202,10 @@
             );
         }
         if info.not_executed {
-            return AttemptResult::without_answer(
-                AttemptOutcome::Shed,
-                true,
-                format!("not run, status {}", head.status),
-            );
+            let is_paused = info.rest.is_some();
+            let outcome = if is_paused { AttemptOutcome::Paused } else { AttemptOutcome::Shed };
+            let detail = format!("not run, status {}", head.status);
+            return AttemptResult::without_answer(outcome, true, detail);
         }
         if head.status.is_success() && (!info.signed || info.id.is_none()) {
             return AttemptResult::without_answer(
--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -3,10 +3,10 @@
 use th_protocol::{BackendId, Millis, Slots, Time};
 
 use super::{
-    limited::Limited,
     pace::Pace,
     record::{BackendRecord, Serving},
     settings::DispatchSettings,
+    statements::Statements,
     warm::WarmSet,
 };
 
@@ -77,6 +77,8 @@
     Failed,
     /// The server shed the request without running it.
     Shed,
+    /// The server shed the request without running it, and wants a pause.
+    Paused,
     /// A different server listens at the address.
     Moved,
     /// The connection failed, so nothing was sent.
@@ -146,8 +148,7 @@
     pub(crate) cold_until: Time,
     /// Spacing of this VM's requests while it is cold.
     pub(crate) cold_pace: Option<Pace>,
-    /// Limit on its requests that it stated with its last answer.
-    pub(crate) limited: Option<Limited>,
+    pub(crate) stated: Statements,
     /// Answers received since its latest start.
     answers: u64,
     failures: u32,
@@ -172,7 +173,7 @@
             external: ExternalLoad::default(),
             warm: WarmSet::default(),
             cold_pace: None,
-            limited: None,
+            stated: Statements::default(),
             answers: 0,
             failures: 0,
             ejected: None,
@@ -202,7 +203,12 @@
     }
 
     pub(crate) fn accepts_work(&self) -> bool {
-        self.record.serving == Serving::Ready
+        self.record.serving == Serving::Ready && !self.stated.leaving
+    }
+
+    /// Whether it wants no requests, or has not answered the one that tries it after that.
+    pub(crate) fn is_resting(&self, now: Time) -> bool {
+        !is_open(self.stated.rest, self.running.is_empty(), now)
     }
 
     pub(crate) fn is_cold(&self, now: Time) -> bool {
@@ -230,7 +236,7 @@
         now: Time,
     ) -> SlotEstimate {
         let slot = self.estimate_capacity(ahead, expected_work, settings, now);
-        let Some(limited) = self.limited else {
+        let Some(limited) = self.stated.limited else {
             return slot;
         };
         let pause = limited.pace.wait(ahead, now);
@@ -321,7 +327,7 @@
     pub(crate) fn start(&mut self, attempt: &Attempt) {
         let Attempt { number, sent, expected, drag, .. } = *attempt;
         self.running.push(Running { number, sent, expected, drag });
-        if let Some(limited) = &mut self.limited {
+        if let Some(limited) = &mut self.stated.limited {
             limited.pace.take(sent);
         }
     }
@@ -342,7 +348,9 @@
             self.on_drag(settings, now);
         }
         let failure = match outcome {
-            AttemptOutcome::Abandoned | AttemptOutcome::Overtaken => return,
+            AttemptOutcome::Abandoned | AttemptOutcome::Overtaken | AttemptOutcome::Paused => {
+                return;
+            }
             AttemptOutcome::Answered => 0.0,
             AttemptOutcome::Failed | AttemptOutcome::Shed | AttemptOutcome::Moved => 1.0,
             AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::Silent => 1.0,
@@ -367,8 +375,14 @@
             AttemptOutcome::Answered | AttemptOutcome::Failed => {
                 self.failures = 0;
                 self.ejected = None;
+                if self.stated.rest.is_some_and(|it| it <= attempt.sent) {
+                    self.stated.rest = None;
+                }
             }
-            AttemptOutcome::Shed | AttemptOutcome::Abandoned | AttemptOutcome::Overtaken => {}
+            AttemptOutcome::Shed
+            | AttemptOutcome::Paused
+            | AttemptOutcome::Abandoned
+            | AttemptOutcome::Overtaken => {}
             AttemptOutcome::Moved => self.eject(settings.max_ejection, now),
             AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::Silent => {
                 self.failures += 1;
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -24,7 +24,7 @@
 impl Dispatcher {
     /// Returns the servers of the request's service that accept new requests and to which it has not been sent, in the
     /// route's home regions and outside evacuated data centres.
-    fn usable(&self, job: &Job) -> Usable {
+    fn usable(&self, job: &Job, now: Time) -> Usable {
         let mut usable = BTreeMap::new();
         let home_regions = &job.route.home_regions;
         for (zone, ids) in self.backends.of_service(&job.service).into_iter().flatten() {
@@ -36,8 +36,9 @@
             let mut rows = Vec::with_capacity(ids.len());
             for id in ids {
                 let row = self.backends.get(*id);
-                let is_usable =
-                    row.is_some_and(|it| it.accepts_work() && !job.tried.contains(&it.record.id));
+                let is_usable = row.is_some_and(|it| {
+                    it.accepts_work() && !it.is_resting(now) && !job.tried.contains(&it.record.id)
+                });
                 if is_usable {
                     rows.push(*id);
                 }
@@ -117,9 +118,11 @@
         if self.is_isolated() {
             return Placement::Reject(Rejection::Isolated, self.settings.backoff_min);
         }
-        let usable = self.usable(job);
+        let usable = self.usable(job, now);
         if usable.is_empty() {
-            return Placement::Reject(Rejection::NoBackend, self.settings.backoff_max);
+            let back = self.rest_left(job, now).unwrap_or(self.settings.backoff_max);
+            let back = back.clamp(self.settings.backoff_min, self.settings.max_rest);
+            return Placement::Reject(Rejection::NoBackend, back);
         }
         let usable = self.eligible(usable, now);
         let Some(best) = self.choose(job, usable, wait_counts, now) else {
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -24,6 +24,7 @@
     server_share::Members,
     settings::DispatchSettings,
     spill::SpillWindow,
+    statements::RememberedStatements,
     table::BackendTable,
     waiting::Waiting,
     work::WorkTimes,
@@ -44,6 +45,7 @@
     pub(crate) evacuated: BTreeSet<ZoneId>,
     pub(crate) entries: BTreeMap<VmId, EntryRecord>,
     pub(crate) members: Members,
+    pub(crate) remembered: RememberedStatements,
     pub(crate) work: WorkTimes,
     pub(crate) round_robins: BTreeMap<String, RoundRobin>,
     pub(crate) retries: BTreeMap<ServiceId, RetryWindow>,
@@ -79,6 +81,7 @@
             evacuated: BTreeSet::new(),
             entries: BTreeMap::new(),
             members: Members::default(),
+            remembered: RememberedStatements::default(),
             work: WorkTimes::default(),
             round_robins: BTreeMap::new(),
             retries: BTreeMap::new(),
@@ -118,7 +121,11 @@
     pub fn on_backend(&mut self, record: BackendRecord, now: Time) {
         let before = self.backends.id(&record.id).and_then(|it| self.backends.get(it));
         let was_cold = before.is_some_and(|it| it.is_cold(now) && it.cold_pace.is_some());
+        let stated = self.remembered.take(&record);
         let id = self.backends.put(record, now);
+        if let (Some(stated), Some(row)) = (stated, self.backends.get_mut(id)) {
+            row.stated = stated;
+        }
         let row = self.backends.get(id);
         let is_new = row.is_some_and(|it| it.is_cold(now) && (!was_cold || it.cold_pace.is_none()));
         if is_new {
@@ -128,7 +135,9 @@
 
     /// Removes a backend server.
     pub fn on_backend_removed(&mut self, id: &BackendId) {
-        self.backends.remove(id);
+        if let Some(row) = self.backends.remove(id) {
+            self.remembered.keep(&row);
+        }
     }
 
     /// Sets the data centres whose backend servers get no new requests.
@@ -255,6 +264,7 @@
         let share = self.own_share();
         self.traffic.tick(share, now);
         self.members.update(&self.entries, now);
+        self.remembered.update(now);
         self.update_limits(now);
         self.update_cold_paces(now);
         let start = now.before(self.settings.object_age);
--- a/crates/th-steer/src/dispatch/limited.rs
+++ b/crates/th-steer/src/dispatch/limited.rs
@@ -23,7 +23,7 @@
         let Some(id) = self.backends.id(backend) else {
             return false;
         };
-        let before = self.backends.get(id).and_then(|it| it.limited);
+        let before = self.backends.get(id).and_then(|it| it.stated.limited);
         if before.map(|it| it.rate) == limit {
             return false;
         }
@@ -39,7 +39,7 @@
             Limited { rate, pace }
         });
         if let Some(row) = self.backends.get_mut(id) {
-            row.limited = limited;
+            row.stated.limited = limited;
         }
         true
     }
@@ -51,7 +51,9 @@
                 continue;
             };
             let share = self.limit_share(id, rate);
-            if let Some(limited) = self.backends.get_mut(id).and_then(|it| it.limited.as_mut()) {
+            if let Some(limited) =
+                self.backends.get_mut(id).and_then(|it| it.stated.limited.as_mut())
+            {
                 limited.pace.set_share(share, now);
             }
         }
@@ -60,7 +62,7 @@
     /// The backend servers that limit their requests, with their limits.
     pub fn limited(&self) -> Vec<(BackendId, RequestRate)> {
         let rows = self.backends.iter();
-        rows.filter_map(|it| Some((it.record.id.clone(), it.limited?.rate))).collect()
+        rows.filter_map(|it| Some((it.record.id.clone(), it.stated.limited?.rate))).collect()
     }
 
     /// Requests a second that this VM may send to a server with a limit.
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod server_share;
 mod settings;
 mod spill;
+mod statements;
 mod table;
 mod waiting;
 mod warm;
--- a/crates/th-steer/src/dispatch/reach.rs
+++ b/crates/th-steer/src/dispatch/reach.rs
@@ -49,6 +49,7 @@
             AttemptOutcome::Answered
             | AttemptOutcome::Failed
             | AttemptOutcome::Shed
+            | AttemptOutcome::Paused
             | AttemptOutcome::Moved => self.on_reached(now),
             AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::Silent => {
                 self.reach.failed.insert(backend.clone());
--- a/crates/th-steer/src/dispatch/settings.rs
+++ b/crates/th-steer/src/dispatch/settings.rs
@@ -39,6 +39,8 @@
     pub cold_multiplier: f64,
     /// Requests that a cold backend server may get in a second beyond that.
     pub cold_slack: f64,
+    /// Longest pause of a backend server that is heeded; a longer one counts as this.
+    pub max_rest: Millis,
     /// Shortest time after which the caller of a rejected request is told to retry.
     pub backoff_min: Millis,
     /// Longest time after which the caller of a rejected request is told to retry.
@@ -64,6 +66,7 @@
             safety_factor: 0.7,
             cold_multiplier: 1.5,
             cold_slack: 5.0,
+            max_rest: Millis(60_000),
             backoff_min: Millis(150),
             backoff_max: Millis(1_500),
         }
--- a/crates/th-steer/src/dispatch/table.rs
+++ b/crates/th-steer/src/dispatch/table.rs
@@ -97,13 +97,11 @@
         id
     }
 
-    pub(crate) fn remove(&mut self, backend: &BackendId) {
-        let Some(id) = self.ids.remove(backend) else {
-            return;
-        };
-        if let Some(row) = self.rows[id.0 as usize].take() {
-            self.unindex_row(id, &row.record);
-        }
+    pub(crate) fn remove(&mut self, backend: &BackendId) -> Option<BackendRow> {
+        let id = self.ids.remove(backend)?;
         self.free.push(id);
+        let row = self.rows[id.0 as usize].take()?;
+        self.unindex_row(id, &row.record);
+        Some(row)
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -139,6 +139,59 @@
     }
 }
 
+/// Guards against requests to a server that says in an answer that it leaves, while its entry does not say so yet.
+#[rstest]
+#[case::another_server(2)]
+#[case::no_other_server(1)]
+#[tokio::test]
+async fn a_server_that_says_it_leaves_gets_no_more_requests(#[case] count: usize) {
+    let (store, servers, entry) = deployment(count).await;
+    let leaving = servers.iter().max_by_key(|it| it.total_runs()).unwrap();
+    leaving.leave();
+    assert_eq!(entry.send(Method::GET, "/look/x", "told").await.status(), 200);
+    let before = leaving.total_runs();
+    for number in 0..20 {
+        let answer = entry.send(Method::GET, "/look/x", &format!("left-{number}")).await;
+        assert_eq!(answer.status() == 200, 1 < count);
+        // The entry is written again, and vanishes for a moment.
+        store.remove(&format!("servers/{}", leaving.id));
+        sleep(Duration::from_millis(50)).await;
+        store.put(&format!("servers/{}", leaving.id), &leaving.entry("ready"));
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(leaving.total_runs(), before);
+}
+
+/// Guards against requests to a server that turned one away and said for how long it wants none.
+#[rstest]
+#[case::another_server(2)]
+#[case::no_other_server(1)]
+#[tokio::test]
+async fn a_server_that_wants_a_pause_gets_no_requests(#[case] count: usize) {
+    let (_store, servers, entry) = deployment(count).await;
+    let resting = servers.iter().max_by_key(|it| it.total_runs()).unwrap();
+    resting.reply_next(Reply::Rest);
+    let told = entry.send(Method::GET, "/look/x", "told").await;
+    assert_eq!(told.status() == 200, 1 < count);
+    let (start, before) = (Instant::now(), resting.total_runs());
+    while start.elapsed() < Duration::from_millis(900) {
+        let answer = entry.send(Method::GET, "/look/x", "rest").await;
+        assert_eq!(answer.status() == 200, 1 < count);
+        if count == 1 {
+            let text = answer.headers()["retry-after"].to_str().unwrap();
+            let back: f64 = text.parse().unwrap();
+            assert!((0.05..=1.0).contains(&back), "back after {back} s of 1 s");
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(resting.total_runs(), before);
+    entry.wait_for_status("/look/x", 200).await;
+    while resting.total_runs() == before {
+        assert!(start.elapsed() < Duration::from_secs(5), "the server is not used again");
+        assert_eq!(entry.send(Method::GET, "/look/x", "after").await.status(), 200);
+    }
+}
+
 #[tokio::test]
 async fn a_request_abandoned_by_its_caller_is_cancelled() {
     let (_store, servers, entry) = deployment(1).await;
