Clear up comments of the table of backend servers

Found in the last read of the diff: a comment wrapped in the middle, two fields without one, and a condition that named two cases at once.

--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -148,6 +148,7 @@
     pub(crate) cold_until: Time,
     /// Spacing of this VM's requests while it is cold.
     pub(crate) cold_pace: Option<Pace>,
+    /// What it stated in its answers since its latest start.
     pub(crate) stated: Statements,
     /// Answers received since its latest start.
     answers: u64,
@@ -226,8 +227,8 @@
     }
 
     /// Estimates the wait for a slot, and for this VM's turn if the server limits its requests, behind the running
-    /// requests and `ahead` waiting ones. Each waiting request and
-    /// each request of the external load is assumed to take `expected_work` milliseconds.
+    /// requests and `ahead` waiting ones. Each waiting request and each request of the external load is assumed to take
+    /// `expected_work` milliseconds.
     pub(crate) fn estimate_slot(
         &self,
         ahead: u32,
@@ -243,6 +244,7 @@
         SlotEstimate { wait: slot.wait.max(pause), free: slot.free && pause <= 0.0 }
     }
 
+    /// The part of [`BackendRow::estimate_slot`] that only slots decide.
     fn estimate_capacity(
         &self,
         ahead: u32,
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -44,6 +44,7 @@
     pub(crate) backends: BackendTable,
     pub(crate) evacuated: BTreeSet<ZoneId>,
     pub(crate) entries: BTreeMap<VmId, EntryRecord>,
+    /// The entry VMs that share the rates of servers.
     pub(crate) members: Members,
     pub(crate) remembered: RememberedStatements,
     pub(crate) work: WorkTimes,
@@ -120,15 +121,16 @@
     /// Applies the record that a backend server registered.
     pub fn on_backend(&mut self, record: BackendRecord, now: Time) {
         let before = self.backends.id(&record.id).and_then(|it| self.backends.get(it));
-        let was_cold = before.is_some_and(|it| it.is_cold(now) && it.cold_pace.is_some());
+        let was_cold = before.is_some_and(|it| it.is_cold(now));
         let stated = self.remembered.take(&record);
         let id = self.backends.put(record, now);
         if let (Some(stated), Some(row)) = (stated, self.backends.get_mut(id)) {
             row.stated = stated;
         }
         let row = self.backends.get(id);
-        let is_new = row.is_some_and(|it| it.is_cold(now) && (!was_cold || it.cold_pace.is_none()));
-        if is_new {
+        let is_unpaced = row.is_some_and(|it| it.is_cold(now) && it.cold_pace.is_none());
+        let turned_cold = !was_cold && row.is_some_and(|it| it.is_cold(now));
+        if is_unpaced || turned_cold {
             self.start_cold_pace(id, now);
         }
     }
