Show that configurations are late after silences of the store, by tests that fail

The stand-in store can be silent: calls under way get no answer, and neither do connections that were open then.

--- /dev/null
+++ b/tests/late_changes.rs
@@ -0,0 +1,168 @@
+//! Configurations written after silences of the store, at the level of the watcher and of the process.
+
+mod desk;
+mod entry;
+#[path = "../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+use std::{process::Stdio, rc::Rc, time::Duration};
+
+use desk::config;
+use entry::{EntryProcess, ListenAddresses, settings};
+use futures_util::future::join_all;
+use platform::{PlatformDialect, PlatformSettings, StoreClient, StoreWatcher};
+use reqwest::Method;
+use rstest::rstest;
+use serde_json::{Value, json};
+use stand_in::{StandInStore, wait_until};
+use th_gateway::{Core, Gateway};
+use th_protocol::Version;
+use th_steer::dispatch::EntryRecord;
+use tokio::{
+    task::{LocalSet, spawn_local},
+    time::{Instant, sleep},
+};
+
+/// Limit of the settings on configurations and drains.
+const LIMIT: Duration = Duration::from_millis(2_500);
+/// Time from one phase of a watch and its repetition to the next.
+const STEP: Duration = Duration::from_millis(250);
+/// Number of phases: more than the longest time from one watch to the next.
+const PHASES: u32 = 18;
+
+fn limited(number: usize, listen: ListenAddresses, store: &StandInStore) -> Value {
+    let mut settings = settings(&format!("vm-{number}"), "north-a", listen, store.address);
+    settings["config_limit"] = json!(LIMIT.as_millis());
+    settings["drain_limit"] = json!(LIMIT.as_millis());
+    settings
+}
+
+fn start_vm(number: usize, store: &StandInStore) -> (Gateway, EntryRecord) {
+    let settings = limited(number, ListenAddresses::free(), store);
+    let settings = PlatformSettings::read(&settings.to_string()).unwrap();
+    let record = EntryRecord {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        callers: settings.callers,
+        ready: settings.ready,
+        peers: settings.peers,
+        link: settings.link(),
+    };
+    let gateway = Gateway::start(
+        settings.vm.clone(),
+        settings.zone.clone(),
+        settings.topology(),
+        settings.listeners(),
+        settings.gateway(),
+        Rc::new(PlatformDialect),
+    );
+    let gateway = gateway.unwrap();
+    let client = Rc::new(StoreClient::new(settings.store));
+    let watcher = StoreWatcher::new(Rc::clone(gateway.core()), client, settings.watch_interval());
+    spawn_local(watcher.run());
+    (gateway, record)
+}
+
+fn write_config(store: &StandInStore, version: u64) {
+    let config =
+        json!({"version": format!("{version:08x}"), "routes": [], "services": [], "limits": {}});
+    store.put("op/config", &config);
+}
+
+/// Waits until a version is in force at all VMs, or until twice the limit has passed. Returns the time that it took.
+async fn in_force(cores: &[Rc<Core>], version: u64) -> Duration {
+    let started = Instant::now();
+    let has = |core: &Rc<Core>| {
+        let dispatcher = core.dispatcher.borrow();
+        dispatcher.routes().is_some_and(|it| it.version() == Version(version))
+    };
+    while !cores.iter().all(has) && started.elapsed() < 2 * LIMIT {
+        sleep(Duration::from_millis(10)).await;
+    }
+    started.elapsed()
+}
+
+/// The time after which a configuration is in force at all VMs of a data centre that is written at the end of the last silence;
+/// the first one starts that long after all is known.
+async fn latest_after_silences(vms: usize, phase: Duration, silences: &[(u64, u64)]) -> Duration {
+    let store = StandInStore::start().await;
+    write_config(&store, 1);
+    let started: Vec<_> = (1..=vms).map(|it| start_vm(it, &store)).collect();
+    for (_, record) in &started {
+        let value = platform::write_entry(record).unwrap();
+        store.put_bytes(&format!("th/vm/{}", record.vm), &value);
+    }
+    let cores: Vec<_> = started.iter().map(|it| Rc::clone(it.0.core())).collect();
+    in_force(&cores, 1).await;
+    sleep(LIMIT + phase).await;
+    for (away, back) in silences {
+        sleep(Duration::from_millis(*back)).await;
+        store.set_silent(true);
+        sleep(Duration::from_millis(*away)).await;
+        store.set_silent(false);
+    }
+    write_config(&store, 2);
+    in_force(&cores, 2).await
+}
+
+/// Guards against configurations that come into force too late after the store was silent, whatever was under way when it
+/// fell silent and when it came back.
+#[rstest]
+#[tokio::test]
+async fn a_configuration_is_in_force_in_time_after_silences_of_the_store(
+    #[values(1, 2, 5)] vms: usize,
+    #[values(&[(600, 0)], &[(9_000, 0)], &[(7_000, 0), (1_500, 1_300)], &[(1_000, 0), (1_000, 700), (1_000, 700)])]
+    silences: &[(u64, u64)],
+) {
+    let plays = (0..PHASES).map(|it| latest_after_silences(vms, it * STEP, silences));
+    let took = LocalSet::new().run_until(join_all(plays)).await;
+    let late: Vec<_> = took.iter().enumerate().filter(|(_, it)| LIMIT < **it).collect();
+    assert!(
+        late.is_empty(),
+        "{} of {PHASES} phases are late, by phase: {late:?}; of {took:?}",
+        late.len()
+    );
+}
+
+/// The time after which a process uses a configuration that is written at the end of a silence.
+async fn process_latest(phase: Duration, silence: Duration) -> Duration {
+    let store = StandInStore::start().await;
+    store.put("op/config", &config(1, "/v1/"));
+    let listen = ListenAddresses::free();
+    let entry = EntryProcess::start(listen, &limited(1, listen, &store), Stdio::null());
+    entry.wait_until_ready().await;
+    wait_until("it is registered", || store.keys("th/vm/").len() == 1).await;
+    sleep(LIMIT + phase).await;
+    store.set_silent(true);
+    sleep(silence).await;
+    store.set_silent(false);
+    store.put("op/config", &config(2, "/v2/"));
+    let written = Instant::now();
+    for attempt in 0.. {
+        let answer = entry.send(Method::GET, "/v2/x", &format!("v2-{attempt}")).await;
+        if answer.status() != 404 || 2 * LIMIT < written.elapsed() {
+            break;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    written.elapsed()
+}
+
+/// Guards against late configurations because a call takes a connection that has been silent since the store was, such as the
+/// one of the lease's renewals.
+#[rstest]
+#[case::short(Duration::from_millis(900))]
+#[case::long(Duration::from_millis(3_000))]
+#[tokio::test]
+async fn kept_connections_to_the_store_that_are_silent_delay_no_configuration(
+    #[case] silence: Duration,
+) {
+    let plays = (0..PHASES).map(|it| process_latest(it * STEP, silence));
+    let took = join_all(plays).await;
+    let late: Vec<_> = took.iter().enumerate().filter(|(_, it)| LIMIT < **it).collect();
+    assert!(
+        late.is_empty(),
+        "{} of {PHASES} phases are late, by phase: {late:?}; of {took:?}",
+        late.len()
+    );
+}
