Share out the time in which changes must be known among all steps

Cause: a watch of such a VM might wait 2,000 ms, was given up 700 ms later and repeated up to 1,000 ms after that. Nothing added these up and held the sum against the limit. The class of fault: time-outs that are each sensible and together longer than the time they serve.

Evidence: tests/late_changes.rs, whose lateness falls with the phase by just the length of the step. Ruled out there: parts of a burst (one change is late too), a configuration that is read and not used (each came into force in the end).

Change: WatchPace derives wait, time-outs, delays and the use of idle connections from the limit, and checks the sum at start. All VMs watch for 150 ms at most, so a silent connection shows early; the first call after an answer has a short time-out and is repeated at once on a new connection, later ones a longer one. The watcher's connection is its own. Worst cases for 2.5 s: a connection falls silent between two watches 2.10 s, the store falls silent and returns right after a call 1.90 s, another VM freezes 1.85 s.

--- a/crates/th-model/src/relay.rs
+++ b/crates/th-model/src/relay.rs
@@ -1,10 +1,12 @@
 //! Models three entry VMs of a data centre, of which one watches the store and the others ask each other for its changes.
 //!
-//! Each VM chooses whom to ask by the production `Upstream`. A tick is 250 ms. VMs freeze and lose their way to the store at
-//! any moment; one that was never disturbed must know a configuration within its limit.
+//! Each VM chooses whom to ask by the production `Upstream`, and paces its calls by the production `WatchPace`. A tick is
+//! 250 ms. VMs freeze and lose their way to the store at any moment; the store falls silent and is back, and so does a single
+//! connection. A VM that was never frozen or cut off must know a configuration within its limit, counted from the write or
+//! the store's last return.
 
 use th_protocol::{Millis, Time, VmId};
-use th_steer::relay::{Source, Upstream};
+use th_steer::relay::{Source, Upstream, WatchPace};
 
 use crate::Model;
 
@@ -21,6 +23,8 @@
 const LIMIT: u8 = 10;
 /// Time for which a failed source is not asked, in ticks: 5 s.
 const COOLDOWN: u8 = 20;
+/// Time of a call and the delay after it in the variant whose watches wait for long.
+const LONG_CALL: Millis = Millis(3_700);
 /// Ages beyond this are not distinguished.
 const OLDEST: u8 = INTERVAL + 2 * SLACK + 1;
 
@@ -37,6 +41,10 @@
     WaitAnew,
     /// A VM passes on its knowledge as current, though it did not come from the store itself.
     AgeLost,
+    /// The call after a failed one waits as long as a watch of a calm store may.
+    LongCall,
+    /// A call that fails leaves other silent connections to be used by the next one.
+    KeptConnections,
 }
 
 /// The model and its limits.
@@ -63,6 +71,8 @@
     Pause(u8),
     /// It has waited for another VM for that many ticks.
     Wait(usize, u8),
+    /// It has waited for that many ticks for an answer of the store that never comes.
+    Call(u8),
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -76,6 +86,10 @@
     failed: [u8; VMS],
     frozen: bool,
     cut: bool,
+    /// Whether its connection to the store is silent.
+    hushed: bool,
+    /// Number of calls in a row that failed; more than two are not distinguished.
+    failures: u8,
     /// Whether it was ever frozen or cut off.
     disturbed: bool,
 }
@@ -87,6 +101,10 @@
     tick: u8,
     /// Ticks since the configuration was written.
     written: Option<u8>,
+    /// Whether the store is silent.
+    silent: bool,
+    /// Ticks since the store's last return.
+    back: u8,
     disturbances: u8,
 }
 
@@ -101,6 +119,10 @@
     Freeze(usize),
     /// A VM loses its way to the store, or has it again.
     Cut(usize),
+    /// The connection of a VM to the store falls silent.
+    Hush(usize),
+    /// The store falls silent, or is back.
+    Silence,
 }
 
 fn id(index: usize) -> VmId {
@@ -122,6 +144,11 @@
     }
 }
 
+/// Whether the limit has passed since the write and the store's last return.
+fn is_due(state: &RelayState) -> bool {
+    !state.silent && LIMIT <= state.back && state.written.is_some_and(|it| LIMIT <= it)
+}
+
 impl RelayModel {
     fn ask_store(&self, state: &mut RelayState, index: usize) {
         let written = state.written.is_some();
@@ -130,11 +157,36 @@
             vm.phase = Phase::Pause(1);
             return;
         }
+        if state.silent || vm.hushed {
+            vm.phase = Phase::Call(0);
+            return;
+        }
         vm.known |= written;
         vm.age = 0;
+        vm.failures = 0;
         vm.phase = Phase::Pause(INTERVAL);
     }
 
+    /// Ends a call without an answer once its time is over, together with the delay after it.
+    fn give_up(&self, state: &mut RelayState, index: usize) {
+        let vm = &mut state.vms[index];
+        let Phase::Call(waited) = vm.phase else {
+            return;
+        };
+        let pace = WatchPace::new(Millis(TICK.0 * u64::from(LIMIT)));
+        let called = pace.wait.plus(pace.call_timeout(vm.failures.into()));
+        let mut limit = called.plus(pace.retry_delay(vm.failures.into(), called));
+        if self.fault == RelayFault::LongCall && 0 < vm.failures {
+            limit = LONG_CALL;
+        }
+        if Millis(TICK.0 * u64::from(waited)) < limit {
+            return;
+        }
+        vm.hushed = self.fault == RelayFault::KeptConnections && vm.failures == 0;
+        vm.failures = (vm.failures + 1).min(2);
+        self.ask_store(state, index);
+    }
+
     fn ask(&self, state: &mut RelayState, index: usize) {
         match choose(&state.vms[index], index) {
             Some(peer) => state.vms[index].phase = Phase::Wait(peer, 0),
@@ -166,14 +218,17 @@
             return true;
         }
         state.vms[index].failed[peer] = COOLDOWN;
+        // Its connection to the store was idle for so long that it is not used again.
+        state.vms[index].hushed = false;
         self.ask_store(state, index);
         true
     }
 
     fn tick(&self, state: &RelayState) -> RelayState {
         let mut next = state.clone();
-        next.tick += 1;
-        next.written = next.written.map(|it| it + 1);
+        next.tick = (next.tick + 1).min(self.ticks);
+        next.written = next.written.map(|it| (it + 1).min(LIMIT));
+        next.back = (next.back + 1).min(LIMIT);
         let mut advanced = [false; VMS];
         for (index, has_news) in advanced.iter_mut().enumerate() {
             let vm = &mut next.vms[index];
@@ -186,8 +241,10 @@
             }
             match &mut vm.phase {
                 Phase::Pause(left) => *left -= 1,
-                Phase::Wait(_, waited) => *waited += 1,
+                Phase::Wait(_, waited) | Phase::Call(waited) => *waited += 1,
             }
+            self.give_up(&mut next, index);
+            let vm = &next.vms[index];
             if vm.phase == Phase::Pause(0) {
                 *has_news = true;
                 self.ask(&mut next, index);
@@ -210,15 +267,26 @@
 
     fn disturb(&self, state: &RelayState, action: RelayAction) -> RelayState {
         let mut next = state.clone();
-        next.disturbances += 1;
-        let (RelayAction::Freeze(index) | RelayAction::Cut(index)) = action else {
-            return next;
-        };
-        let vm = &mut next.vms[index];
-        vm.disturbed = true;
+        // The store's return is no disturbance of its own.
+        next.disturbances += u8::from(!state.silent || action != RelayAction::Silence);
         match action {
-            RelayAction::Freeze(_) => vm.frozen = !vm.frozen,
-            _ => vm.cut = !vm.cut,
+            RelayAction::Freeze(index) => {
+                next.vms[index].disturbed = true;
+                next.vms[index].frozen = !next.vms[index].frozen;
+            }
+            RelayAction::Cut(index) => {
+                next.vms[index].disturbed = true;
+                next.vms[index].cut = !next.vms[index].cut;
+            }
+            RelayAction::Hush(index) => next.vms[index].hushed = true,
+            RelayAction::Silence => {
+                next.silent = !next.silent;
+                next.back = 0;
+                for vm in &mut next.vms {
+                    vm.hushed = true;
+                }
+            }
+            RelayAction::Tick | RelayAction::Write => {}
         }
         next
     }
@@ -236,37 +304,43 @@
             failed: [0; VMS],
             frozen: false,
             cut: false,
+            hushed: false,
+            failures: 0,
             disturbed: false,
         };
         let vms = [vm.clone(), vm.clone(), vm];
-        RelayState { vms, tick: 0, written: None, disturbances: 0 }
+        RelayState { vms, tick: 0, written: None, silent: false, back: LIMIT, disturbances: 0 }
     }
 
     fn steps(&self, state: &RelayState) -> Vec<(RelayAction, RelayState)> {
         let mut steps = Vec::new();
-        let is_over = state.written.is_some_and(|it| LIMIT <= it);
+        let is_over = is_due(state);
         if is_over || (state.written.is_none() && self.ticks <= state.tick) {
             return steps;
         }
         steps.push((RelayAction::Tick, self.tick(state)));
-        if state.written.is_none() {
+        if state.written.is_none() && !state.silent {
             let next = RelayState { written: Some(0), ..state.clone() };
             steps.push((RelayAction::Write, next));
         }
         if state.disturbances < self.disturbances {
             for index in 0..VMS {
-                for action in [RelayAction::Freeze(index), RelayAction::Cut(index)] {
+                let faults =
+                    [RelayAction::Freeze(index), RelayAction::Cut(index), RelayAction::Hush(index)];
+                for action in faults {
                     steps.push((action, self.disturb(state, action)));
                 }
             }
         }
+        if state.silent || state.disturbances < self.disturbances {
+            steps.push((RelayAction::Silence, self.disturb(state, RelayAction::Silence)));
+        }
         steps
     }
 
     fn violated_invariant(&self, state: &RelayState) -> Option<&'static str> {
-        let is_due = state.written.is_some_and(|it| LIMIT <= it);
         let is_late = |vm: &Vm| !vm.disturbed && !vm.known;
-        (is_due && state.vms.iter().any(is_late))
+        (is_due(state) && state.vms.iter().any(is_late))
             .then_some("an undisturbed VM knows a configuration within its limit")
     }
 }
--- a/crates/th-model/tests/relay.rs
+++ b/crates/th-model/tests/relay.rs
@@ -16,6 +16,8 @@
 #[case(RelayFault::AnyAge)]
 #[case(RelayFault::WaitAnew)]
 #[case(RelayFault::AgeLost)]
+#[case(RelayFault::LongCall)]
+#[case(RelayFault::KeptConnections)]
 fn faults_are_detected(#[case] fault: RelayFault) {
     let outcome = explore(&RelayModel { fault, ..RelayModel::default() });
     let Outcome::Violated { invariant, trace } = outcome else {
--- a/crates/th-steer/src/relay/mod.rs
+++ b/crates/th-steer/src/relay/mod.rs
@@ -5,7 +5,9 @@
 //! from their registration, so nothing is agreed on: a VM whose source fails asks the next one, and finally the store.
 
 mod change_log;
+mod pace;
 mod upstream;
 
 pub use change_log::{ChangeLog, ItemChange};
+pub use pace::{PaceError, WatchPace};
 pub use upstream::{Source, Upstream};
--- /dev/null
+++ b/crates/th-steer/src/relay/pace.rs
@@ -0,0 +1,126 @@
+//! The time that each step of learning a change may take.
+
+use th_protocol::{Millis, Permille};
+use thiserror::Error;
+
+/// Result of checking a pace.
+pub(crate) type Result<T, E = PaceError> = std::result::Result<T, E>;
+
+/// Minimum time from the start of one watch to the next, as a share of the limit.
+const INTERVAL_SHARE: Permille = Permille(400);
+/// Time-out of the first call after an answered one, beyond its wait, as a share of the limit. It is short, since most
+/// often only the connection has fallen silent.
+const PATIENCE_SHARE: Permille = Permille(280);
+/// Time-out of each call that follows a failed one, beyond its wait, as a share of the limit.
+const TIMEOUT_SHARE: Permille = Permille(500);
+/// Shortest delay after a call that failed, as a share of the limit.
+const DELAY_SHARE: Permille = Permille(100);
+/// Time that an answered call takes while the store is sound, as a share of the limit.
+const ANSWER_SHARE: Permille = Permille(100);
+/// Number of times that the delay after failed calls doubles.
+const MAX_DOUBLINGS: u32 = 2;
+/// Shortest interval of watches.
+const MIN_INTERVAL: Millis = Millis(600);
+/// Longest wait of a watch. It is short, because an unresponsive connection shows only once the answer is overdue, and other
+/// VMs must learn at each interval that nothing has changed.
+const WAIT: Millis = Millis(150);
+/// Time beyond the interval of watches within which another VM must have passed on changes, so that a VM that waits for
+/// one that is frozen still learns of each change in time.
+const SLACK: Millis = Millis(300);
+
+/// The limit is too short for the steps from a change to its knowledge.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error(
+    "changes must be known after {limit}, but while calls fail they are known after up to {longest}"
+)]
+pub struct PaceError {
+    limit: Millis,
+    longest: Millis,
+}
+
+fn share(share: Permille, limit: Millis) -> Millis {
+    Millis(share.of(limit.0))
+}
+
+/// How the time within which a change must be known is shared out among the steps that lead to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchPace {
+    /// Time within which a change must be known.
+    pub limit: Millis,
+    /// Minimum time from the start of one watch to the next.
+    pub interval: Millis,
+    /// Longest wait of a watch for changes.
+    pub wait: Millis,
+    /// Time-out of the first call after an answered one, beyond its wait.
+    pub patience: Millis,
+    /// Time-out of each call that follows a failed one, beyond its wait.
+    pub timeout: Millis,
+    /// Delay after the first of several calls that fail at once; doubled with the next ones.
+    pub delay: Millis,
+    /// Time that an answered call takes while the store is sound.
+    pub answer: Millis,
+    /// Time beyond the interval within which another VM must have passed on changes.
+    pub slack: Millis,
+}
+
+impl WatchPace {
+    /// Shares out a limit.
+    pub fn new(limit: Millis) -> WatchPace {
+        WatchPace {
+            limit,
+            interval: share(INTERVAL_SHARE, limit).max(MIN_INTERVAL),
+            wait: WAIT,
+            patience: share(PATIENCE_SHARE, limit),
+            timeout: share(TIMEOUT_SHARE, limit),
+            delay: share(DELAY_SHARE, limit),
+            answer: share(ANSWER_SHARE, limit),
+            slack: SLACK,
+        }
+    }
+
+    /// Time after which an idle connection to the store is not used again. It spans the interval of watches; a VM that had
+    /// to give up another one as its source takes a new connection.
+    pub fn max_idle(&self) -> Millis {
+        self.interval.plus(self.slack)
+    }
+
+    /// The time-out of a call, beyond its wait, after so many failures in a row.
+    pub fn call_timeout(&self, failures: u32) -> Millis {
+        if failures == 0 { self.patience } else { self.timeout }
+    }
+
+    /// The longest time from the start of a call to the start of the one that follows its failure, after so many failures in
+    /// a row before it.
+    fn cycle(&self, failures: u32) -> Millis {
+        let called = self.wait.plus(self.call_timeout(failures));
+        if failures == 0 { called } else { called.plus(self.delay) }
+    }
+
+    /// The delay after a call that failed after a time, with so many failures in a row before it. A call that timed out is
+    /// repeated soon, since the store may be back for long; one that failed at once is not.
+    pub fn retry_delay(&self, failures: u32, took: Millis) -> Millis {
+        let grown = Millis(self.delay.0 << failures.min(MAX_DOUBLINGS));
+        grown.min(self.cycle(failures).minus(took))
+    }
+
+    /// The longest time from the later of two moments, a change and the store's return, to the knowledge of the change.
+    pub fn longest_age(&self) -> Millis {
+        // The connection falls silent between two watches.
+        let silent = self.interval.plus(self.cycle(0)).plus(self.answer);
+        // The store falls silent, and is back right after a call was sent.
+        let failing = self.cycle(1).plus(self.answer);
+        let refused = Millis(self.delay.0 << MAX_DOUBLINGS).plus(self.answer);
+        // Another VM that is asked for changes first freezes.
+        let relayed = self.interval.plus(self.slack).plus(self.slack).plus(self.answer);
+        silent.max(failing).max(refused).max(relayed)
+    }
+
+    /// Checks that all steps together fit into the limit.
+    pub fn check(&self) -> Result<()> {
+        let longest = self.longest_age();
+        if longest <= self.limit {
+            return Ok(());
+        }
+        Err(PaceError { limit: self.limit, longest })
+    }
+}
--- a/tests/late_changes.rs
+++ b/tests/late_changes.rs
@@ -10,7 +10,7 @@
 use desk::config;
 use entry::{EntryProcess, ListenAddresses, settings};
 use futures_util::future::join_all;
-use platform::{PlatformDialect, PlatformSettings, StoreClient, StoreWatcher};
+use platform::{PlatformDialect, PlatformSettings, StoreWatcher};
 use reqwest::Method;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -57,8 +57,8 @@
         Rc::new(PlatformDialect),
     );
     let gateway = gateway.unwrap();
-    let client = Rc::new(StoreClient::new(settings.store));
-    let watcher = StoreWatcher::new(Rc::clone(gateway.core()), client, settings.watch_interval());
+    let watcher =
+        StoreWatcher::new(Rc::clone(gateway.core()), settings.store, settings.watch_pace());
     spawn_local(watcher.run());
     (gateway, record)
 }
@@ -111,7 +111,7 @@
 #[tokio::test]
 async fn a_configuration_is_in_force_in_time_after_silences_of_the_store(
     #[values(1, 2, 5)] vms: usize,
-    #[values(&[(600, 0)], &[(9_000, 0)], &[(7_000, 0), (1_500, 1_300)], &[(1_000, 0), (1_000, 700), (1_000, 700)])]
+    #[values(&[(0, 0)], &[(600, 0)], &[(9_000, 0)], &[(7_000, 0), (1_500, 1_300)], &[(1_000, 0), (1_000, 700), (1_000, 700)])]
     silences: &[(u64, u64)],
 ) {
     let plays = (0..PHASES).map(|it| latest_after_silences(vms, it * STEP, silences));
