--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     dragging: IntGauge,
     limited: IntGauge,
     isolated: IntGauge,
+    age: IntGauge,
     pub(crate) forwards: IntCounter,
     pub(crate) vm_connections: IntCounter,
 }
@@ -71,6 +72,10 @@
                 &registry,
                 IntGauge::new("th_gateway_isolated", "Whether all links to servers are lost."),
             ),
+            age: add(
+                &registry,
+                IntGauge::new("th_gateway_store_age_ms", "Age of what is known of the store."),
+            ),
             vm_connections: add(
                 &registry,
                 IntCounter::new("th_gateway_vm_links_total", "Connections to other VMs."),
@@ -117,6 +122,7 @@
         self.waiting.set(dispatcher.waiting() as i64);
         self.dragging.set(dispatcher.dragging().len() as i64);
         self.isolated.set(dispatcher.is_isolated().into());
+        self.age.set(core.relay.age(core.now()).0 as i64);
         self.limited.set(dispatcher.limited().len() as i64);
         self.version.set(dispatcher.routes().map_or(0, |it| it.version().0 as i64));
     }
--- a/crates/th-gateway/src/relay.rs
+++ b/crates/th-gateway/src/relay.rs
@@ -120,6 +120,11 @@
         self.advanced.notify_waiters();
     }
 
+    /// Time since there were no changes in the store that this VM does not know.
+    pub(crate) fn age(&self, now: Time) -> Millis {
+        now.since(self.log.borrow().current())
+    }
+
     /// Ends the waits of other VMs, since this VM's own source failed.
     pub fn interrupt(&self) {
         self.advanced.notify_waiters();
