--- a/tests/late_changes.rs
+++ b/tests/late_changes.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 use stand_in::{StandInStore, wait_until};
 use th_gateway::{Core, Gateway};
-use th_protocol::Version;
+use th_protocol::{BackendId, Version};
 use th_steer::dispatch::EntryRecord;
 use tokio::{
     task::{LocalSet, spawn_local},
@@ -124,6 +124,51 @@
     );
 }
 
+/// Time after the store's return within which a server whose entry expired meanwhile has written it again.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(2_000);
+
+/// The time from the store's return to the removal of a server whose entry expired while the store was silent, and which
+/// writes it again; `None` if it is kept.
+async fn lost_after(phase: Duration, silence: Duration) -> Option<Duration> {
+    let store = StandInStore::start().await;
+    write_config(&store, 1);
+    let entry = json!({"service": "desk", "address": "127.0.0.1:9", "zone": "north-a", "version": "v1", "slots": 4,
+        "state": "ready", "cold_remaining_ms": 0, "sequence": 4});
+    store.put("servers/i-1", &entry);
+    let (gateway, _) = start_vm(1, &store);
+    let cores = [Rc::clone(gateway.core())];
+    in_force(&cores, 1).await;
+    sleep(LIMIT + phase).await;
+    store.set_silent(true);
+    store.remove("servers/i-1");
+    sleep(silence).await;
+    store.set_silent(false);
+    let (back, mut written) = (Instant::now(), false);
+    let id: BackendId = "i-1".parse().unwrap();
+    while back.elapsed() < 2 * LIMIT {
+        if !written && WRITTEN_AGAIN <= back.elapsed() {
+            store.put("servers/i-1", &entry);
+            written = true;
+        }
+        if cores[0].dispatcher.borrow().backend(&id).is_none() {
+            return Some(back.elapsed());
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    None
+}
+
+/// Guards against refusals because sound servers are dropped whose entries expired while the store was silent.
+#[rstest]
+#[tokio::test]
+async fn servers_whose_entries_expired_are_kept_until_they_can_be_back(
+    #[values(700, 1_500, 3_000, 6_100)] silence: u64,
+) {
+    let plays = (0..PHASES).map(|it| lost_after(it * STEP, Duration::from_millis(silence)));
+    let lost = LocalSet::new().run_until(join_all(plays)).await;
+    assert!(lost.iter().all(Option::is_none), "lost by phase: {lost:?}");
+}
+
 /// The time after which a process uses a configuration that is written at the end of a silence.
 async fn process_latest(phase: Duration, silence: Duration) -> Duration {
     let store = StandInStore::start().await;
