Repeat an overdue call to the store beside it, so that its return is noticed soon

Cause: a removal is deferred for 2.2 s, in which a live server writes its expired entry again. Counted from the first answer after an outage, as it must be for live servers, it ends up to 1.65 s later than counted from the return: as long as a call may be under way in vain, and the delay after it.

Change: a call that is overdue by 0.4 s is repeated beside it, with up to four under way, and the first answer counts. After a failed connection the next one follows at once. The return is seen after 0.55 s, for a limit of 2.5 s, whatever was under way. Worst case from a change to its knowledge: 1.85 s (2.10 s before).

--- a/crates/th-steer/src/relay/pace.rs
+++ b/crates/th-steer/src/relay/pace.rs
@@ -8,17 +8,18 @@
 
 /// Minimum time from the start of one watch to the next, as a share of the limit.
 const INTERVAL_SHARE: Permille = Permille(400);
-/// Time-out of the first call after an answered one, beyond its wait, as a share of the limit. It is short, since most
-/// often only the connection has fallen silent.
-const PATIENCE_SHARE: Permille = Permille(280);
-/// Time-out of each call that follows a failed one, beyond its wait, as a share of the limit.
+/// Time beyond its wait after which a call without an answer is repeated beside it, as a share of the limit.
+const REPEAT_SHARE: Permille = Permille(160);
+/// Time-out of a call beyond its wait, as a share of the limit.
 const TIMEOUT_SHARE: Permille = Permille(500);
-/// Shortest delay after a call that failed, as a share of the limit.
+/// Delay after the first of several calls that fail at once, as a share of the limit.
 const DELAY_SHARE: Permille = Permille(100);
 /// Time that an answered call takes while the store is sound, as a share of the limit.
 const ANSWER_SHARE: Permille = Permille(100);
+/// Shortest delay after a call that failed.
+const MIN_DELAY: Millis = Millis(50);
 /// Number of times that the delay after failed calls doubles.
-const MAX_DOUBLINGS: u32 = 2;
+const MAX_DOUBLINGS: u32 = 1;
 /// Shortest interval of watches.
 const MIN_INTERVAL: Millis = Millis(600);
 /// Longest wait of a watch. It is short, because an unresponsive connection shows only once the answer is overdue, and other
@@ -51,9 +52,10 @@
     pub interval: Millis,
     /// Longest wait of a watch for changes.
     pub wait: Millis,
-    /// Time-out of the first call after an answered one, beyond its wait.
-    pub patience: Millis,
-    /// Time-out of each call that follows a failed one, beyond its wait.
+    /// Time beyond its wait after which a call without an answer is repeated beside it: most often only its connection has
+    /// fallen silent. Also the longest time to open a connection.
+    pub repeat: Millis,
+    /// Time-out of a call beyond its wait.
     pub timeout: Millis,
     /// Delay after the first of several calls that fail at once; doubled with the next ones.
     pub delay: Millis,
@@ -70,7 +72,7 @@
             limit,
             interval: share(INTERVAL_SHARE, limit).max(MIN_INTERVAL),
             wait: WAIT,
-            patience: share(PATIENCE_SHARE, limit),
+            repeat: share(REPEAT_SHARE, limit),
             timeout: share(TIMEOUT_SHARE, limit),
             delay: share(DELAY_SHARE, limit),
             answer: share(ANSWER_SHARE, limit),
@@ -84,35 +86,28 @@
         self.interval.plus(self.slack)
     }
 
-    /// The time-out of a call, beyond its wait, after so many failures in a row.
-    pub fn call_timeout(&self, failures: u32) -> Millis {
-        if failures == 0 { self.patience } else { self.timeout }
-    }
-
-    /// The longest time from the start of a call to the start of the one that follows its failure, after so many failures in
-    /// a row before it.
-    fn cycle(&self, failures: u32) -> Millis {
-        let called = self.wait.plus(self.call_timeout(failures));
-        if failures == 0 { called } else { called.plus(self.delay) }
-    }
-
-    /// The delay after a call that failed after a time, with so many failures in a row before it. A call that timed out is
-    /// repeated soon, since the store may be back for long; one that failed at once is not.
+    /// The delay after a call that failed after a time, with so many failures in a row before it. One that took long is
+    /// repeated soon, since the store may be back for long.
     pub fn retry_delay(&self, failures: u32, took: Millis) -> Millis {
         let grown = Millis(self.delay.0 << failures.min(MAX_DOUBLINGS));
-        grown.min(self.cycle(failures).minus(took))
+        grown.minus(took).max(MIN_DELAY)
+    }
+
+    /// The longest time from the store's return to the first call that it answers, whatever was under way.
+    pub fn longest_gap(&self) -> Millis {
+        let silent = self.wait.plus(self.repeat);
+        let unreachable = self.repeat.plus(MIN_DELAY);
+        let refused = Millis(self.delay.0 << MAX_DOUBLINGS);
+        silent.max(unreachable).max(refused)
     }
 
     /// The longest time from the later of two moments, a change and the store's return, to the knowledge of the change.
     pub fn longest_age(&self) -> Millis {
         // The connection falls silent between two watches.
-        let silent = self.interval.plus(self.cycle(0)).plus(self.answer);
-        // The store falls silent, and is back right after a call was sent.
-        let failing = self.cycle(1).plus(self.answer);
-        let refused = Millis(self.delay.0 << MAX_DOUBLINGS).plus(self.answer);
+        let silent = self.interval.plus(self.wait).plus(self.repeat);
         // Another VM that is asked for changes first freezes.
-        let relayed = self.interval.plus(self.slack).plus(self.slack).plus(self.answer);
-        silent.max(failing).max(refused).max(relayed)
+        let relayed = self.interval.plus(self.slack).plus(self.slack);
+        silent.max(relayed).max(self.longest_gap()).plus(self.answer)
     }
 
     /// Checks that all steps together fit into the limit.
