Reject requests under which backend servers crash, at all VMs

Cause: nothing related the end of a server to the request that it ran. Each arrival, and each retry within one, was placed like any other. The class of fault: an outcome that is charged to the server alone, though the request has a part in it.

Evidence: 36 of 62 logged requests for one object ended with 502 after one or two closed connections, at six of seven VMs; no state of dispatch outlives a request. The second hypothesis, each VM counting alone, is ruled out by that.

Change: a request is known by method, host, path, caller (cookies and credentials, else the address) and body. When a connection ends under it and the server then refuses another, the crash is held against it, and written to the store under a lease, where all VMs read it, also those that start later. From three crashes without an answer in between on, it is rejected at once with 503, which is true since it was not sent; VMs remember it for 10 minutes after its last arrival, and list it again if the store loses it. Being served clears a request and its entries in the store. First crashes are reported up to 8 in 10 s, so that a mass crash does not flood the store.

Why it works: three crashes are known everywhere within the time in which changes of the store must be known (2.5 s), before the time from which they count (3 s). A VM passes the fingerprint on with requests that it passes on; earlier builds ignore header and keys.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -19,6 +19,7 @@
 use crate::{
     answer::{Answer, reject, reply},
     core::{Core, Slot},
+    crash::{check_crash, reject_crashing, report},
     dialect::RequestInfo,
     forward::{Forwarded, decline, forward},
     listen::HandlerFuture,
@@ -163,11 +164,15 @@
     let deadline = arrived.after(time_left.min(route.timeout));
     let mut memory = Reservation::new(&core.request_memory);
     let reading = buffer_request(core, &routes, head, body, &info, &mut memory);
-    let outgoing = match timeout(Duration::from_millis(deadline.since(arrived).0), reading).await {
-        Ok(Ok(outgoing)) => outgoing,
-        Ok(Err(answer)) => return answer,
-        Err(_) => return stalled_body(deadline.since(arrived)),
-    };
+    let mut outgoing =
+        match timeout(Duration::from_millis(deadline.since(arrived).0), reading).await {
+            Ok(Ok(outgoing)) => outgoing,
+            Ok(Err(answer)) => return answer,
+            Err(_) => return stalled_body(deadline.since(arrived)),
+        };
+    if let Some(fingerprint) = forwarded.as_ref().and_then(|it| it.fingerprint) {
+        outgoing.fingerprint = fingerprint;
+    }
     let Some(service) = core.dispatcher.borrow_mut().choose_service(&route) else {
         return reject("No service of the route takes requests.", NO_ROUTES_RETRY_AFTER);
     };
@@ -246,9 +251,21 @@
     let summary = format!("{backend} {warm} expected={expected} took={took}: {detail}");
     core.metrics.count_attempt(&slot.job().service, result.outcome);
     slot.finish(result.outcome);
+    let served = result.outcome == AttemptOutcome::Answered;
+    if served {
+        let cleared = core.dispatcher.borrow_mut().on_served(outgoing.fingerprint);
+        report(&core, cleared);
+    } else if result.lost {
+        check_crash(&core, &attempt.backend, address, &outgoing.id, outgoing.fingerprint).await;
+    }
     FinishedAttempt { result, summary }
 }
 
+/// Whether servers crash under a request, so that it is sent to no more of them.
+fn is_crashing(core: &Core, outgoing: &Outgoing) -> bool {
+    core.dispatcher.borrow().is_crashing(outgoing.fingerprint)
+}
+
 /// Lowers a route's number of attempts, for a request that another VM has already sent to some servers.
 fn limit_attempts(route: Arc<Route>, attempts: u32) -> Arc<Route> {
     if route.attempts <= attempts {
@@ -281,11 +298,23 @@
     // Number of backend servers that the request may have reached.
     let mut reached = 0;
     loop {
+        if let Some(rejected) = reject_crashing(core, outgoing.fingerprint) {
+            record.attempts.push("Crashing".to_owned());
+            if not_executed {
+                return rejected;
+            }
+            return fail(last, false, job.deadline <= core.now(), Millis::ZERO);
+        }
         let started = core.now();
         let placement = place(core, &job).await;
         let now = core.now();
         record.waited += now.since(started);
         let (attempt, address) = match placement {
+            Placement::Send { attempt, .. } if is_crashing(core, &outgoing) => {
+                // Another VM told of a crash while the request waited.
+                drop(Slot::new(Rc::clone(core), job.clone(), attempt));
+                continue;
+            }
             Placement::Send { attempt, address } => (attempt, address),
             Placement::Reject(Rejection::Isolated, _) if forwarded && not_executed => {
                 record.attempts.push(format!("{:?}", Rejection::Isolated));
@@ -403,6 +432,9 @@
     outgoing: &'a Outgoing,
     record: &LogRecord,
 ) -> Option<LocalBoxFuture<'a, FinishedAttempt>> {
+    if is_crashing(core, outgoing) {
+        return None;
+    }
     let mut dispatcher = core.dispatcher.borrow_mut();
     if !dispatcher.is_isolated() {
         let (attempt, address) = dispatcher.place_hedge(job, core.now())?;
--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -8,12 +8,12 @@
 
 use th_platform::{BootClock, Clock};
 use th_protocol::{BackendId, Time, VmId};
-use th_steer::dispatch::{Attempt, AttemptOutcome, Dispatcher, Job, Placement};
-use tokio::sync::{Notify, oneshot};
+use th_steer::dispatch::{Attempt, AttemptOutcome, CrashReport, Dispatcher, Job, Placement};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
-    connection::Pool, dialect::Dialect, memory::MemoryPool, metrics::Metrics, relay::Relay,
-    settings::GatewaySettings,
+    connection::Pool, crash::MAX_REPORTS, dialect::Dialect, memory::MemoryPool, metrics::Metrics,
+    relay::Relay, settings::GatewaySettings,
 };
 
 /// Maximum number of waiting requests examined when a slot becomes free; the next tick examines all.
@@ -25,6 +25,9 @@
     pub dispatcher: RefCell<Dispatcher>,
     /// What this VM passes on to others.
     pub relay: Relay,
+    /// Passes crashes of backend servers on to whoever tells other VMs.
+    pub(crate) crash_reports: mpsc::Sender<CrashReport>,
+    reported: RefCell<Option<mpsc::Receiver<CrashReport>>>,
     pub(crate) settings: GatewaySettings,
     pub(crate) dialect: Rc<dyn Dialect>,
     /// Connections to backend servers.
@@ -50,7 +53,10 @@
         settings: GatewaySettings,
         dialect: Rc<dyn Dialect>,
     ) -> Core {
+        let (crash_reports, reported) = mpsc::channel(MAX_REPORTS);
         Core {
+            crash_reports,
+            reported: RefCell::new(Some(reported)),
             dispatcher: RefCell::new(dispatcher),
             relay: Relay::default(),
             request_memory: MemoryPool::new(settings.body_memory),
@@ -73,6 +79,11 @@
         BootClock.now()
     }
 
+    /// Returns the crashes of backend servers that other VMs are to be told of; `None` from the second call on.
+    pub fn crash_reports(&self) -> Option<mpsc::Receiver<CrashReport>> {
+        self.reported.borrow_mut().take()
+    }
+
     /// Whether this VM accepts requests: it has routes and is not stopping.
     pub fn is_ready(&self) -> bool {
         !self.stopping.get() && self.dispatcher.borrow().routes().is_some()
--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, request};
 use hyper::body::Incoming;
 use th_protocol::{Millis, Version, VmId, header::remove_hop_by_hop_headers};
-use th_steer::dispatch::{AttemptOutcome, Job};
+use th_steer::dispatch::{AttemptOutcome, Fingerprint, Job};
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -25,6 +25,8 @@
 const ATTEMPTS: HeaderName = HeaderName::from_static("th-attempts");
 /// Version of the configuration by which the request was routed.
 const VERSION: HeaderName = HeaderName::from_static("th-version");
+/// Fingerprint of the request, which the other VM cannot compute if it depends on the caller's address.
+const FINGERPRINT: HeaderName = HeaderName::from_static("th-fingerprint");
 /// Present on the answer of a VM that did not take the request.
 const DECLINED: HeaderName = HeaderName::from_static("th-declined");
 /// Statuses with which a VM says that no server has run the request or will.
@@ -43,6 +45,8 @@
     pub(crate) vm: VmId,
     pub(crate) attempts: u32,
     version: Version,
+    /// Fingerprint of the request; earlier builds send none.
+    pub(crate) fingerprint: Option<Fingerprint>,
 }
 
 impl Forwarded {
@@ -51,11 +55,13 @@
         let mut text = |name: &HeaderName| -> Option<String> {
             Some(head.headers.remove(name)?.to_str().ok()?.to_owned())
         };
+        let fingerprint = text(&FINGERPRINT).and_then(|it| it.parse().ok());
         let (vm, attempts, version) = (text(&FORWARDED_BY)?, text(&ATTEMPTS)?, text(&VERSION)?);
         Some(Forwarded {
             vm: vm.parse().ok()?,
             attempts: attempts.parse().ok()?,
             version: version.parse().ok()?,
+            fingerprint,
         })
     }
 
@@ -71,6 +77,10 @@
         }
         headers.insert(ATTEMPTS, HeaderValue::from(self.attempts));
         headers.insert(VERSION, HeaderValue::from(self.version.0));
+        let fingerprint = self.fingerprint.map(|it| HeaderValue::from_str(&it.to_string()));
+        if let Some(Ok(fingerprint)) = fingerprint {
+            headers.insert(FINGERPRINT, fingerprint);
+        }
     }
 }
 
@@ -96,7 +106,8 @@
     version: Version,
     attempts: u32,
 ) -> AttemptResult {
-    let by = Forwarded { vm: core.dispatcher.borrow().vm().clone(), attempts, version };
+    let vm = core.dispatcher.borrow().vm().clone();
+    let by = Forwarded { vm, attempts, version, fingerprint: Some(outgoing.fingerprint) };
     let (mut tried, mut details) = (Vec::new(), Vec::new());
     let (mut not_executed, mut outcome) = (true, AttemptOutcome::Unreachable);
     while tried.len() < MAX_VMS && (not_executed || job.route.idempotent) {
@@ -172,7 +183,8 @@
     remove_hop_by_hop_headers(&mut head.headers);
     let not_executed = !info.signed && NOT_EXECUTED.contains(&head.status);
     let outcome = if not_executed { AttemptOutcome::Shed } else { AttemptOutcome::Answered };
-    Ok(AttemptResult { outcome, not_executed, answer: Some((head, body)), detail })
+    let answer = Some((head, body));
+    Ok(AttemptResult { outcome, not_executed, lost: false, answer, detail })
 }
 
 /// Finds out, whenever there is reason to, whether this VM is cut off from all backend servers.
--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 mod connection;
 mod core;
+mod crash;
 mod dialect;
 mod forward;
 mod gateway;
--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -1,6 +1,11 @@
 //! Listeners and the connections that they accept.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -26,6 +31,10 @@
 /// Minimum size of the buffer for a request head, in bytes.
 const MIN_HEAD_BUFFER: usize = 16 << 10;
 
+/// The address of a request's sender.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallerAddress(pub(crate) IpAddr);
+
 /// Answers a request.
 pub(crate) type Serve = Rc<dyn Fn(Request<Incoming>) -> HandlerFuture>;
 
@@ -56,8 +65,9 @@
 pub(crate) async fn accept(core: Rc<Core>, listener: TcpListener, handler: Handler) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(handle_connection(Rc::clone(&core), stream, handler.clone()));
+            Ok((stream, address)) => {
+                let caller = CallerAddress(address.ip());
+                spawn_local(handle_connection(Rc::clone(&core), stream, caller, handler.clone()));
             }
             Err(error) => {
                 log::warn!(target: "entry", "Accepting a connection failed: {error}");
@@ -90,7 +100,12 @@
     Ok(answer)
 }
 
-async fn handle_connection(core: Rc<Core>, stream: TcpStream, handler: Handler) {
+async fn handle_connection(
+    core: Rc<Core>,
+    stream: TcpStream,
+    caller: CallerAddress,
+    handler: Handler,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "entry", "Setting TCP_NODELAY failed: {error}");
     }
@@ -99,10 +114,17 @@
     let idle = Duration::from_millis(limits.idle.plus(limits.send).0 * IDLE_FACTOR);
     let max_head = (limits.head.0 as usize * 2).max(MIN_HEAD_BUFFER);
     let depth = core.settings.pipeline_depth;
-    let pipeline = Rc::new(Pipeline::new(handler.ahead.clone(), depth, max_head));
+    let ahead = handler.ahead.map(|ahead| -> StartAhead {
+        Rc::new(move |mut request| {
+            request.extensions_mut().insert(caller);
+            ahead(request)
+        })
+    });
+    let pipeline = Rc::new(Pipeline::new(ahead, depth, max_head));
     let stream = PipelinedStream::new(stream, Rc::clone(&pipeline), idle);
     let shared = (Rc::clone(&core), Rc::clone(&pipeline));
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(caller);
         let (core, pipeline) = shared.clone();
         answer_in_turn(core, pipeline, Rc::clone(&handler.serve), request)
     });
--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     limited: IntGauge,
     isolated: IntGauge,
     age: IntGauge,
+    crashing: IntGauge,
     pub(crate) forwards: IntCounter,
     pub(crate) vm_connections: IntCounter,
 }
@@ -76,6 +77,13 @@
                 &registry,
                 IntGauge::new("th_gateway_store_age_ms", "Age of what is known of the store."),
             ),
+            crashing: add(
+                &registry,
+                IntGauge::new(
+                    "th_gateway_crashing",
+                    "Requests that are rejected because backend servers crash under them.",
+                ),
+            ),
             vm_connections: add(
                 &registry,
                 IntCounter::new("th_gateway_vm_links_total", "Connections to other VMs."),
@@ -122,6 +130,7 @@
         self.waiting.set(dispatcher.waiting() as i64);
         self.dragging.set(dispatcher.dragging().len() as i64);
         self.isolated.set(dispatcher.is_isolated().into());
+        self.crashing.set(dispatcher.rejected_requests() as i64);
         self.age.set(core.relay.age(core.now()).0 as i64);
         self.limited.set(dispatcher.limited().len() as i64);
         self.version.set(dispatcher.routes().map_or(0, |it| it.version().0 as i64));
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use th_protocol::{BackendId, Bytes as ByteCount, Millis, header::remove_hop_by_hop_headers};
-use th_steer::dispatch::AttemptOutcome;
+use th_steer::dispatch::{AttemptOutcome, Fingerprint};
 use thiserror::Error;
 use tokio::time::timeout;
 
@@ -38,6 +38,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) id: String,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// Result of an attempt.
@@ -45,6 +46,8 @@
     pub(crate) outcome: AttemptOutcome,
     /// Whether the server certainly did not run the request.
     pub(crate) not_executed: bool,
+    /// Whether the connection ended after the request was sent and before its answer was complete.
+    pub(crate) lost: bool,
     /// Complete answer of the server.
     pub(crate) answer: Option<(response::Parts, AnswerBody)>,
     pub(crate) detail: String,
@@ -56,7 +59,8 @@
         not_executed: bool,
         detail: impl ToString,
     ) -> AttemptResult {
-        AttemptResult { outcome, not_executed, answer: None, detail: detail.to_string() }
+        let detail = detail.to_string();
+        AttemptResult { outcome, not_executed, lost: false, answer: None, detail }
     }
 }
 
@@ -155,7 +159,9 @@
                     SendError::Connect(_) => AttemptOutcome::Unreachable,
                     SendError::Unsent(_) | SendError::Broken(_) => AttemptOutcome::Broken,
                 };
-                AttemptResult::without_answer(outcome, error.is_unsent(), error)
+                let unsent = error.is_unsent();
+                let result = AttemptResult::without_answer(outcome, unsent, error);
+                AttemptResult { lost: !unsent, ..result }
             }
         }
     }
@@ -182,7 +188,9 @@
         let body = match buffer_answer(core, body).await {
             Ok(body) => body,
             Err(error) => {
-                return AttemptResult::without_answer(AttemptOutcome::Broken, false, error);
+                let lost = matches!(error, AnswerError::Read(_));
+                let result = AttemptResult::without_answer(AttemptOutcome::Broken, false, error);
+                return AttemptResult { lost, ..result };
             }
         };
         let now = core.now();
@@ -218,6 +226,7 @@
         let failed = head.status.is_server_error();
         let outcome = if failed { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
         let detail = format!("status {}", head.status.as_u16());
-        AttemptResult { outcome, not_executed: false, answer: Some((head, body)), detail }
+        let answer = Some((head, body));
+        AttemptResult { outcome, not_executed: false, lost: false, answer, detail }
     }
 }
--- a/crates/th-gateway/src/request_body.rs
+++ b/crates/th-gateway/src/request_body.rs
@@ -6,17 +6,18 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes as Buffer, BytesMut};
-use http::{StatusCode, header, request};
+use http::{Extensions, HeaderMap, HeaderValue, Method, StatusCode, Uri, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Frame};
 use th_protocol::{Bytes, Millis, header::remove_hop_by_hop_headers};
-use th_steer::dispatch::RouteTable;
+use th_steer::dispatch::{Fingerprint, RouteTable};
 use tokio::time::timeout;
 
 use crate::{
     answer::{Answer, closing, reject, reply},
     core::Core,
     dialect::RequestInfo,
+    listen::CallerAddress,
     memory::Reservation,
     outgoing::Outgoing,
 };
@@ -128,9 +129,32 @@
     remove_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
+    let fingerprint = fingerprint(&head.method, &head.uri, &headers, &head.extensions, &body);
     let path = head.uri.path_and_query().map_or("/", |it| it.as_str());
     let Ok(uri) = path.parse() else {
         return Err(reply(StatusCode::BAD_REQUEST, "The path is not valid."));
     };
-    Ok(Outgoing { method: head.method, uri, headers, body, id: info.id.clone() })
+    Ok(Outgoing { method: head.method, uri, headers, body, id: info.id.clone(), fingerprint })
+}
+
+/// Computes the fingerprint of a request. The caller is known by its cookies and credentials, without any by its address.
+fn fingerprint(
+    method: &Method,
+    uri: &Uri,
+    headers: &HeaderMap,
+    extensions: &Extensions,
+    body: &Buffer,
+) -> Fingerprint {
+    let path = uri.path_and_query().map_or("/", |it| it.as_str());
+    let mut parts: Vec<&[u8]> = vec![method.as_str().as_bytes(), path.as_bytes(), body];
+    parts.extend(headers.get(header::HOST).map(HeaderValue::as_bytes));
+    let before = parts.len();
+    for name in [header::COOKIE, header::AUTHORIZATION] {
+        parts.extend(headers.get_all(name).iter().map(HeaderValue::as_bytes));
+    }
+    let address = extensions.get().map(|CallerAddress(it)| it.to_string()).unwrap_or_default();
+    if parts.len() == before {
+        parts.push(address.as_bytes());
+    }
+    Fingerprint::of(parts)
 }
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -11,6 +11,7 @@
 use super::{
     addresses::{HOST_COUNT_DECAY, HostCounts},
     backend::{Attempt, AttemptOutcome},
+    crashes::CrashTable,
     job::{Job, Placement},
     links::Traffic,
     lookup::Topology,
@@ -60,6 +61,7 @@
     pub(crate) last_waiter: u64,
     pub(crate) traffic: Traffic,
     pub(crate) reach: Reach,
+    pub(crate) crashes: CrashTable,
     /// Number of look-ups answered; it shifts the sampling offset, so that rounding evens out over look-ups.
     pub(crate) lookups: u32,
 }
@@ -95,6 +97,7 @@
             last_waiter: 0,
             traffic: Traffic::default(),
             reach: Reach::default(),
+            crashes: CrashTable::default(),
             lookups: 0,
         }
     }
@@ -267,6 +270,7 @@
         self.traffic.tick(share, now);
         self.members.update(&self.entries, now);
         self.remembered.update(now);
+        self.crashes.tick(now);
         self.update_limits(now);
         self.update_cold_paces(now);
         let start = now.before(self.settings.object_age);
--- /dev/null
+++ b/crates/th-steer/src/dispatch/incarnation.rs
@@ -0,0 +1,50 @@
+//! One life of a backend server's process.
+
+use std::{fmt, str::FromStr};
+
+use th_protocol::{BackendId, IdError};
+use thiserror::Error;
+
+/// Result of reading an incarnation.
+pub(crate) type Result<T, E = IncarnationError> = std::result::Result<T, E>;
+
+/// Reason why a text names no incarnation.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum IncarnationError {
+    /// The server's id is not valid.
+    #[error("{0}")]
+    Id(#[from] IdError),
+    /// The start is not a time.
+    #[error("expected the server's start in Unix milliseconds, got {0:?}")]
+    Start(String),
+}
+
+/// A backend server from its start to its end; it may start again under the same id.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Incarnation {
+    /// The server.
+    pub backend: BackendId,
+    /// Its start in Unix milliseconds, if known.
+    pub started: Option<u64>,
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.started {
+            Some(started) => write!(f, "{}@{started}", self.backend),
+            None => self.backend.fmt(f),
+        }
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = IncarnationError;
+
+    fn from_str(text: &str) -> Result<Incarnation> {
+        let Some((backend, started)) = text.split_once('@') else {
+            return Ok(Incarnation { backend: text.parse()?, started: None });
+        };
+        let time = started.parse().map_err(|_| IncarnationError::Start(started.to_owned()))?;
+        Ok(Incarnation { backend: backend.parse()?, started: Some(time) })
+    }
+}
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -5,8 +5,11 @@
 
 mod addresses;
 mod backend;
+mod crashes;
 mod decide;
 mod dispatcher;
+mod fingerprint;
+mod incarnation;
 mod job;
 mod limited;
 mod links;
@@ -30,7 +33,10 @@
 mod work;
 
 pub use backend::{Attempt, AttemptOutcome};
+pub use crashes::{CRASH_MEMORY, CrashReport};
 pub use dispatcher::Dispatcher;
+pub use fingerprint::Fingerprint;
+pub use incarnation::{Incarnation, IncarnationError};
 pub use job::{Job, Placement, Rejection};
 pub use links::vm_shares;
 pub use lookup::{Topology, lookup_shares};
--- a/crates/th-steer/src/route/hash.rs
+++ b/crates/th-steer/src/route/hash.rs
@@ -21,6 +21,17 @@
     ((hash >> 11) + 1) as f64 * UNIT
 }
 
+/// Hashes bytes, eight at a time; the result is the same on every VM.
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    let mut state = mix(bytes.len() as u64);
+    for chunk in bytes.chunks(8) {
+        let mut word = [0; 8];
+        word[..chunk.len()].copy_from_slice(chunk);
+        state = mix(state ^ u64::from_le_bytes(word));
+    }
+    state
+}
+
 /// Hashes a name; the result is the same on every VM.
 pub fn hash_name(text: &str) -> u64 {
     let mut state = 0;
--- a/crates/th-steer/src/route/mod.rs
+++ b/crates/th-steer/src/route/mod.rs
@@ -31,7 +31,7 @@
 pub use demand::Demand;
 pub use effects::PendingEffects;
 pub use fleet::{Fleet, VmState};
-pub use hash::{block_key, hash_name, mix};
+pub use hash::{block_key, hash_bytes, hash_name, mix};
 pub use index::{ClassIx, RegionIx, ServiceIx, VmIx, ZoneIx};
 pub use loads::{ExpectedLoad, LoadSample, MeasuredLoads};
 pub use lookup::{Answer, LookupTables, lookup};
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -156,3 +156,37 @@
     assert!(KNOWN_AFTER <= crashes, "{crashes} crashes");
     assert_eq!(excess, 0, "of {crashes} crashes in all");
 }
+
+/// Guards against callers that are refused because a request of another caller, or another one of theirs, crashes servers,
+/// and against a VM that starts later and has to find out by crashes of its own.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_the_request_that_crashes_servers_is_rejected() {
+    let mut fleet = Fleet::start(3, &["north-a", "south-a"]).await;
+    fleet.repeat(LOOK_UP, Duration::from_secs(3)).await;
+    fleet.entries.push(start_vm(&fleet.store, 3, "south-a"));
+    fleet.entries[3].wait_until_ready().await;
+    sleep(SETTLE_TIME).await;
+    fleet.register();
+    sleep(SETTLE_TIME).await;
+    let before = fleet.crashes().len();
+    let others = [
+        CallerRequest { path: "/look/list", ..LOOK_UP },
+        CallerRequest { path: "/look/list", object: Some("8"), ..LOOK_UP },
+        CallerRequest { path: "/look/list", object: None, ..LOOK_UP },
+        CallerRequest { path: "/book/", ..BOOKING },
+    ];
+    for (number, entry) in fleet.entries.iter().enumerate() {
+        let url =
+            |request: CallerRequest| format!("http://{}{}", entry.listen.callers, request.path);
+        let id = format!("rejected-{number}");
+        let answer = send(entry.client.clone(), url(LOOK_UP), LOOK_UP, &id).await.unwrap();
+        assert_eq!(answer.status(), 503, "VM {number}");
+        assert!(answer.headers().contains_key("retry-after"));
+        for (other, request) in others.into_iter().enumerate() {
+            let id = format!("served-{number}-{other}");
+            let answer = send(entry.client.clone(), url(request), request, &id).await.unwrap();
+            assert_eq!(answer.status(), 200, "VM {number}, {request:?}");
+        }
+    }
+    assert_eq!(fleet.crashes().len(), before, "no server crashed");
+}
