Say in the answer that the connection closes when a body was not read

What callers saw: a caller with a large body, rejected after a second, sent its next request on a connection that was being closed, and lost it. Cause: a VM that gives up on the body of a request that it rejects must close the connection, and did not say so in its answer. Now it says so whenever the body was not complete: too slow, too large, or not asked for.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -25,7 +25,7 @@
     listen::HandlerFuture,
     memory::Reservation,
     outgoing::{AttemptResult, Outgoing},
-    request_body::{RequestBody, buffer_request, discard, stalled_body},
+    request_body::{RequestBody, buffer_request, reject_unread, stalled_body},
 };
 
 /// Retry delay suggested to callers while this VM has no routes yet; about the time that reading them takes.
@@ -97,8 +97,7 @@
     let forwarded = Forwarded::take(&mut head);
     if !forwarded.as_ref().is_some_and(|it| it.is_accepted(&core)) {
         let limits = core.dispatcher.borrow().routes().map(|it| it.limits()).unwrap_or_default();
-        discard(&head, body, limits.body).await;
-        return Ok(decline());
+        return Ok(reject_unread(decline(), &head, body, limits.body).await);
     }
     Ok(serve_from(core, head, body, forwarded).await)
 }
@@ -151,13 +150,13 @@
     record: &mut LogRecord,
 ) -> Answer {
     let Some(routes) = core.dispatcher.borrow().routes().cloned() else {
-        discard(&head, body, CallerLimits::default().body).await;
-        return reject("This VM knows no routes yet.", NO_ROUTES_RETRY_AFTER);
+        let answer = reject("This VM knows no routes yet.", NO_ROUTES_RETRY_AFTER);
+        return reject_unread(answer, &head, body, CallerLimits::default().body).await;
     };
     record.version = routes.version().0;
     let Some(route) = routes.find(&host(&head.headers, &head.uri), head.uri.path()).cloned() else {
-        discard(&head, body, routes.limits().body).await;
-        return reply(StatusCode::NOT_FOUND, "No route matches the host and path.");
+        let answer = reply(StatusCode::NOT_FOUND, "No route matches the host and path.");
+        return reject_unread(answer, &head, body, routes.limits().body).await;
     };
     record.route = route.name.clone();
     let time_left = info.time_left.unwrap_or(DEFAULT_TIME_LEFT);
--- a/crates/th-gateway/src/request_body.rs
+++ b/crates/th-gateway/src/request_body.rs
@@ -48,26 +48,45 @@
     closing(reply(StatusCode::REQUEST_TIMEOUT, &text))
 }
 
-/// Reads and discards a body up to `max`, since closing while the caller still sends could cost it the answer. Gives up
-/// on a caller that takes longer than [`DISCARD_TIMEOUT`].
-pub(crate) async fn discard<B: RequestBody>(head: &request::Parts, body: B, max: Bytes) {
+/// Rejects a request before its body is read. Reads and discards the body up to `max`, since closing while the caller still
+/// sends could cost it the answer. If the caller takes longer than [`DISCARD_TIMEOUT`], the answer says that the connection
+/// closes: what is left of the body stands where the next request would begin.
+pub(crate) async fn reject_unread<B: RequestBody>(
+    answer: Answer,
+    head: &request::Parts,
+    body: B,
+    max: Bytes,
+) -> Answer {
+    if body.is_end_stream() {
+        return answer;
+    }
     if awaits_continue(head) {
-        return;
+        return closing(answer);
     }
-    if timeout(DISCARD_TIMEOUT, discard_up_to(body, max)).await.is_err() {
-        log::debug!(target: "call", "path={} The body was not complete after {DISCARD_TIMEOUT:?}; answering without it.", head.uri.path());
+    match timeout(DISCARD_TIMEOUT, discard_up_to(body, max)).await {
+        Ok(true) => answer,
+        Ok(false) => closing(answer),
+        Err(_) => {
+            log::debug!(target: "call", "path={} The body was not complete after {DISCARD_TIMEOUT:?}; answering without it.", head.uri.path());
+            closing(answer)
+        }
     }
 }
 
-async fn discard_up_to<B: RequestBody>(mut body: B, max: Bytes) {
+/// Reads and discards a body; returns whether it was complete.
+async fn discard_up_to<B: RequestBody>(mut body: B, max: Bytes) -> bool {
     let mut remaining = max.0;
-    while let Some(Ok(frame)) = body.frame().await {
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return false;
+        };
         let length = frame.data_ref().map_or(0, |it| it.len() as u64);
         if remaining < length {
-            return;
+            return false;
         }
         remaining -= length;
     }
+    true
 }
 
 /// The answer to a request whose body exceeds the limit. The rest of the body may be endless, so the caller must send
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -112,6 +112,33 @@
     }
 }
 
+/// Guards against a caller that sends its next request on a connection which is closed behind the answer, since the body of a
+/// rejected request came too slowly.
+#[rstest]
+#[case::no_routes(false, "503")]
+#[case::no_such_route(true, "404")]
+#[tokio::test]
+async fn an_answer_before_the_body_is_complete_says_that_the_connection_closes(
+    #[case] has_routes: bool,
+    #[case] status: &str,
+) {
+    let store = StandInStore::start().await;
+    if has_routes {
+        store.put("op/config", &config(7, "/look/"));
+    }
+    let entry = start(&store);
+    wait_until("the VM has read the store", || 0 < store.calls("/-/kv-watch")).await;
+    let mut stream = TcpStream::connect(entry.listen.callers).await.unwrap();
+    let head =
+        "POST /none HTTP/1.1\r\nhost: desk.example\r\ncontent-length: 1000\r\n\r\nfirst bytes";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    let answer = answer.to_ascii_lowercase();
+    assert!(answer.starts_with(&format!("http/1.1 {status}")), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+}
+
 /// Guards against a server that is sent more than the limit that it states in its answers.
 #[tokio::test]
 async fn a_server_that_limits_its_requests_gets_no_more() {
