Tell other VMs of crashes later and together

Test: the_end_of_a_leaving_server_is_held_against_no_request, a_request_that_is_served_before_its_crash_is_reported_is_not_reported. Run: dispatch_crashes, crashing_requests: passed.

--- a/crates/th-gateway/src/crash.rs
+++ b/crates/th-gateway/src/crash.rs
@@ -1,10 +1,10 @@
 //! Crashes of backend servers, and the requests that they ran.
 
-use std::{io::ErrorKind, net::SocketAddr, rc::Rc};
+use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
 use th_protocol::{BackendId, Millis};
 use th_steer::dispatch::{CrashReport, Fingerprint};
-use tokio::sync::mpsc::error::TrySendError;
+use tokio::{sync::mpsc::error::TrySendError, task::spawn_local, time::sleep};
 
 use crate::{
     answer::{Answer, reject},
@@ -15,6 +15,9 @@
 /// Longest time for which a connection is tried to find out whether a server crashed; more than a round trip between
 /// regions. Until then its request waits for a retry.
 const CHECK_TIMEOUT: Millis = Millis(100);
+/// Time for which the first crash under a request is kept back: most requests are served by a retry meanwhile, and other VMs
+/// need not know.
+const FIRST_REPORT_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of reports that wait to be passed to other VMs.
 pub(crate) const MAX_REPORTS: usize = 256;
 
@@ -35,11 +38,19 @@
         }
         Err(ConnectError::Connect(_, error)) if error.kind() == ErrorKind::ConnectionRefused => {
             let mut dispatcher = core.dispatcher.borrow_mut();
-            let reports = dispatcher.on_crash(request, backend, core.now());
+            if !dispatcher.on_crash(request, backend, core.now()) {
+                return;
+            }
             let crashes = dispatcher.crash_count(request);
             log::warn!(target: "backend", "request={id} fingerprint={request} backend={backend} crashes={crashes} The backend server crashed while it ran the request.");
             drop(dispatcher);
-            report(core, reports);
+            let delay = if crashes == 1 { FIRST_REPORT_DELAY } else { Duration::ZERO };
+            let core = Rc::clone(core);
+            spawn_local(async move {
+                sleep(delay).await;
+                let reports = core.dispatcher.borrow_mut().report_crashes(request, core.now());
+                report(&core, reports);
+            });
         }
         Err(error) => {
             log::debug!(target: "backend", "request={id} backend={backend} Whether the backend server crashed is not known: {error}");
--- a/crates/th-steer/src/dispatch/crashes.rs
+++ b/crates/th-steer/src/dispatch/crashes.rs
@@ -115,18 +115,27 @@
 }
 
 impl Dispatcher {
-    /// Holds the crash of a backend server against a request of this VM that it ran. Returns what to tell other VMs.
-    pub fn on_crash(
-        &mut self,
-        request: Fingerprint,
-        backend: &BackendId,
-        now: Time,
-    ) -> Vec<CrashReport> {
-        let started = self.backend(backend).and_then(|it| it.started);
-        let server = Incarnation { backend: backend.clone(), started };
+    /// Holds the crash of a backend server against a request of this VM that it ran. Returns whether it was a crash: a server
+    /// that leaves is expected to end.
+    pub fn on_crash(&mut self, request: Fingerprint, backend: &BackendId, now: Time) -> bool {
+        let row = self.backends.id(backend).and_then(|it| self.backends.get(it));
+        let Some(row) = row.filter(|it| it.accepts_work()) else {
+            return false;
+        };
+        let server = Incarnation { backend: backend.clone(), started: row.record.started };
         self.crashes.hold(request, server, false, now);
-        let is_first = self.crash_count(request) == 1;
-        if is_first && !self.crashes.take_report(now) {
+        true
+    }
+
+    /// Returns what to tell other VMs of the crashes that are held against a request. The only crash of one counts against
+    /// the limit on reports.
+    pub fn report_crashes(&mut self, request: Fingerprint, now: Time) -> Vec<CrashReport> {
+        let Some(suspect) = self.crashes.suspects.get(&request) else {
+            return Vec::new();
+        };
+        let is_known = suspect.crashes.values().all(|it| it.listed);
+        let is_only = suspect.crashes.len() == 1;
+        if is_known || (is_only && !self.crashes.take_report(now)) {
             return Vec::new();
         }
         self.crashes.suspects.get_mut(&request).map_or_else(Vec::new, |it| it.list(request))
