--- a/crates/th-steer/src/dispatch/crashes.rs
+++ b/crates/th-steer/src/dispatch/crashes.rs
@@ -11,7 +11,7 @@
 
 use th_protocol::{BackendId, Millis, Time};
 
-use super::{dispatcher::Dispatcher, fingerprint::Fingerprint, incarnation::Incarnation};
+use super::{dispatcher::Dispatcher, fingerprint::Fingerprint, process::BackendProcess};
 
 /// Number of crashes from which a request is rejected.
 const CRASH_LIMIT: usize = 3;
@@ -31,9 +31,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CrashReport {
     /// The server crashed while it ran the request.
-    Crashed(Fingerprint, Incarnation),
+    Crashed(Fingerprint, BackendProcess),
     /// The request was served, so these crashes are no longer held against it.
-    Served(Fingerprint, Vec<Incarnation>),
+    Served(Fingerprint, Vec<BackendProcess>),
 }
 
 /// A crash that is held against a request.
@@ -46,7 +46,7 @@
 
 #[derive(Debug)]
 struct Suspect {
-    crashes: BTreeMap<Incarnation, Held>,
+    crashes: BTreeMap<BackendProcess, Held>,
     /// Time of its last crash, or of its last arrival since it is rejected.
     seen: Time,
 }
@@ -77,7 +77,7 @@
 }
 
 impl CrashTable {
-    fn hold(&mut self, request: Fingerprint, server: Incarnation, listed: bool, now: Time) {
+    fn hold(&mut self, request: Fingerprint, server: BackendProcess, listed: bool, now: Time) {
         if !self.suspects.contains_key(&request) && MAX_SUSPECTS <= self.suspects.len() {
             let oldest = self.suspects.iter().min_by_key(|(_, it)| (it.is_rejected(), it.seen));
             if let Some(oldest) = oldest.map(|(it, _)| *it) {
@@ -122,7 +122,7 @@
         let Some(row) = row.filter(|it| it.accepts_work()) else {
             return false;
         };
-        let server = Incarnation { backend: backend.clone(), started: row.record.started };
+        let server = BackendProcess { backend: backend.clone(), started: row.record.started };
         self.crashes.hold(request, server, false, now);
         true
     }
@@ -142,13 +142,13 @@
     }
 
     /// Holds a crash against a request that another VM reported.
-    pub fn on_crash_listed(&mut self, request: Fingerprint, server: Incarnation, now: Time) {
+    pub fn on_crash_listed(&mut self, request: Fingerprint, server: BackendProcess, now: Time) {
         self.crashes.hold(request, server, true, now);
     }
 
     /// Applies that a crash is no longer in the store. A request that is rejected stays so: what was lost there does not
     /// make it harmless.
-    pub fn on_crash_unlisted(&mut self, request: Fingerprint, server: &Incarnation) {
+    pub fn on_crash_unlisted(&mut self, request: Fingerprint, server: &BackendProcess) {
         let Some(suspect) = self.crashes.suspects.get_mut(&request) else {
             return;
         };
@@ -166,7 +166,7 @@
         }
         let suspect = self.crashes.suspects.remove(&request)?;
         let listed = suspect.crashes.into_iter().filter(|(_, it)| it.listed);
-        let listed: Vec<Incarnation> = listed.map(|(server, _)| server).collect();
+        let listed: Vec<BackendProcess> = listed.map(|(server, _)| server).collect();
         (!listed.is_empty()).then_some(CrashReport::Served(request, listed))
     }
 
--- a/crates/th-steer/src/dispatch/incarnation.rs
+++ b/crates/th-steer/src/dispatch/process.rs
@@ -5,12 +5,12 @@
 use th_protocol::{BackendId, IdError};
 use thiserror::Error;
 
-/// Result of reading an incarnation.
-pub(crate) type Result<T, E = IncarnationError> = std::result::Result<T, E>;
+/// Result of reading a process.
+pub(crate) type Result<T, E = ProcessError> = std::result::Result<T, E>;
 
-/// Reason why a text names no incarnation.
+/// Reason why a text names no process.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum IncarnationError {
+pub enum ProcessError {
     /// The server's id is not valid.
     #[error("{0}")]
     Id(#[from] IdError),
@@ -21,14 +21,14 @@
 
 /// A backend server from its start to its end; it may start again under the same id.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Incarnation {
+pub struct BackendProcess {
     /// The server.
     pub backend: BackendId,
     /// Its start in Unix milliseconds, if known.
     pub started: Option<u64>,
 }
 
-impl fmt::Display for Incarnation {
+impl fmt::Display for BackendProcess {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.started {
             Some(started) => write!(f, "{}@{started}", self.backend),
@@ -37,14 +37,14 @@
     }
 }
 
-impl FromStr for Incarnation {
-    type Err = IncarnationError;
+impl FromStr for BackendProcess {
+    type Err = ProcessError;
 
-    fn from_str(text: &str) -> Result<Incarnation> {
+    fn from_str(text: &str) -> Result<BackendProcess> {
         let Some((backend, started)) = text.split_once('@') else {
-            return Ok(Incarnation { backend: text.parse()?, started: None });
+            return Ok(BackendProcess { backend: text.parse()?, started: None });
         };
-        let time = started.parse().map_err(|_| IncarnationError::Start(started.to_owned()))?;
-        Ok(Incarnation { backend: backend.parse()?, started: Some(time) })
+        let time = started.parse().map_err(|_| ProcessError::Start(started.to_owned()))?;
+        Ok(BackendProcess { backend: backend.parse()?, started: Some(time) })
     }
 }
--- a/crates/th-steer/tests/dispatch_crashes.rs
+++ b/crates/th-steer/tests/dispatch_crashes.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use th_protocol::{BackendId, Millis, Time};
 use th_steer::dispatch::{
-    BackendRecord, CRASH_MEMORY, CrashReport, Fingerprint, Incarnation, Serving,
+    BackendProcess, BackendRecord, CRASH_MEMORY, CrashReport, Fingerprint, Serving,
 };
 
 /// Number of crashes from which a request is rejected.
@@ -80,7 +80,7 @@
     }
     assert_eq!(world.dispatcher.crash_count(request(1)), 1);
     for started in 2..=LIMIT as u64 {
-        let life = Incarnation { backend: server(1), started: Some(started) };
+        let life = BackendProcess { backend: server(1), started: Some(started) };
         world.dispatcher.on_crash_listed(request(1), life, START);
     }
     assert!(rejects(&mut world, request(1)));
@@ -195,9 +195,9 @@
 #[rstest]
 #[case("b-1", None)]
 #[case("b-1@17", Some(17))]
-fn names_of_incarnations_are_read_as_written(#[case] text: &str, #[case] started: Option<u64>) {
-    let read: Incarnation = text.parse().unwrap();
-    assert_eq!(read, Incarnation { backend: server(1), started });
+fn names_of_processes_are_read_as_written(#[case] text: &str, #[case] started: Option<u64>) {
+    let read: BackendProcess = text.parse().unwrap();
+    assert_eq!(read, BackendProcess { backend: server(1), started });
     assert_eq!(read.to_string(), text);
     let request = request(1);
     assert_eq!(request.to_string().parse::<Fingerprint>().unwrap(), request);
@@ -206,6 +206,6 @@
 #[rstest]
 #[case("", "an id must not be empty")]
 #[case("b-1@soon", "expected the server's start in Unix milliseconds, got \"soon\"")]
-fn invalid_names_of_incarnations_are_rejected(#[case] text: &str, #[case] error: &str) {
-    assert_eq!(text.parse::<Incarnation>().unwrap_err().to_string(), error);
+fn invalid_names_of_processes_are_rejected(#[case] text: &str, #[case] error: &str) {
+    assert_eq!(text.parse::<BackendProcess>().unwrap_err().to_string(), error);
 }
