--- a/crates/th-gateway/src/crash.rs
+++ b/crates/th-gateway/src/crash.rs
@@ -15,7 +15,7 @@
 /// Longest time for which a connection is tried to find out whether a server crashed; more than a round trip between
 /// regions. Until then its request waits for a retry.
 const CHECK_TIMEOUT: Millis = Millis(100);
-/// Time for which the first crash under a request is kept back: most requests are served by a retry meanwhile, and other VMs
+/// Time for which the first crash under a request is kept back: a retry may serve the request meanwhile, and then other VMs
 /// need not know.
 const FIRST_REPORT_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of reports that wait to be passed to other VMs.
--- a/crates/th-steer/src/dispatch/process.rs
+++ b/crates/th-steer/src/dispatch/process.rs
@@ -1,4 +1,4 @@
-//! One life of a backend server's process.
+//! A backend server from its start to its end.
 
 use std::{fmt, str::FromStr};
 
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -247,6 +247,16 @@
                 sleep(span).await;
                 self.store.set_fault(None);
             }
+            Event::Silences(times, away, back) => {
+                for _ in 0..times {
+                    // Connections that were open then stay silent.
+                    self.disturbed.add(None, away + Duration::from_secs(1));
+                    self.store.set_silent(true);
+                    sleep(away).await;
+                    self.store.set_silent(false);
+                    sleep(back).await;
+                }
+            }
             Event::Forget => {
                 self.disturbed.add(None, Duration::from_secs(1));
                 self.store.compact_history();
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -39,6 +39,8 @@
     BadAnswers(usize, u32),
     /// The store has a fault.
     Store(StoreFault, Duration),
+    /// The store falls silent that many times, for the first duration each, and is back for the second in between.
+    Silences(u32, Duration, Duration),
     /// The store discards its history.
     Forget,
     /// The operators write a new configuration.
@@ -118,6 +120,13 @@
             let at = Duration::from_millis(generator.below(length.as_millis() as u64));
             events.push((at, generator.event(planned)));
         }
+        // Drawn apart, so that the other events of a seed stay as they were.
+        let mut generator = EventGenerator(ChaCha8Rng::seed_from_u64(!seed));
+        if !planned && generator.below(2) == 0 {
+            let at = Duration::from_millis(generator.below(length.as_millis() as u64));
+            let times = 1 + generator.below(3) as u32;
+            events.push((at, Event::Silences(times, generator.span(), generator.span())));
+        }
         events.sort_by_key(|it| it.0);
         Plan { events }
     }
