--- a/tests/entry/mod.rs
+++ b/tests/entry/mod.rs
@@ -5,6 +5,7 @@
 use std::{
     io::Write,
     net::{Ipv4Addr, SocketAddr},
+    path::Path,
     process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU8, Ordering},
     time::Duration,
@@ -66,9 +67,20 @@
 
 impl EntryProcess {
     pub(crate) fn start(listen: ListenAddresses, settings: &Value, output: Stdio) -> EntryProcess {
+        let program = Path::new(env!("CARGO_BIN_EXE_tanagerhollow"));
+        EntryProcess::start_program(program, listen, settings, output)
+    }
+
+    /// Starts the program of another build.
+    pub(crate) fn start_program(
+        program: &Path,
+        listen: ListenAddresses,
+        settings: &Value,
+        output: Stdio,
+    ) -> EntryProcess {
         let mut file = tempfile::NamedTempFile::new().unwrap();
         file.write_all(settings.to_string().as_bytes()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_tanagerhollow"))
+        let child = Command::new(program)
             .arg("--platform")
             .env("TANAGERHOLLOW_SETTINGS", file.path())
             .stdout(output)
