--- a/tests/late_changes.rs
+++ b/tests/late_changes.rs
@@ -40,14 +40,7 @@
 fn start_vm(number: usize, store: &StandInStore) -> (Gateway, EntryRecord) {
     let settings = limited(number, ListenAddresses::free(), store);
     let settings = PlatformSettings::read(&settings.to_string()).unwrap();
-    let record = EntryRecord {
-        vm: settings.vm.clone(),
-        zone: settings.zone.clone(),
-        callers: settings.callers,
-        ready: settings.ready,
-        peers: settings.peers,
-        link: settings.link(),
-    };
+    let record = settings.record();
     let gateway = Gateway::start(
         settings.vm.clone(),
         settings.zone.clone(),
