--- a/tests/late_changes.rs
+++ b/tests/late_changes.rs
@@ -75,8 +75,8 @@
     started.elapsed()
 }
 
-/// The time after which a configuration is in force at all VMs of a data centre that is written at the end of the last silence;
-/// the first one starts that long after all is known.
+/// The time after which a configuration, written at the end of the last silence, is in force at all VMs of a data centre. Each
+/// silence has a length and a time before it, in milliseconds; the first one begins a phase after all is known.
 async fn latest_after_silences(vms: usize, phase: Duration, silences: &[(u64, u64)]) -> Duration {
     let store = StandInStore::start().await;
     write_config(&store, 1);
