--- a/crates/th-protocol/src/ids.rs
+++ b/crates/th-protocol/src/ids.rs
@@ -103,6 +103,8 @@
     LinkId;
     /// A customer; several customers share one deployment.
     CustomerId;
+    /// An organisation whose callers identify themselves by keys.
+    OrganisationId;
     /// A class of client blocks that have the same delay to each region.
     ClassId;
     /// An operator, who signs bundles.
--- a/crates/th-protocol/src/lib.rs
+++ b/crates/th-protocol/src/lib.rs
@@ -23,7 +23,7 @@
 };
 pub use ids::{
     BackendId, ClassId, CustomerId, IdError, LinkId, MAX_ID_BYTES, OperationId, OperatorId,
-    RegionId, ServiceId, VmId, ZoneId,
+    OrganisationId, RegionId, ServiceId, VmId, ZoneId,
 };
 pub use load::LoadReport;
 pub use lookup::{EntryAddress, LookupAnswer};
--- a/crates/th-steer/src/lib.rs
+++ b/crates/th-steer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod limit;
 pub mod member;
 pub mod queue;
+pub mod quota;
 pub mod relay;
 pub mod retry;
 pub mod route;
