Tell callers' organisations by their keys, and trust keys only as long as they are known

The gateway strips callers' keys and claims, states the organisation, judges a request when it arrives, when it is sent and before a hedge, and passes one whose key it cannot check on to a VM that can. call.rs loses hedges and the request log to files of their own.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -2,30 +2,30 @@
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, Request, Response, StatusCode, Uri, header, request};
 use http_body_util::Empty;
 use hyper::body::Body;
-use th_protocol::{Bytes, Millis, Time, Version, VmId};
+use th_protocol::{Bytes, Millis, Time, Version};
 use th_steer::{
-    dispatch::{Attempt, AttemptOutcome, CallerLimits, Job, Placement, Rejection, Route},
+    dispatch::{AttemptOutcome, CallerLimits, Job, Placement, Rejection, Route},
+    organisation::Denial,
     route::hash_name,
 };
-use tokio::{
-    sync::oneshot,
-    time::{sleep, timeout},
-};
+use tokio::{sync::oneshot, time::timeout};
 
 use crate::{
     answer::{Answer, reject, reply},
+    authorise::{Caller, authorise, check_again, deny},
     core::{Core, Slot},
     crash::{check_crash, reject_crashing, report},
     dialect::RequestInfo,
     forward::{Forwarded, decline, forward},
+    hedge::run_hedged,
     listen::HandlerFuture,
     memory::Reservation,
     outgoing::{AttemptResult, Outgoing},
     request_body::{RequestBody, buffer_request, reject_unread, stalled_body},
+    request_log::{LogRecord, log_request},
 };
 
 /// Retry delay suggested to callers while this VM has no routes yet; about the time that reading them takes.
@@ -51,19 +51,6 @@
     }
 }
 
-/// Content of the log record of a request.
-#[derive(Debug, Default)]
-struct LogRecord {
-    id: String,
-    version: u64,
-    route: String,
-    object: Option<u64>,
-    attempts: Vec<String>,
-    waited: Millis,
-    /// The entry VM that passed the request on.
-    forwarder: Option<VmId>,
-}
-
 /// Serves a pipelined request that has no body ahead of its turn; `None` if it must wait for its turn, because it may
 /// run only once or because this VM starts no new work.
 pub(crate) fn serve_ahead(core: &Rc<Core>, request: Request<()>) -> Option<HandlerFuture> {
@@ -118,22 +105,6 @@
     answer
 }
 
-fn log_request(core: &Core, answer: &Answer, record: &LogRecord, arrived: Time) {
-    let took = core.now().since(arrived);
-    let status = answer.status();
-    core.metrics.count_answer(&record.route, status.as_u16(), took);
-    let LogRecord { id, version, route, object, attempts, waited, forwarder } = record;
-    let forwarder = forwarder.as_ref().map_or_else(String::new, |it| format!(" forwarder={it}"));
-    let object = object.map_or_else(String::new, |it| format!("{it:016x}"));
-    let attempts = attempts.join(",");
-    let status = status.as_u16();
-    if status < 400 {
-        log::info!(target: "call", "request={id}{forwarder} version={version} route={route} object={object} tries=[{attempts}] waited={waited} status={status} took={took} Request answered.");
-    } else {
-        log::warn!(target: "call", "request={id}{forwarder} version={version} route={route} object={object} tries=[{attempts}] waited={waited} status={status} took={took} Request answered with an error status.");
-    }
-}
-
 fn host(headers: &HeaderMap, uri: &Uri) -> String {
     let authority = headers.get(header::HOST).and_then(|it| it.to_str().ok());
     let authority = authority.or_else(|| uri.host()).unwrap_or_default();
@@ -159,6 +130,12 @@
         return reject_unread(answer, &head, body, routes.limits().body).await;
     };
     record.route = route.name.clone();
+    let key = forwarded.as_ref().map_or(info.key, |it| it.key);
+    let caller = authorise(core, &route, key);
+    if let Err(denial @ (Denial::MissingKey | Denial::UnknownKey)) = &caller {
+        record.attempts.push(denial.to_string());
+        return reject_unread(deny(denial, false), &head, body, routes.limits().body).await;
+    }
     let time_left = info.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived.after(time_left.min(route.timeout));
     let mut memory = Reservation::new(&core.request_memory);
@@ -172,6 +149,12 @@
     if let Some(fingerprint) = forwarded.as_ref().and_then(|it| it.fingerprint) {
         outgoing.fingerprint = fingerprint;
     }
+    if routes.organisations().is_some() {
+        core.dialect.strip_identity(&mut outgoing.headers);
+    }
+    let stale = caller.as_ref().err().cloned();
+    outgoing.caller = caller.unwrap_or_else(|denial| Caller::stale(key, &denial));
+    record.organisation = outgoing.caller.organisation.clone();
     let Some(service) = core.dispatcher.borrow_mut().choose_service(&route) else {
         return reject("No service of the route takes requests.", NO_ROUTES_RETRY_AFTER);
     };
@@ -182,9 +165,13 @@
     let object = info.object.as_deref().map(|it| hash_name(&format!("{}/{it}", route.prefix)));
     let size = outgoing.body.len() as u64;
     record.object = object;
-    let job = Job { route, service, object, arrived, deadline, tried: Vec::new() };
+    let organisation = outgoing.caller.organisation.clone();
+    let job = Job { route, service, object, arrived, deadline, tried: Vec::new(), organisation };
     core.dispatcher.borrow_mut().on_request(&job, arrived);
-    let answer = run(core, job, outgoing, record).await;
+    let answer = match stale {
+        Some(denial) => pass_to_fresher(core, &job, &outgoing, &denial, record).await,
+        None => run(core, job, outgoing, record).await,
+    };
     let size = size + answer.body().size_hint().lower();
     core.dispatcher.borrow_mut().on_traffic(Bytes(size).plus(HEAD_BYTES));
     answer
@@ -231,13 +218,17 @@
 }
 
 /// A finished attempt and its summary for the request log.
-struct FinishedAttempt {
-    result: AttemptResult,
-    summary: String,
+pub(crate) struct FinishedAttempt {
+    pub(crate) result: AttemptResult,
+    pub(crate) summary: String,
 }
 
 /// Sends a request to the chosen backend server and releases the slot afterwards.
-async fn run_attempt(slot: Slot, outgoing: Outgoing, address: SocketAddr) -> FinishedAttempt {
+pub(crate) async fn run_attempt(
+    slot: Slot,
+    outgoing: Outgoing,
+    address: SocketAddr,
+) -> FinishedAttempt {
     let core = Rc::clone(slot.core());
     let attempt = slot.attempt().clone();
     let time_left = slot.job().deadline.since(core.now());
@@ -261,7 +252,7 @@
 }
 
 /// Whether servers crash under a request, so that it is sent to no more of them.
-fn is_crashing(core: &Core, outgoing: &Outgoing) -> bool {
+pub(crate) fn is_crashing(core: &Core, outgoing: &Outgoing) -> bool {
     core.dispatcher.borrow().is_crashing(outgoing.fingerprint)
 }
 
@@ -275,7 +266,7 @@
 }
 
 /// Passes a request on to another entry VM. `attempts` is the number of backend servers that it may still be sent to.
-async fn pass_on(
+pub(crate) async fn pass_on(
     core: &Rc<Core>,
     job: &Job,
     outgoing: &Outgoing,
@@ -290,7 +281,34 @@
     FinishedAttempt { result, summary }
 }
 
-async fn run(core: &Rc<Core>, mut job: Job, outgoing: Outgoing, record: &mut LogRecord) -> Answer {
+/// Passes a request on whose key this VM cannot check, because it hears nothing of the store, to a VM that can.
+async fn pass_to_fresher(
+    core: &Rc<Core>,
+    job: &Job,
+    outgoing: &Outgoing,
+    denial: &Denial,
+    record: &mut LogRecord,
+) -> Answer {
+    record.attempts.push(denial.to_string());
+    // Without the organisation it is not known in which regions the request may run.
+    if record.forwarder.is_some() || job.organisation.is_none() {
+        return deny(denial, record.forwarder.is_some());
+    }
+    let done = pass_on(core, job, outgoing, job.route.attempts, record.version).await;
+    record.attempts.push(done.summary);
+    if done.result.not_executed && done.result.answer.is_none() {
+        return deny(denial, false);
+    }
+    let late = job.deadline <= core.now();
+    finish(done.result, None, true, late, Millis::ZERO)
+}
+
+async fn run(
+    core: &Rc<Core>,
+    mut job: Job,
+    mut outgoing: Outgoing,
+    record: &mut LogRecord,
+) -> Answer {
     let forwarded = record.forwarder.is_some();
     let mut not_executed = true;
     let mut last: Option<AttemptResult> = None;
@@ -314,7 +332,17 @@
                 drop(Slot::new(Rc::clone(core), job.clone(), attempt));
                 continue;
             }
-            Placement::Send { attempt, address } => (attempt, address),
+            Placement::Send { attempt, address } => {
+                if let Err(denial) = check_again(core, &mut job, &mut outgoing) {
+                    drop(Slot::new(Rc::clone(core), job.clone(), attempt));
+                    record.attempts.push(denial.to_string());
+                    if not_executed {
+                        return deny(&denial, forwarded);
+                    }
+                    return fail(last, false, job.deadline <= now, Millis::ZERO);
+                }
+                (attempt, address)
+            }
             Placement::Reject(Rejection::Isolated, _) if forwarded && not_executed => {
                 record.attempts.push(format!("{:?}", Rejection::Isolated));
                 return decline();
@@ -381,93 +409,6 @@
     }
 }
 
-/// Sends a request to one backend server. An idempotent request without an answer long after the expected time gets a
-/// hedged attempt. The first good answer is used and the other attempt dropped; a failed one does not end the other.
-async fn run_hedged(
-    core: &Rc<Core>,
-    job: &mut Job,
-    outgoing: &Outgoing,
-    attempt: Attempt,
-    address: SocketAddr,
-    record: &mut LogRecord,
-) -> FinishedAttempt {
-    job.tried.push(attempt.backend.clone());
-    let delay = hedge_delay(core, job, attempt.expected);
-    let slot = Slot::new(Rc::clone(core), job.clone(), attempt);
-    let first_outcome = slot.outcome();
-    let mut first = Box::pin(run_attempt(slot, outgoing.clone(), address));
-    let Some(delay) = delay else {
-        return first.await;
-    };
-    tokio::select! {
-        done = &mut first => return done,
-        () = sleep(Duration::from_millis(delay.0)) => {}
-    }
-    let Some(mut second) = start_hedge(core, job, outgoing, record) else {
-        return first.await;
-    };
-    let (ended, first_ended) = tokio::select! {
-        done = &mut first => (done, true),
-        done = &mut second => (done, false),
-    };
-    if matches!(ended.result.outcome, AttemptOutcome::Answered) {
-        if !first_ended {
-            first_outcome.set(AttemptOutcome::Overtaken);
-        }
-        return ended;
-    }
-    // The other attempt may still succeed.
-    record.attempts.push(ended.summary);
-    let mut done = if first_ended { second.await } else { first.await };
-    done.result.not_executed &= ended.result.not_executed;
-    done
-}
-
-/// Starts a hedged attempt at another backend server, or by another VM if this one reaches none; `None` if there is no
-/// room for one.
-fn start_hedge<'a>(
-    core: &'a Rc<Core>,
-    job: &mut Job,
-    outgoing: &'a Outgoing,
-    record: &LogRecord,
-) -> Option<LocalBoxFuture<'a, FinishedAttempt>> {
-    if is_crashing(core, outgoing) {
-        return None;
-    }
-    let mut dispatcher = core.dispatcher.borrow_mut();
-    if !dispatcher.is_isolated() {
-        let (attempt, address) = dispatcher.place_hedge(job, core.now())?;
-        job.tried.push(attempt.backend.clone());
-        let slot = Slot::new(Rc::clone(core), job.clone(), attempt);
-        return Some(Box::pin(run_attempt(slot, outgoing.clone(), address)));
-    }
-    if record.forwarder.is_some() || !dispatcher.take_retry(job, core.now()) {
-        return None;
-    }
-    let attempts = job.route.attempts.saturating_sub(job.tried.len() as u32);
-    let (job, version) = (job.clone(), record.version);
-    Some(Box::pin(async move {
-        let mut done = pass_on(core, &job, outgoing, attempts, version).await;
-        if done.result.not_executed {
-            // The first attempt may have run it.
-            done.result.answer = None;
-        }
-        done
-    }))
-}
-
-/// Returns the delay of a hedged attempt; `None` if the request must not be sent twice, or if this VM is stopping and
-/// starts no new work.
-fn hedge_delay(core: &Core, job: &Job, expected: Millis) -> Option<Millis> {
-    let settings = &core.settings;
-    let last = job.route.attempts as usize <= job.tried.len();
-    if !job.route.idempotent || last || core.stopping.get() {
-        return None;
-    }
-    let delay = Millis(expected.0 * u64::from(settings.hedge_factor));
-    Some(delay.max(settings.hedge_min))
-}
-
 fn into_answer(result: AttemptResult) -> Option<Answer> {
     let (head, body) = result.answer?;
     Some(Response::from_parts(head, body))
--- a/crates/th-gateway/src/dialect.rs
+++ b/crates/th-gateway/src/dialect.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Uri, request, response};
-use th_protocol::{BackendId, Millis, RequestRate, Slots, ZoneId};
+use th_protocol::{BackendId, Millis, OrganisationId, RequestRate, Slots, ZoneId};
+use th_steer::organisation::KeyDigest;
 
 /// Properties of a caller's request beside its method, path and body.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -15,6 +16,8 @@
     pub time_left: Option<Millis>,
     /// Object that the request concerns.
     pub object: Option<String>,
+    /// Digest of the key by which the caller identifies its organisation.
+    pub key: Option<KeyDigest>,
 }
 
 /// Properties of a backend server's answer beside its status and body.
@@ -53,6 +56,10 @@
 pub trait Dialect {
     /// Reads the properties of a caller's request.
     fn read_request(&self, head: &request::Parts) -> RequestInfo;
+    /// Removes the headers by which a caller identifies its organisation, or claims to be of one.
+    fn strip_identity(&self, headers: &mut HeaderMap);
+    /// States the organisation of a request, for a backend server.
+    fn set_organisation(&self, headers: &mut HeaderMap, organisation: &OrganisationId);
     /// Sets the headers that a backend server needs; `time_left` is the time until the answer is due.
     fn set_request_headers(&self, headers: &mut HeaderMap, backend: &BackendId, time_left: Millis);
     /// Sets the time until the answer is due, for another entry VM.
--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -6,7 +6,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, request};
 use hyper::body::Incoming;
 use th_protocol::{Millis, Version, VmId, header::remove_hop_by_hop_headers};
-use th_steer::dispatch::{AttemptOutcome, Fingerprint, Job};
+use th_steer::{
+    dispatch::{AttemptOutcome, Fingerprint, Job},
+    organisation::KeyDigest,
+};
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -27,6 +30,8 @@
 const VERSION: HeaderName = HeaderName::from_static("th-version");
 /// Fingerprint of the request, which the other VM cannot compute if it depends on the caller's address.
 const FINGERPRINT: HeaderName = HeaderName::from_static("th-fingerprint");
+/// Digest of the request's key; the other VM judges it by what it knows itself.
+const KEY: HeaderName = HeaderName::from_static("th-key");
 /// Present on the answer of a VM that did not take the request.
 const DECLINED: HeaderName = HeaderName::from_static("th-declined");
 /// Statuses with which a VM says that no server has run the request or will.
@@ -47,6 +52,7 @@
     version: Version,
     /// Fingerprint of the request; earlier builds send none.
     pub(crate) fingerprint: Option<Fingerprint>,
+    pub(crate) key: Option<KeyDigest>,
 }
 
 impl Forwarded {
@@ -56,12 +62,14 @@
             Some(head.headers.remove(name)?.to_str().ok()?.to_owned())
         };
         let fingerprint = text(&FINGERPRINT).and_then(|it| it.parse().ok());
+        let key = text(&KEY).and_then(|it| it.parse().ok());
         let (vm, attempts, version) = (text(&FORWARDED_BY)?, text(&ATTEMPTS)?, text(&VERSION)?);
         Some(Forwarded {
             vm: vm.parse().ok()?,
             attempts: attempts.parse().ok()?,
             version: version.parse().ok()?,
             fingerprint,
+            key,
         })
     }
 
@@ -81,6 +89,12 @@
         if let Some(Ok(fingerprint)) = fingerprint {
             headers.insert(FINGERPRINT, fingerprint);
         }
+        // A caller may have sent a header of this name.
+        headers.remove(KEY);
+        let key = self.key.map(|it| HeaderValue::from_str(&it.to_string()));
+        if let Some(Ok(key)) = key {
+            headers.insert(KEY, key);
+        }
     }
 }
 
@@ -107,12 +121,13 @@
     attempts: u32,
 ) -> AttemptResult {
     let vm = core.dispatcher.borrow().vm().clone();
-    let by = Forwarded { vm, attempts, version, fingerprint: Some(outgoing.fingerprint) };
+    let (fingerprint, key) = (Some(outgoing.fingerprint), outgoing.caller.key);
+    let by = Forwarded { vm, attempts, version, fingerprint, key };
     let (mut tried, mut details) = (Vec::new(), Vec::new());
     let (mut not_executed, mut outcome) = (true, AttemptOutcome::Unreachable);
     while tried.len() < MAX_VMS && (not_executed || job.route.idempotent) {
         let now = core.now();
-        let target = core.dispatcher.borrow_mut().forward_target(&job.route, &tried, now);
+        let target = core.dispatcher.borrow_mut().forward_target(job, &tried, now);
         let Some((vm, address)) = target.filter(|_| now < job.deadline) else {
             break;
         };
--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions of [`th_steer::dispatch`]. A [`Dialect`] defines the headers and paths of the messages.
 
 mod answer;
+mod authorise;
 mod body;
 mod call;
 mod connection;
@@ -12,6 +13,7 @@
 mod dialect;
 mod forward;
 mod gateway;
+mod hedge;
 mod listen;
 mod logging;
 mod lookup;
@@ -21,6 +23,7 @@
 mod pipeline;
 mod relay;
 mod request_body;
+mod request_log;
 mod settings;
 mod stop;
 
--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -7,7 +7,7 @@
     Registry, TextEncoder, core::Collector,
 };
 use th_protocol::{Millis, ServiceId};
-use th_steer::dispatch::AttemptOutcome;
+use th_steer::{dispatch::AttemptOutcome, organisation::Denial};
 
 use crate::core::Core;
 
@@ -33,6 +33,7 @@
     crashing: IntGauge,
     pub(crate) forwards: IntCounter,
     pub(crate) vm_connections: IntCounter,
+    denied: IntCounterVec,
 }
 
 fn add<C: Collector + Clone + 'static>(registry: &Registry, metric: prometheus::Result<C>) -> C {
@@ -57,6 +58,11 @@
                 "Attempts at backend servers.",
                 &["service", "end"],
             ),
+            denied: counters(
+                "th_gateway_denied_total",
+                "Requests that are refused for what their organisations may do.",
+                &["reason"],
+            ),
             lookups: add(&registry, IntCounter::new("th_gateway_lookups_total", "Look-ups.")),
             connections: add(
                 &registry,
@@ -119,6 +125,15 @@
         self.attempts.with_label_values(&[service.as_str(), outcome.as_str()]).inc();
     }
 
+    pub(crate) fn count_denial(&self, denial: &Denial) {
+        let reason = match denial {
+            Denial::MissingKey => "missing_key",
+            Denial::UnknownKey => "unknown_key",
+            Denial::StaleKeys { .. } => "stale_keys",
+        };
+        self.denied.with_label_values(&[reason]).inc();
+    }
+
     pub(crate) fn set_state(&self, core: &Core) {
         let lines = &core.settings.line_counts;
         for (reason, count) in [("thinned", &lines.thinned), ("lost", &lines.lost)] {
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    authorise::Caller,
     body::AnswerBody,
     connection::{Connection, SendError, send_pooled},
     core::Core,
@@ -39,6 +40,7 @@
     pub(crate) body: Bytes,
     pub(crate) id: String,
     pub(crate) fingerprint: Fingerprint,
+    pub(crate) caller: Caller,
 }
 
 /// Result of an attempt.
@@ -122,6 +124,9 @@
     fn request(&self, core: &Core, backend: &BackendId, time_left: Millis) -> Request<Full<Bytes>> {
         let mut request = self.unaddressed();
         core.dialect.set_request_headers(request.headers_mut(), backend, time_left);
+        if let Some(organisation) = &self.caller.organisation {
+            core.dialect.set_organisation(request.headers_mut(), &organisation.id);
+        }
         request
     }
 
--- a/crates/th-gateway/src/request_body.rs
+++ b/crates/th-gateway/src/request_body.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     answer::{Answer, closing, reject, reply},
+    authorise::Caller,
     core::Core,
     dialect::RequestInfo,
     listen::CallerAddress,
@@ -153,7 +154,8 @@
     let Ok(uri) = path.parse() else {
         return Err(reply(StatusCode::BAD_REQUEST, "The path is not valid."));
     };
-    Ok(Outgoing { method: head.method, uri, headers, body, id: info.id.clone(), fingerprint })
+    let (method, id, caller) = (head.method, info.id.clone(), Caller::default());
+    Ok(Outgoing { method, uri, headers, body, id, fingerprint, caller })
 }
 
 /// Computes the fingerprint of a request. The caller is known by its cookies and credentials, without any by its address.
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -22,15 +22,12 @@
 pub(crate) type Usable = BTreeMap<ZoneId, Vec<RowId>>;
 
 impl Dispatcher {
-    /// Returns the servers of the request's service that accept new requests and to which it has not been sent, in the
-    /// route's home regions and outside evacuated data centres.
+    /// Returns the servers of the request's service that accept new requests and to which it has not been sent, in its
+    /// home regions and outside evacuated data centres.
     fn usable(&self, job: &Job, now: Time) -> Usable {
         let mut usable = BTreeMap::new();
-        let home_regions = &job.route.home_regions;
         for (zone, ids) in self.backends.of_service(&job.service).into_iter().flatten() {
-            let is_home = home_regions.is_empty()
-                || self.region_of(zone).is_some_and(|it| home_regions.contains(it));
-            if !is_home || self.evacuated.contains(zone) {
+            if !job.allows(self.region_of(zone)) || self.evacuated.contains(zone) {
                 continue;
             }
             let mut rows = Vec::with_capacity(ids.len());
@@ -138,7 +135,7 @@
             return Placement::Reject(Rejection::TooLate, backoff);
         }
         if !best.free {
-            wait_counts.add(best.row, job.route.rank);
+            wait_counts.add(best.row, job.rank());
             return Placement::Wait;
         }
         self.start_attempt(job, &best, now)
@@ -206,6 +203,9 @@
         if let Some(object) = job.object {
             row.warm.touch(object, self.settings.warm_objects);
         }
+        if let Some(organisation) = &job.organisation {
+            self.fair_shares.on_start(&job.service, organisation, attempt.expected);
+        }
         self.spill.add(best.cross_region, self.settings.spill_window, now);
         Placement::Send { attempt, address: row.record.address }
     }
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use th_protocol::{BackendId, Bytes, ServiceId, Slots, Time, VmId, ZoneId};
+use th_protocol::{BackendId, Bytes, Millis, ServiceId, Slots, Time, VmId, ZoneId};
 
 use super::{
     addresses::{HOST_COUNT_DECAY, HostCounts},
@@ -30,6 +30,7 @@
     waiting::Waiting,
     work::WorkTimes,
 };
+use crate::organisation::{Denial, FairShares, KeyDigest, Organisation, admit};
 
 /// A request that was expected to be cold counts as warm if it took at most this many times the expected warm time.
 /// Warm work takes about a third of cold work, so this is about the geometric mean of the two.
@@ -55,6 +56,7 @@
     pub(crate) host_counts: BTreeMap<String, HostCounts>,
     pub(crate) spill: SpillWindow,
     pub(crate) waiting: Waiting,
+    pub(crate) fair_shares: FairShares,
     /// Waiting requests by target server and rank, as of the last pass over all of them, plus those that arrived since.
     pub(crate) wait_counts: WaitCounts,
     pub(crate) last_attempt: u64,
@@ -92,6 +94,7 @@
             host_counts: BTreeMap::new(),
             spill: SpillWindow::default(),
             waiting: Waiting::default(),
+            fair_shares: FairShares::default(),
             wait_counts: WaitCounts::default(),
             last_attempt: 0,
             last_waiter: 0,
@@ -121,6 +124,21 @@
         true
     }
 
+    /// Returns the organisation of a request to a route, by the key that it carries and what was known of the store `age`
+    /// ago; `None` if the request needs no key.
+    pub fn admit(
+        &self,
+        route: &Route,
+        key: Option<&KeyDigest>,
+        age: Millis,
+    ) -> Result<Option<Arc<Organisation>>, Denial> {
+        let table = self.routes.as_ref().and_then(|it| it.organisations());
+        match table.filter(|_| !route.public) {
+            Some(table) => admit(table, key, age, self.settings.key_age).map(Some),
+            None => Ok(None),
+        }
+    }
+
     /// Applies the record that a backend server registered.
     pub fn on_backend(&mut self, record: BackendRecord, now: Time) {
         let before = self.backends.id(&record.id).and_then(|it| self.backends.get(it));
@@ -248,7 +266,8 @@
         }
         let mut wait_counts = WaitCounts::default();
         let mut placed = Vec::new();
-        for number in self.waiting.order(now).into_iter().take(most) {
+        for number in self.waiting.order(&self.fair_shares, &self.work, now).into_iter().take(most)
+        {
             let Some(job) = self.waiting.remove(number) else {
                 continue;
             };
@@ -271,6 +290,7 @@
         self.members.update(&self.entries, now);
         self.remembered.update(now);
         self.crashes.tick(now);
+        self.fair_shares.forget_idle();
         self.update_limits(now);
         self.update_cold_paces(now);
         let start = now.before(self.settings.object_age);
--- a/crates/th-steer/src/dispatch/job.rs
+++ b/crates/th-steer/src/dispatch/job.rs
@@ -2,9 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use th_protocol::{BackendId, Millis, ServiceId, Time};
+use th_protocol::{BackendId, Millis, RegionId, ServiceId, Time};
 
 use super::{backend::Attempt, route::Route};
+use crate::organisation::Organisation;
 
 /// A request to be placed.
 #[derive(Debug, Clone)]
@@ -21,6 +22,8 @@
     pub deadline: Time,
     /// Backend servers to which it has already been sent.
     pub tried: Vec<BackendId>,
+    /// The organisation that makes it, if any.
+    pub organisation: Option<Arc<Organisation>>,
 }
 
 impl Job {
@@ -28,6 +31,24 @@
     pub fn objective_deadline(&self) -> Time {
         self.arrived.after(self.route.objective)
     }
+
+    /// Its rank among waiting requests; 0 is served first.
+    pub fn rank(&self) -> u32 {
+        let rank = self.organisation.as_ref().and_then(|it| it.rank);
+        rank.unwrap_or(self.route.rank)
+    }
+
+    /// Whether it may run in a region, which is unknown for `None`: the home regions of both its route and its
+    /// organisation bind.
+    pub fn allows(&self, region: Option<&RegionId>) -> bool {
+        let homes = self.organisation.as_ref().map(|it| &it.home_regions);
+        for homes in [Some(&self.route.home_regions), homes].into_iter().flatten() {
+            if !homes.is_empty() && !region.is_some_and(|it| homes.contains(it)) {
+                return false;
+            }
+        }
+        true
+    }
 }
 
 /// Why a request is rejected without being sent. The variant names are written to the request log.
--- a/crates/th-steer/src/dispatch/place.rs
+++ b/crates/th-steer/src/dispatch/place.rs
@@ -134,7 +134,7 @@
         let slowdown = row.slowdown(now);
         let work = if is_warm { warm } else { cold } * slowdown;
         let slot =
-            row.estimate_slot(wait_counts.ahead(id, route.rank), warm * slowdown, settings, now);
+            row.estimate_slot(wait_counts.ahead(id, job.rank()), warm * slowdown, settings, now);
         let rank_cost =
             if is_warm || object.is_none() { RANK_COST_MS } else { cold * COLD_RANK_FACTOR };
         let mut cost = slot.wait + work + pool.distance.0 as f64 + rank_cost * rank as f64;
--- a/crates/th-steer/src/dispatch/reach.rs
+++ b/crates/th-steer/src/dispatch/reach.rs
@@ -11,7 +11,7 @@
 
 use th_protocol::{BackendId, Millis, Time, VmId};
 
-use super::{backend::AttemptOutcome, dispatcher::Dispatcher, record::EntryRecord, route::Route};
+use super::{backend::AttemptOutcome, dispatcher::Dispatcher, job::Job, record::EntryRecord};
 
 /// Time without an answer from any server before links are checked; more than the usual time between two answers.
 const SILENCE: Millis = Millis(300);
@@ -119,10 +119,10 @@
         }
     }
 
-    /// The entry VM to pass a request of a route on to, except those that it was passed to before.
+    /// The entry VM to pass a request on to, except those that it was passed to before.
     pub fn forward_target(
         &mut self,
-        route: &Route,
+        job: &Job,
         tried: &[VmId],
         now: Time,
     ) -> Option<(VmId, SocketAddr)> {
@@ -131,10 +131,8 @@
         let mut nearest = (usize::MAX, Vec::new());
         for (entry, address) in self.other_vms() {
             let own = self.region_of(&entry.zone);
-            let homes = &route.home_regions;
-            let is_allowed = homes.is_empty() || own.is_some_and(|it| homes.contains(it));
             let is_asked = tried.contains(&entry.vm) || self.reach.declined.contains_key(&entry.vm);
-            if !is_allowed || is_asked {
+            if !job.allows(own) || is_asked {
                 continue;
             }
             let distance = usize::from(entry.zone != self.zone) + usize::from(own != region);
--- a/crates/th-steer/src/dispatch/route.rs
+++ b/crates/th-steer/src/dispatch/route.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, collections::BTreeSet, sync::Arc};
 
-use th_protocol::{Bytes, Millis, RegionId, ServiceId, Version};
+use th_protocol::{Bytes, Millis, OrganisationId, RegionId, ServiceId, Version};
+
+use crate::{organisation::OrganisationTable, quota::Quota};
 
 /// A service of a route and its weight.
 #[derive(Debug, Clone, PartialEq)]
@@ -39,6 +41,8 @@
     pub sticky: bool,
     /// The only regions in which requests may run; empty for all.
     pub home_regions: BTreeSet<RegionId>,
+    /// Whether requests need no key where the configuration has organisations.
+    pub public: bool,
 }
 
 /// Limits on the requests and connections of callers.
@@ -73,6 +77,7 @@
     /// Requests a second that a cold backend server of each service accepts.
     cold: BTreeMap<ServiceId, f64>,
     limits: CallerLimits,
+    organisations: Option<OrganisationTable>,
 }
 
 impl RouteTable {
@@ -90,7 +95,22 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|it| std::cmp::Reverse(it.prefix.len()));
         }
-        RouteTable { version, hosts, cold, limits }
+        RouteTable { version, hosts, cold, limits, organisations: None }
+    }
+
+    /// Adds the organisations on whose behalf callers make requests.
+    pub fn with_organisations(self, organisations: OrganisationTable) -> RouteTable {
+        RouteTable { organisations: Some(organisations), ..self }
+    }
+
+    /// The organisations; `None` if callers need no keys.
+    pub fn organisations(&self) -> Option<&OrganisationTable> {
+        self.organisations.as_ref()
+    }
+
+    /// The quotas of those organisations that have one.
+    pub fn quotas(&self) -> BTreeMap<OrganisationId, Quota> {
+        self.organisations.as_ref().map_or_else(BTreeMap::new, OrganisationTable::quotas)
     }
 
     /// The configuration version of the routes.
--- a/crates/th-steer/src/dispatch/settings.rs
+++ b/crates/th-steer/src/dispatch/settings.rs
@@ -41,6 +41,9 @@
     pub cold_slack: f64,
     /// Longest pause of a backend server that is heeded; a longer one counts as this.
     pub max_rest: Millis,
+    /// Age of what is known of the store from which keys of organisations are not trusted; `None` if they are trusted at
+    /// any age.
+    pub key_age: Option<Millis>,
     /// Shortest time after which the caller of a rejected request is told to retry.
     pub backoff_min: Millis,
     /// Longest time after which the caller of a rejected request is told to retry.
@@ -67,6 +70,7 @@
             cold_multiplier: 1.5,
             cold_slack: 5.0,
             max_rest: Millis(60_000),
+            key_age: None,
             backoff_min: Millis(150),
             backoff_max: Millis(1_500),
         }
--- a/crates/th-steer/src/lib.rs
+++ b/crates/th-steer/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod explain;
 pub mod limit;
 pub mod member;
+pub mod organisation;
 pub mod queue;
 pub mod quota;
 pub mod relay;
--- a/crates/th-steer/src/queue/mod.rs
+++ b/crates/th-steer/src/queue/mod.rs
@@ -5,7 +5,9 @@
 mod queue;
 mod request;
 mod settings;
+mod turn;
 
 pub use queue::Queue;
 pub use request::{Popped, Pushed, QueueId, QueueRejection, QueuedRequest};
 pub use settings::{QueueOrder, QueueSettings};
+pub(crate) use turn::Turn;
--- a/crates/th-steer/src/queue/queue.rs
+++ b/crates/th-steer/src/queue/queue.rs
@@ -80,7 +80,7 @@
             let id = Some(customer.clone());
             self.unindex(&id);
             let flow = self.flows.entry(id.clone()).or_insert_with(|| Flow::new(*weight));
-            flow.weight = (*weight).max(1);
+            flow.turn.weight = (*weight).max(1);
             self.index(&id);
         }
     }
@@ -194,7 +194,7 @@
         let all_ahead = self.expected_work.0 / slots;
         let flow = &self.flows[id];
         let ahead = flow.ids.len() as u64;
-        let own = u64::from(flow.weight);
+        let own = u64::from(flow.turn.weight);
         let active = if ahead == 0 { self.active_weight + own } else { self.active_weight };
         let mean = self.expected_work.0 / count;
         let share = (ahead.saturating_mul(active) / own).saturating_mul(mean) / slots;
@@ -250,7 +250,7 @@
         self.unindex(&flow);
         let entry = self.flows.get_mut(&flow).expect("the flow exists");
         if entry.ids.is_empty() {
-            entry.start = entry.start.max(self.virtual_time);
+            entry.turn.start = entry.turn.start.max(self.virtual_time);
         }
         entry.ids.insert(id);
         self.index(&flow);
@@ -265,7 +265,7 @@
         self.virtual_time = start;
         self.unindex(&flow);
         let entry = self.flows.get_mut(&flow).expect("the flow exists");
-        entry.start = start.saturating_add(entry.cost(request.service_time.0));
+        entry.turn.take(start, request.service_time.0);
         self.index(&flow);
         Some(request)
     }
@@ -286,9 +286,9 @@
         let Some(flow) = self.flows.get(id) else {
             return;
         };
-        if self.by_start.remove(&(flow.start, id.clone())) {
+        if self.by_start.remove(&(flow.turn.start, id.clone())) {
             self.by_load.remove(&(flow.load(), id.clone()));
-            self.active_weight -= u64::from(flow.weight);
+            self.active_weight -= u64::from(flow.turn.weight);
         }
     }
 
@@ -300,9 +300,9 @@
         if flow.ids.is_empty() {
             return;
         }
-        self.by_start.insert((flow.start, id.clone()));
+        self.by_start.insert((flow.turn.start, id.clone()));
         self.by_load.insert((flow.load(), id.clone()));
-        self.active_weight += u64::from(flow.weight);
+        self.active_weight += u64::from(flow.turn.weight);
     }
 }
 
--- a/crates/th-steer/tests/dispatch_reach.rs
+++ b/crates/th-steer/tests/dispatch_reach.rs
@@ -132,7 +132,8 @@
 }
 
 fn target(world: &mut World, route: &Route, tried: &[VmId]) -> Option<String> {
-    let target = world.dispatcher.forward_target(route, tried, world.now);
+    let job = world.job_of(route.clone(), 1);
+    let target = world.dispatcher.forward_target(&job, tried, world.now);
     target.map(|it| it.0.to_string())
 }
 
--- a/crates/th-steer/tests/dispatch_world/fleet.rs
+++ b/crates/th-steer/tests/dispatch_world/fleet.rs
@@ -156,6 +156,7 @@
             arrived: self.now,
             deadline,
             tried: Vec::new(),
+            organisation: None,
         };
         self.vms[vm].on_request(&job, self.now);
         let (placement, waiter) = self.vms[vm].place(job.clone(), self.now);
--- a/crates/th-steer/tests/dispatch_world/mod.rs
+++ b/crates/th-steer/tests/dispatch_world/mod.rs
@@ -41,6 +41,7 @@
         attempts: 2,
         sticky: true,
         home_regions: Default::default(),
+        public: false,
     }
 }
 
@@ -111,7 +112,15 @@
         let service: ServiceId = route.services[0].service.clone();
         let deadline = self.now.after(route.timeout);
         let route = Arc::new(route);
-        Job { route, service, object: Some(object), arrived: self.now, deadline, tried: Vec::new() }
+        Job {
+            route,
+            service,
+            object: Some(object),
+            arrived: self.now,
+            deadline,
+            tried: Vec::new(),
+            organisation: None,
+        }
     }
 
     /// Places a new request.
