--- /dev/null
+++ b/crates/th-steer/src/quota/keeper.rs
@@ -0,0 +1,201 @@
+//! The quota keeper, which gives tokens to the VMs that report to it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use th_protocol::{Millis, OrganisationId, Time, VmId};
+
+use super::{Quota, QuotaLimits, TokenGrant, UsageAnswer, UsageEntry, UsageReport, row::LEASE};
+
+/// Share of their equal part of a quota that VMs without the majority may use; the majority may use the rest.
+const MINORITY_SHARE: f64 = 0.3;
+/// Time for which a VM should hold tokens, in seconds: from one report to the answer to the next.
+const HORIZON: f64 = 0.75;
+/// Share of a quota that is kept for VMs that are asked, before idle VMs receive a token.
+const RESERVE: f64 = 0.1;
+
+/// A process that reports.
+#[derive(Debug, Clone)]
+struct Reporter {
+    start: Time,
+    number: u64,
+    at: Time,
+    settled: bool,
+}
+
+/// What a process is known to have used and to hold.
+#[derive(Debug)]
+struct Account {
+    used: u32,
+    tokens: u32,
+    /// Number of tokens that it should hold.
+    target: f64,
+    at: Time,
+}
+
+impl Account {
+    /// Requests that it may have admitted in a window that ends now or later, and those of them that it has not yet.
+    fn charge(&self, window: Millis, now: Time) -> (f64, f64) {
+        let used = if now < self.at.after(window) { self.used } else { 0 };
+        let held = if now < self.at.after(LEASE).after(window) { self.tokens } else { 0 };
+        (f64::from(used), f64::from(held))
+    }
+}
+
+/// An organisation's quota.
+#[derive(Debug, Default)]
+struct Pool {
+    /// Tokens that may be given out at once.
+    level: f64,
+    filled: Time,
+    accounts: BTreeMap<(VmId, Time), Account>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Keeper {
+    reporters: BTreeMap<VmId, Reporter>,
+    pools: BTreeMap<OrganisationId, Pool>,
+    /// When this VM began to be asked.
+    since: Time,
+}
+
+/// What the keeper must know of the fleet to share out a quota.
+#[derive(Debug)]
+pub(super) struct Fleet<'a> {
+    pub(super) members: &'a BTreeSet<VmId>,
+    /// The first VM in the common order.
+    pub(super) first: Option<&'a VmId>,
+    /// Time for which a report counts.
+    pub(super) validity: Millis,
+}
+
+impl Keeper {
+    /// Forgets organisations without a quota.
+    pub(super) fn retain(&mut self, quotas: &BTreeMap<OrganisationId, Quota>) {
+        self.pools.retain(|id, _| quotas.contains_key(id));
+    }
+
+    pub(super) fn on_report(
+        &mut self,
+        report: UsageReport,
+        quotas: &BTreeMap<OrganisationId, Quota>,
+        limits: &QuotaLimits,
+        fleet: &Fleet<'_>,
+        now: Time,
+    ) -> UsageAnswer {
+        let UsageReport { vm, start, number, settled, full, entries } = report;
+        let mut answer = UsageAnswer { number, unknown: false, grants: Vec::new() };
+        if self.reporters.values().all(|it| it.at.after(fleet.validity) <= now) {
+            self.since = now;
+        }
+        let known = self.reporters.get(&vm).filter(|it| it.start == start);
+        if known.is_some_and(|it| number <= it.number) {
+            return answer;
+        }
+        if known.is_none() && !full {
+            answer.unknown = true;
+            return answer;
+        }
+        self.reporters.insert(vm.clone(), Reporter { start, number, at: now, settled });
+        let share = self.share(limits, fleet, now);
+        for entry in entries {
+            let Some(quota) = quotas.get(&entry.id) else { continue };
+            let pool = self.pools.entry(entry.id.clone()).or_default();
+            let change = pool.on_entry(&vm, start, &entry, *quota, share, limits, now);
+            if change != 0 {
+                answer.grants.push(TokenGrant { id: entry.id, change });
+            }
+        }
+        answer
+    }
+
+    /// The share of each quota that this keeper may give out. The shares of keepers that do not know of each other add up to
+    /// at most one, since each VM counts for one of them.
+    fn share(&self, limits: &QuotaLimits, fleet: &Fleet<'_>, now: Time) -> f64 {
+        let (mut count, mut has_first) = (0, false);
+        for (vm, reporter) in &self.reporters {
+            let counts = reporter.settled && now < reporter.at.after(fleet.validity);
+            if !counts || !fleet.members.contains(vm) {
+                continue;
+            }
+            count += 1;
+            has_first |= fleet.first == Some(vm);
+        }
+        let members = fleet.members.len().max(1);
+        let part = f64::from(count) / members as f64;
+        let is_majority =
+            members < 2 * count as usize || (members == 2 * count as usize && has_first);
+        if !is_majority {
+            return part * MINORITY_SHARE;
+        }
+        if now < self.since.after(limits.window) {
+            // What VMs that have not reported used before is unknown.
+            return part;
+        }
+        1.0 - MINORITY_SHARE * (1.0 - part)
+    }
+}
+
+impl Pool {
+    /// Records what a VM used and holds; returns the change to its tokens.
+    #[expect(clippy::too_many_arguments, reason = "the state of the keeper, by part")]
+    fn on_entry(
+        &mut self,
+        vm: &VmId,
+        start: Time,
+        entry: &UsageEntry,
+        quota: Quota,
+        share: f64,
+        limits: &QuotaLimits,
+        now: Time,
+    ) -> i32 {
+        let passed = now.since(self.filled).min(limits.window).0 as f64 / 1_000.0;
+        let filled = self.level + quota.rate.requests() * share * passed;
+        (self.level, self.filled) = (filled.min(limits.burst(quota) * share), now);
+        let expected = f64::from(entry.asked.clamp(0.0, 1e6)) * HORIZON;
+        let target = 1.0 + expected + 2.0 * expected.sqrt();
+        let account = Account { used: entry.used, tokens: entry.tokens, target, at: now };
+        self.end_earlier(vm, start, now);
+        self.accounts.insert((vm.clone(), start), account);
+        let window = limits.window;
+        self.accounts
+            .retain(|_, it| it.charge(window, now) != (0.0, 0.0) || now < it.at.after(window));
+        let (mut used, mut held, mut targets) = (0.0, 0.0, 0.0);
+        for account in self.accounts.values() {
+            let charge = account.charge(window, now);
+            (used, held) = (used + charge.0, held + charge.1);
+            if now < account.at.after(LEASE) {
+                targets += account.target;
+            }
+        }
+        let limit = limits.tokens(quota) * share;
+        let room = limit - used - held;
+        let fair = target * ((limit - used).max(0.0) / targets).min(1.0);
+        let tokens = f64::from(entry.tokens);
+        if fair.ceil() < tokens {
+            return -((tokens - fair.ceil()) as i32);
+        }
+        let is_idle = expected <= 0.0;
+        let reserve = if is_idle { limit * RESERVE } else { 0.0 };
+        // A VM's first token is given beside the rate. Otherwise a VM that is seldom asked would have none when it is.
+        let first = if entry.tokens == 0 { 1.0 } else { 0.0 };
+        let wanted = fair.floor().max(1.0) - tokens;
+        let change = wanted.min(first + self.level.floor()).min((room - reserve).floor()).max(0.0);
+        self.level = (self.level - change).max(0.0);
+        if let Some(account) = self.accounts.get_mut(&(vm.clone(), start)) {
+            account.tokens += change as u32;
+        }
+        change as i32
+    }
+
+    /// Handles that an earlier process of a VM has ended: it may have spent its tokens up to now.
+    fn end_earlier(&mut self, vm: &VmId, start: Time, now: Time) {
+        let from = (vm.clone(), Time::ZERO);
+        for (_, account) in self.accounts.range_mut(from..(vm.clone(), start)) {
+            if account.tokens != 0 {
+                account.used += std::mem::take(&mut account.tokens);
+                account.at = now;
+            }
+            account.target = 0.0;
+        }
+    }
+}
