--- a/crates/th-steer/src/quota/book.rs
+++ b/crates/th-steer/src/quota/book.rs
@@ -19,10 +19,15 @@
 const INTERVAL: Millis = Millis(500);
 /// The same while tokens run out.
 const URGENT_INTERVAL: Millis = Millis(150);
-/// Reports that a keeper should receive in a second from all VMs.
+/// Ordinary and urgent reports that a keeper should receive in a second from all VMs.
 const MAX_REPORTS: u64 = 250;
-/// Time for which a VM that failed as the keeper is not asked.
+const MAX_URGENT_REPORTS: u64 = 1_000;
+/// Time for which a VM that failed as the keeper once is not asked; doubled with each time after that.
 const RETRY_INTERVAL: Millis = Millis(5_000);
+/// Number of times that it doubles.
+const MAX_DOUBLINGS: u32 = 3;
+/// Shortest time from a failure to the next try of a VM that failed before.
+const RETRY_GAP: Millis = Millis(1_000);
 /// Number of VMs that may fail as the keeper before a VM keeps its own part: it is cut off.
 const MAX_FAILURES: usize = 8;
 /// Time after which the answer to a report is expected, for the time that a refused caller is told.
@@ -68,8 +73,8 @@
     members: BTreeSet<VmId>,
     /// All members, in the common order.
     order: Vec<VmId>,
-    /// VMs that failed as the keeper, and when.
-    failures: BTreeMap<VmId, Time>,
+    /// VMs that failed as the keeper since they last answered, until when they are not asked, and how often they failed.
+    failures: BTreeMap<VmId, (Time, u32)>,
     /// The VM that answered the last report that was answered.
     answered: Option<VmId>,
     /// The last keeper that may count this VM, and when it was last told to.
@@ -131,6 +136,7 @@
         }
         self.order = members.iter().cloned().collect();
         self.order.sort_by_key(|it| Reverse(mix(hash_name(it.as_str()))));
+        self.failures.retain(|vm, _| members.contains(vm));
         self.members = members;
     }
 
@@ -146,6 +152,18 @@
         Err(due.since(now).plus(ANSWER_TIME))
     }
 
+    /// Whether a request that was not admitted should wait for the answer to the next report. Where an organisation asks for
+    /// more than there is, waiting would only delay the refusal.
+    pub fn may_wait(&self, id: &OrganisationId) -> bool {
+        self.rows.get(id).is_some_and(Row::may_wait)
+    }
+
+    /// Admits a request that [`take`](Self::take) did not admit and that waited since; returns whether it is admitted.
+    pub fn take_waiting(&mut self, id: &OrganisationId, now: Time) -> bool {
+        let Some(row) = self.rows.get_mut(id) else { return true };
+        row.take_waiting(&self.limits, now)
+    }
+
     /// Takes back the admission of a request that reached no backend server.
     pub fn give_back(&mut self, id: &OrganisationId) {
         if let Some(row) = self.rows.get_mut(id) {
@@ -154,34 +172,36 @@
     }
 
     /// The VM that gives out tokens, as far as this one can reach it; this one itself if it reaches none before it.
-    pub fn keeper(&mut self, now: Time) -> VmId {
-        self.failures.retain(|_, at| now < at.after(RETRY_INTERVAL));
-        if MAX_FAILURES <= self.failures.len() {
-            return self.own.clone();
-        }
+    pub fn keeper(&self, now: Time) -> VmId {
+        let mut failed = 0;
         for vm in &self.order {
-            if *vm == self.own || !self.failures.contains_key(vm) {
+            let avoided = self.failures.get(vm).is_some_and(|(until, _)| now < *until);
+            if *vm == self.own || (!avoided && failed < MAX_FAILURES) {
                 return vm.clone();
             }
+            failed += usize::from(avoided);
         }
         self.own.clone()
     }
 
     /// When the next report is due.
     pub fn next_report(&self) -> Time {
-        let pace = self.pace();
-        let interval = if self.urgent { URGENT_INTERVAL } else { INTERVAL };
-        self.reported.after(interval.max(pace))
+        let interval = if self.urgent {
+            URGENT_INTERVAL.max(self.pace(MAX_URGENT_REPORTS))
+        } else {
+            INTERVAL.max(self.pace(MAX_REPORTS))
+        };
+        self.reported.after(interval)
     }
 
-    /// Shortest time between reports at which the keeper is not asked too often.
-    fn pace(&self) -> Millis {
-        Millis(self.members.len() as u64 * 1_000 / MAX_REPORTS)
+    /// Shortest time between a VM's reports at which the keeper gets so many a second.
+    fn pace(&self, reports: u64) -> Millis {
+        Millis(self.members.len() as u64 * 1_000 / reports)
     }
 
     /// Time for which a report counts.
     fn validity(&self) -> Millis {
-        let interval = INTERVAL.max(self.pace());
+        let interval = INTERVAL.max(self.pace(MAX_REPORTS));
         interval.plus(interval)
     }
 
@@ -245,6 +265,7 @@
             (self.answered, self.urgent) = (None, true);
             return;
         }
+        self.failures.remove(&sent.keeper);
         self.answered = Some(sent.keeper);
         let mut changes = BTreeMap::new();
         for grant in answer.grants {
@@ -261,7 +282,13 @@
     /// Handles that a keeper did not answer; the next VM in the order is asked.
     pub fn on_failure(&mut self, keeper: VmId, now: Time) {
         self.sent = None;
-        self.failures.insert(keeper, now);
+        // VMs that failed before are tried again one at a time, with reports to the one that answers in between.
+        for (until, _) in self.failures.values_mut() {
+            *until = (*until).max(now.after(RETRY_GAP));
+        }
+        let (until, failures) = self.failures.entry(keeper).or_default();
+        *until = now.after(Millis(RETRY_INTERVAL.0 << (*failures).min(MAX_DOUBLINGS)));
+        *failures += 1;
     }
 
     /// Each organisation's quota at this VM, for operators.
--- a/crates/th-steer/src/quota/keeper.rs
+++ b/crates/th-steer/src/quota/keeper.rs
@@ -10,8 +10,16 @@
 const MINORITY_SHARE: f64 = 0.3;
 /// Time for which a VM should hold tokens, in seconds: from one report to the answer to the next.
 const HORIZON: f64 = 0.75;
-/// Share of a quota that is kept for VMs that are asked, before idle VMs receive a token.
-const RESERVE: f64 = 0.1;
+/// Share of the tokens left that VMs hold where fewer are needed, each the same number.
+const SPREAD_SHARE: f64 = 0.6;
+/// Share of the tokens left that only requests which wait for one may use.
+const RESERVE: f64 = 0.3;
+/// Rate asked from which on tokens are given at an organisation's rate, as a multiple of that.
+const SCARCE_RATE: f64 = 1.25;
+/// Largest rate of a VM that counts, in requests a second.
+const MAX_ASKED: f64 = 1e6;
+/// Share of the tokens left up to which VMs whose part is less than one hold one.
+const HELD_SHARE: f64 = 0.5;
 
 /// A process that reports.
 #[derive(Debug, Clone)]
@@ -27,6 +35,8 @@
 struct Account {
     used: u32,
     tokens: u32,
+    /// Requests a second that it is asked for.
+    asked: f64,
     /// Number of tokens that it should hold.
     target: f64,
     at: Time,
@@ -100,7 +110,8 @@
         for entry in entries {
             let Some(quota) = quotas.get(&entry.id) else { continue };
             let pool = self.pools.entry(entry.id.clone()).or_default();
-            let change = pool.on_entry(&vm, start, &entry, *quota, share, limits, now);
+            let change =
+                pool.on_entry(&vm, start, &entry, *quota, share, fleet.members.len(), limits, now);
             if change != 0 {
                 answer.grants.push(TokenGrant { id: entry.id, change });
             }
@@ -145,42 +156,55 @@
         entry: &UsageEntry,
         quota: Quota,
         share: f64,
+        members: usize,
         limits: &QuotaLimits,
         now: Time,
     ) -> i32 {
         let passed = now.since(self.filled).min(limits.window).0 as f64 / 1_000.0;
         let filled = self.level + quota.rate.requests() * share * passed;
         (self.level, self.filled) = (filled.min(limits.burst(quota) * share), now);
-        let expected = f64::from(entry.asked.clamp(0.0, 1e6)) * HORIZON;
-        let target = 1.0 + expected + 2.0 * expected.sqrt();
-        let account = Account { used: entry.used, tokens: entry.tokens, target, at: now };
+        // A malformed message may have no number there.
+        let asked = f64::from(entry.asked);
+        let asked = if asked.is_nan() { 0.0 } else { asked.clamp(0.0, MAX_ASKED) };
+        let expected = asked * HORIZON;
+        let target = expected + 2.0 * expected.sqrt();
+        let account = Account { used: entry.used, tokens: entry.tokens, asked, target, at: now };
         self.end_earlier(vm, start, now);
         self.accounts.insert((vm.clone(), start), account);
         let window = limits.window;
         self.accounts
             .retain(|_, it| it.charge(window, now) != (0.0, 0.0) || now < it.at.after(window));
-        let (mut used, mut held, mut targets) = (0.0, 0.0, 0.0);
+        let (mut used, mut held, mut asked, mut targets) = (0.0, 0.0, 0.0, 0.0);
         for account in self.accounts.values() {
             let charge = account.charge(window, now);
             (used, held) = (used + charge.0, held + charge.1);
             if now < account.at.after(LEASE) {
                 targets += account.target;
+                asked += account.asked;
             }
         }
         let limit = limits.tokens(quota) * share;
-        let room = limit - used - held;
-        let fair = target * ((limit - used).max(0.0) / targets).min(1.0);
+        let (room, left) = (limit - used - held, (limit - used).max(0.0));
+        let spare = (left * SPREAD_SHARE - targets).max(0.0) / members as f64;
+        let is_scarce = quota.rate.requests() * SCARCE_RATE < asked;
+        let fair = target * (left / targets.max(1.0)).min(1.0) + spare;
         let tokens = f64::from(entry.tokens);
-        if fair.ceil() < tokens {
-            return -((tokens - fair.ceil()) as i32);
+        // A VM whose part is less than one token holds one only while there are many left, and else receives it on demand.
+        let part = if fair < 1.0 && held - tokens < left * HELD_SHARE { 1.0 } else { fair };
+        if part.ceil() < tokens {
+            return -((tokens - part.ceil()) as i32);
+        }
+        let wanted = f64::from(entry.wanted).min(part.ceil() + 1.0);
+        // Requests that wait may use the last tokens.
+        let held_room = (room - left * RESERVE).floor().max(0.0);
+        let mut change = (part.floor() - tokens).min(held_room).max(wanted).min(room.floor());
+        if is_scarce {
+            change = change.min(self.level.floor());
+        }
+        let change = change.max(0.0);
+        if is_scarce {
+            self.level = (self.level - change).max(0.0);
         }
-        let is_idle = expected <= 0.0;
-        let reserve = if is_idle { limit * RESERVE } else { 0.0 };
-        // A VM's first token is given beside the rate. Otherwise a VM that is seldom asked would have none when it is.
-        let first = if entry.tokens == 0 { 1.0 } else { 0.0 };
-        let wanted = fair.floor().max(1.0) - tokens;
-        let change = wanted.min(first + self.level.floor()).min((room - reserve).floor()).max(0.0);
-        self.level = (self.level - change).max(0.0);
         if let Some(account) = self.accounts.get_mut(&(vm.clone(), start)) {
             account.tokens += change as u32;
         }
@@ -195,7 +219,7 @@
                 account.used += std::mem::take(&mut account.tokens);
                 account.at = now;
             }
-            account.target = 0.0;
+            (account.asked, account.target) = (0.0, 0.0);
         }
     }
 }
--- a/crates/th-steer/src/quota/message.rs
+++ b/crates/th-steer/src/quota/message.rs
@@ -14,6 +14,9 @@
     /// Number of tokens that it holds.
     #[serde(default)]
     pub tokens: u32,
+    /// Number of requests that found no token since the last report.
+    #[serde(default)]
+    pub wanted: u32,
     /// Requests a second that it is asked for, admitted or not.
     #[serde(default)]
     pub asked: f32,
--- a/crates/th-steer/src/quota/row.rs
+++ b/crates/th-steer/src/quota/row.rs
@@ -31,6 +31,10 @@
     fresh: u32,
     /// Requests since the last report, admitted or not.
     recent: u32,
+    /// Those of them that found no token.
+    wanted: u32,
+    /// Whether the last answer had no token though one was wanted.
+    denied: bool,
     /// Smoothed rate of requests a second.
     pub(super) asked: f32,
     /// The last entry that the keeper answered, and when it was sent.
@@ -51,6 +55,8 @@
             slots: VecDeque::new(),
             fresh: 0,
             recent: 0,
+            wanted: 0,
+            denied: false,
             asked: 0.0,
             answered: None,
             low: 0,
@@ -59,12 +65,34 @@
         }
     }
 
-    /// Takes a token; returns whether there was one.
+    /// Takes a token for a new request; returns whether there was one.
     pub(super) fn take(&mut self, limits: &QuotaLimits, now: Time) -> bool {
         self.recent += 1;
+        let admitted = self.take_token(limits, now);
+        if !admitted {
+            self.refused += 1;
+            self.wanted += 1;
+        }
+        admitted
+    }
+
+    /// Takes a token for a request that waited for it; returns whether there was one.
+    pub(super) fn take_waiting(&mut self, limits: &QuotaLimits, now: Time) -> bool {
+        let admitted = self.take_token(limits, now);
+        if admitted {
+            self.refused = self.refused.saturating_sub(1);
+        }
+        admitted
+    }
+
+    /// Whether the next answer is likely to bring a token.
+    pub(super) fn may_wait(&self) -> bool {
+        !self.denied && self.answered.is_some()
+    }
+
+    fn take_token(&mut self, limits: &QuotaLimits, now: Time) -> bool {
         self.expire(now);
         if self.tokens == 0 {
-            self.refused += 1;
             return false;
         }
         self.tokens -= 1;
@@ -131,6 +159,7 @@
         }
         (self.recent, self.fresh) = (0, 0);
         UsageEntry {
+            wanted: std::mem::take(&mut self.wanted),
             id: id.clone(),
             used: self.used(limits, now),
             tokens: self.tokens,
@@ -141,7 +170,7 @@
     /// Whether a report may leave an entry out.
     pub(super) fn is_known(&self, entry: &UsageEntry, now: Time) -> bool {
         let Some((known, sent)) = &self.answered else { return false };
-        let is_same = (known.used, known.tokens) == (entry.used, entry.tokens);
+        let is_same = (known.used, known.tokens, 0) == (entry.used, entry.tokens, entry.wanted);
         let change = (known.asked - entry.asked).abs();
         now < sent.after(RENEWAL) && is_same && change <= known.asked.max(entry.asked) * MAX_CHANGE
     }
@@ -157,6 +186,9 @@
         self.expires = sent.after(LEASE);
         self.tokens = self.tokens.saturating_add_signed(change);
         self.low = self.tokens / 2;
+        if 0 < entry.wanted || 0 < change {
+            self.denied = change <= 0;
+        }
         let tokens = entry.tokens.saturating_add_signed(change);
         self.answered = Some((UsageEntry { tokens, ..entry }, sent));
     }
--- /dev/null
+++ b/crates/th-steer/tests/quota.rs
@@ -0,0 +1,205 @@
+//! Tokens of one VM and of the keeper, step by step.
+
+use std::collections::BTreeMap;
+
+use th_protocol::{Millis, OrganisationId, RequestRate, Time, VmId};
+use th_steer::quota::{Quota, QuotaBook, QuotaLimits, TokenGrant, UsageAnswer, UsageReport};
+
+const START: Time = Time(1_000_000);
+/// Later than a process that starts may be counted.
+const SETTLED: Time = Time(1_003_000);
+
+fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+fn quotas(rate: f64, burst: f64) -> BTreeMap<OrganisationId, Quota> {
+    let rate = RequestRate::per_second(rate).unwrap();
+    BTreeMap::from([(id("org"), Quota { rate, burst })])
+}
+
+fn book(vm: &str) -> QuotaBook {
+    let mut book = QuotaBook::new(QuotaLimits::default(), id(vm), START);
+    book.set_quotas(quotas(100.0, 100.0));
+    book
+}
+
+/// Reports a VM to itself.
+fn report_to_itself(book: &mut QuotaBook, now: Time) {
+    let keeper = book.keeper(now);
+    let report = book.report(&keeper, now);
+    let answer = book.on_report(report, now);
+    book.on_answer(answer, now);
+}
+
+fn tokens(book: &QuotaBook) -> u32 {
+    book.view(START)[&id("org")].tokens
+}
+
+fn grant(number: u64, change: i32) -> UsageAnswer {
+    UsageAnswer { number, unknown: false, grants: vec![TokenGrant { id: id("org"), change }] }
+}
+
+/// A VM that asks another one, with tokens from it.
+fn follower(change: i32) -> (QuotaBook, VmId) {
+    let mut book = book("vm-0");
+    let keeper: VmId = id("vm-1");
+    let report = book.report(&keeper, SETTLED);
+    book.on_answer(grant(report.number, change), SETTLED);
+    (book, keeper)
+}
+
+#[test]
+fn an_organisation_without_a_quota_is_unlimited() {
+    let mut book = book("vm-0");
+    assert!(book.take(&id("other"), START).is_ok());
+    book.set_quotas(BTreeMap::new());
+    assert!(!book.is_active());
+    assert!(book.take(&id("org"), START).is_ok());
+}
+
+#[test]
+fn a_vm_alone_receives_its_quota() {
+    let mut book = book("vm-0");
+    assert!(book.take(&id("org"), START).is_err(), "no token before the first report");
+    report_to_itself(&mut book, SETTLED);
+    report_to_itself(&mut book, SETTLED.after(Millis(500)));
+    assert!(book.take(&id("org"), SETTLED).is_ok());
+}
+
+#[test]
+fn a_refused_request_is_told_when_the_next_answer_is_due() {
+    let (mut book, keeper) = follower(0);
+    let wait = book.take(&id("org"), SETTLED).unwrap_err();
+    let due = book.next_report();
+    assert!(due.since(SETTLED) <= wait, "{wait}, the next report is due at {due}");
+    let report = book.report(&keeper, due);
+    assert_eq!(report.entries[0].wanted, 1);
+    book.on_answer(grant(report.number, 1), due);
+    assert!(book.take_waiting(&id("org"), due));
+    assert_eq!(book.view(due)[&id("org")].refused, 0);
+}
+
+#[test]
+fn requests_wait_only_while_answers_bring_tokens() {
+    let (mut book, keeper) = follower(0);
+    assert!(book.may_wait(&id("org")));
+    assert!(book.take(&id("org"), SETTLED).is_err());
+    let report = book.report(&keeper, SETTLED);
+    book.on_answer(grant(report.number, 0), SETTLED);
+    assert!(!book.may_wait(&id("org")));
+    assert!(book.take(&id("org"), SETTLED).is_err());
+    let report = book.report(&keeper, SETTLED);
+    book.on_answer(grant(report.number, 1), SETTLED);
+    assert!(book.may_wait(&id("org")));
+}
+
+#[test]
+fn an_answer_to_an_earlier_report_has_no_effect() {
+    let (mut book, keeper) = follower(1);
+    let earlier = book.report(&keeper, SETTLED);
+    book.report(&keeper, SETTLED);
+    book.on_answer(grant(earlier.number, 5), SETTLED);
+    assert_eq!(tokens(&book), 1);
+}
+
+#[test]
+fn a_token_comes_back_until_its_use_is_reported() {
+    let (mut book, keeper) = follower(2);
+    assert!(book.take(&id("org"), SETTLED).is_ok());
+    book.give_back(&id("org"));
+    assert_eq!(tokens(&book), 2);
+    assert!(book.take(&id("org"), SETTLED).is_ok());
+    let report = book.report(&keeper, SETTLED);
+    assert_eq!((report.entries[0].used, report.entries[0].tokens), (1, 1));
+    book.give_back(&id("org"));
+    assert_eq!(tokens(&book), 1, "the keeper may have given out another one for it");
+}
+
+/// A VM that was frozen, or cut off, for long.
+#[test]
+fn tokens_lapse() {
+    let (mut book, _) = follower(2);
+    assert!(book.take(&id("org"), SETTLED.after(Millis(9_900))).is_ok());
+    assert!(book.take(&id("org"), SETTLED.after(Millis(10_000))).is_err());
+}
+
+#[test]
+fn a_keeper_that_does_not_know_a_vm_gives_it_nothing() {
+    let (mut vm, keeper) = follower(1);
+    let mut other = book("vm-1");
+    other.set_members([id("vm-0")]);
+    let report = vm.report(&keeper, SETTLED);
+    assert!(!report.full);
+    let answer = other.on_report(report, SETTLED);
+    assert!(answer.unknown && answer.grants.is_empty(), "{answer:?}");
+    vm.on_answer(answer, SETTLED);
+    assert!(vm.report(&keeper, SETTLED).full);
+}
+
+#[test]
+fn a_repeated_report_gets_nothing() {
+    let mut keeper = book("vm-1");
+    keeper.set_members([id("vm-0")]);
+    let mut vm = book("vm-0");
+    let own = keeper.report(&id("vm-1"), SETTLED);
+    keeper.on_report(own, SETTLED);
+    assert!(vm.take(&id("org"), SETTLED).is_err());
+    let report = vm.report(&id("vm-1"), SETTLED);
+    let first = keeper.on_report(report.clone(), SETTLED);
+    assert!(!first.grants.is_empty());
+    assert!(keeper.on_report(report, SETTLED).grants.is_empty());
+}
+
+/// A VM counts for one keeper at a time.
+#[test]
+fn a_vm_that_changes_its_keeper_counts_only_later() {
+    let (mut vm, keeper) = follower(1);
+    let other: VmId = id("vm-2");
+    let mut settled = Vec::new();
+    for wait in [0, 1_000, 1_249, 1_250] {
+        settled.push(vm.report(&other, SETTLED.after(Millis(wait))).settled);
+    }
+    assert_eq!(settled, [false, false, false, true]);
+    assert!(!vm.report(&keeper, SETTLED.after(Millis(1_300))).settled);
+}
+
+/// A VM that reaches none of the others keeps its own part after a few of them.
+#[test]
+fn a_vm_that_is_cut_off_asks_itself() {
+    let mut book = book("vm-0");
+    book.set_members((1..300).map(|it| id(&format!("vm-{it}"))));
+    let mut asked = 0;
+    while book.keeper(SETTLED) != id("vm-0") {
+        book.on_failure(book.keeper(SETTLED), SETTLED);
+        asked += 1;
+        assert!(asked < 300);
+    }
+    assert!(asked <= 8, "{asked} VMs asked");
+    assert_ne!(book.keeper(SETTLED.after(Millis(5_000))), id("vm-0"), "it never asks again");
+}
+
+#[test]
+fn a_malformed_number_is_no_demand() {
+    let mut keeper = book("vm-1");
+    let mut report: UsageReport = book("vm-0").report(&id("vm-1"), SETTLED);
+    report.entries[0].asked = f32::NAN;
+    keeper.on_report(report, SETTLED);
+    report_to_itself(&mut keeper, SETTLED);
+    report_to_itself(&mut keeper, SETTLED.after(Millis(500)));
+    assert!(keeper.take(&id("org"), SETTLED).is_ok());
+}
+
+/// Fields that a later build adds are passed over, and those that an earlier one lacks have defaults.
+#[test]
+fn messages_of_other_builds_are_read() {
+    let report = book("vm-0").report(&id("vm-1"), START);
+    let bytes = rmp_serde::to_vec_named(&report).unwrap();
+    assert_eq!(rmp_serde::from_slice::<UsageReport>(&bytes).unwrap(), report);
+    let text =
+        r#"{"vm":"vm-0","start":1,"number":1,"later":[1],"entries":[{"id":"org","more":2}]}"#;
+    let value: serde_json::Value = serde_json::from_str(text).unwrap();
+    let bytes = rmp_serde::to_vec_named(&value).unwrap();
+    let read: UsageReport = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!((read.entries[0].used, read.full), (0, false));
+}
