Exchange tokens of quotas between VMs

Cause: what QuotaBook decides crossed no network. Change: /v1/usage and /v1/quotas on the listener for other VMs, the task that reports (idle while a configuration has no quotas), and th_gateway::{admit, set_quotas} for the call sites. Requests for changes and reports share one client function. Not connected to configurations yet.

--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -8,7 +8,10 @@
 
 use th_platform::{BootClock, Clock};
 use th_protocol::{BackendId, Time, VmId};
-use th_steer::dispatch::{Attempt, AttemptOutcome, CrashReport, Dispatcher, Job, Placement};
+use th_steer::{
+    dispatch::{Attempt, AttemptOutcome, CrashReport, Dispatcher, Job, Placement},
+    quota::QuotaBook,
+};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
@@ -25,6 +28,12 @@
     pub dispatcher: RefCell<Dispatcher>,
     /// What this VM passes on to others.
     pub relay: Relay,
+    /// What organisations may use of their quotas at this VM.
+    pub quotas: RefCell<QuotaBook>,
+    /// Wakes the task that reports the use of quotas.
+    pub(crate) usage_due: Notify,
+    /// Wakes requests that wait for a token.
+    pub(crate) usage_answered: Notify,
     /// Passes crashes of backend servers on to whoever tells other VMs.
     pub(crate) crash_reports: mpsc::Sender<CrashReport>,
     reported: RefCell<Option<mpsc::Receiver<CrashReport>>>,
@@ -53,12 +62,17 @@
         settings: GatewaySettings,
         dialect: Rc<dyn Dialect>,
     ) -> Core {
+        let vm = dispatcher.vm().clone();
+        let quotas = QuotaBook::new(settings.quotas, vm, BootClock.now());
         let (crash_reports, reported) = mpsc::channel(MAX_REPORTS);
         Core {
             crash_reports,
             reported: RefCell::new(Some(reported)),
             dispatcher: RefCell::new(dispatcher),
             relay: Relay::default(),
+            quotas: RefCell::new(quotas),
+            usage_due: Notify::new(),
+            usage_answered: Notify::new(),
             request_memory: MemoryPool::new(settings.body_memory),
             answer_memory: MemoryPool::new(settings.body_memory),
             settings,
--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
     relay::serve_peer,
     settings::{GatewaySettings, Listeners},
     stop::stop,
+    usage::report_usage,
 };
 
 /// Result of running the data path.
@@ -82,6 +83,7 @@
         }
         spawn_local(tick(Rc::clone(&core)));
         spawn_local(check_links(Rc::clone(&core)));
+        spawn_local(report_usage(Rc::clone(&core)));
         log::info!(target: "entry", "vm={} callers={} Listening.", core.dispatcher.borrow().vm(), listeners.callers);
         Ok(Gateway { core, callers })
     }
--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod request_body;
 mod settings;
 mod stop;
+mod usage;
 
 pub use crate::core::Core;
 pub use connection::ConnectError;
@@ -32,3 +33,4 @@
 pub use pipeline::{Framing, HeadStatus, RequestHead, parse_head};
 pub use relay::{Changes, DRAGGING_PATH, Relay, RelayClient, RelayError};
 pub use settings::{GatewaySettings, Listeners};
+pub use usage::{QUOTAS_PATH, admit, set_quotas};
--- a/crates/th-gateway/src/relay.rs
+++ b/crates/th-gateway/src/relay.rs
@@ -3,11 +3,11 @@
 use std::{cell::RefCell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use th_protocol::{Millis, Revision, Time};
+use th_protocol::{Millis, Revision, Time, VmId};
 use th_steer::relay::{ChangeLog, ItemChange};
 use thiserror::Error;
 use tokio::{
@@ -22,6 +22,7 @@
     connection::{ConnectError, Connection},
     core::Core,
     forward::is_forwarded,
+    usage::{QUOTAS_PATH, USAGE_PATH, answer_report, list_quotas},
 };
 
 /// The result of asking another VM.
@@ -38,7 +39,7 @@
 /// Longest time that a request may wait for changes.
 const MAX_WAIT: Millis = Millis(10_000);
 
-type BoxError = Box<dyn std::error::Error + Send + Sync>;
+pub(crate) type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
 /// Reason why another VM gave no changes.
 #[derive(Debug, Error)]
@@ -46,6 +47,9 @@
     /// It could not be reached.
     #[error("{0}")]
     Connect(#[from] ConnectError),
+    /// It has no known address for other VMs.
+    #[error("{0}: no address for other VMs")]
+    NoAddress(VmId),
     /// The connection broke.
     #[error("{0}: {1}")]
     Http(SocketAddr, hyper::Error),
@@ -131,7 +135,8 @@
     }
 }
 
-/// Serves another entry VM, which asks for changes or passes on a request, or an operator's tool that asks which backend servers drag.
+/// Serves another entry VM, which asks for changes, reports its use of quotas or passes on a request, or an operator's tool that
+/// asks which backend servers drag or how quotas are used.
 pub(crate) async fn serve_peer(
     core: Rc<Core>,
     request: Request<Incoming>,
@@ -142,6 +147,8 @@
     let answer = match (request.method(), request.uri().path()) {
         (&Method::POST, CHANGES_PATH) => pass_changes(&core, request).await,
         (&Method::GET, DRAGGING_PATH) => Ok(dragging(&core)),
+        (&Method::POST, USAGE_PATH) => answer_report(&core, request).await,
+        (&Method::GET, QUOTAS_PATH) => Ok(list_quotas(&core)),
         _ => Ok(reply(StatusCode::NOT_FOUND, "Nothing is served at this path.")),
     };
     Ok(answer.unwrap_or_else(|error| reply(StatusCode::BAD_REQUEST, &error.to_string())))
@@ -222,33 +229,50 @@
     }
 }
 
-async fn ask(
+/// Sends a message to another VM over a kept connection, or over a new one if it has closed. Returns the status and body of the
+/// answer, which has up to `limit` bytes.
+pub(crate) async fn post(
     core: &Core,
     kept: Option<Connection>,
     address: SocketAddr,
-    after: Revision,
-    wait: Millis,
-) -> Result<(Changes, Connection)> {
+    path: &'static str,
+    body: Vec<u8>,
+    limit: usize,
+) -> Result<(StatusCode, Bytes, Connection)> {
     let malformed = |cause: String| RelayError::Malformed(address, cause);
-    let asked = ChangesRequest { after: after.0, wait_ms: wait.0 };
-    let body = rmp_serde::to_vec(&asked).map_err(|it| malformed(it.to_string()))?;
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
-    *request.uri_mut() = CHANGES_PATH.parse().map_err(|it| malformed(format!("{it}")))?;
+    *request.uri_mut() = Uri::from_static(path);
     let mut connection = match kept.filter(|it| it.sender.is_ready()) {
         Some(connection) => connection,
         None => Connection::open(address, core.settings.connect_timeout).await?,
     };
     let answer = connection.sender.send_request(request).await;
     let answer = answer.map_err(|it| RelayError::Http(address, it))?;
-    if answer.status() == StatusCode::GONE {
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), limit).collect().await;
+    let body = body.map_err(|it| malformed(it.to_string()))?.to_bytes();
+    Ok((status, body, connection))
+}
+
+async fn ask(
+    core: &Core,
+    kept: Option<Connection>,
+    address: SocketAddr,
+    after: Revision,
+    wait: Millis,
+) -> Result<(Changes, Connection)> {
+    let malformed = |cause: String| RelayError::Malformed(address, cause);
+    let asked = ChangesRequest { after: after.0, wait_ms: wait.0 };
+    let body = rmp_serde::to_vec(&asked).map_err(|it| malformed(it.to_string()))?;
+    let (status, body, connection) =
+        post(core, kept, address, CHANGES_PATH, body, MAX_ANSWER).await?;
+    if status == StatusCode::GONE {
         return Err(RelayError::Unknown(address, after));
     }
-    if !answer.status().is_success() {
-        return Err(RelayError::Status(address, answer.status()));
+    if !status.is_success() {
+        return Err(RelayError::Status(address, status));
     }
-    let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
-    let body = body.map_err(|it| malformed(it.to_string()))?.to_bytes();
     let answer: ChangesAnswer =
         rmp_serde::from_slice(&body).map_err(|it| malformed(it.to_string()))?;
     let mut changes = Vec::with_capacity(answer.changes.len());
--- a/crates/th-gateway/src/settings.rs
+++ b/crates/th-gateway/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use th_protocol::{Bytes, Millis};
-use th_steer::dispatch::DispatchSettings;
+use th_steer::{dispatch::DispatchSettings, quota::QuotaLimits};
 
 use crate::logging::LineCounts;
 
@@ -49,6 +49,8 @@
     pub body_memory: Bytes,
     /// Maximum number of a connection's requests that run while an earlier one is unanswered.
     pub pipeline_depth: usize,
+    /// Bounds within which quotas are kept.
+    pub quotas: QuotaLimits,
     /// Settings of dispatch.
     pub dispatch: DispatchSettings,
     /// Counts of dropped log lines.
@@ -70,6 +72,7 @@
             grace: Millis(6_000),
             body_memory: Bytes(64 << 20),
             pipeline_depth: 8,
+            quotas: QuotaLimits::default(),
             dispatch: DispatchSettings::default(),
             line_counts: Arc::default(),
         }
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -166,6 +166,11 @@
         self.entries.remove(vm);
     }
 
+    /// The entry VMs.
+    pub fn entry_ids(&self) -> impl Iterator<Item = &VmId> {
+        self.entries.keys()
+    }
+
     /// The record of an entry VM.
     pub fn entry(&self, vm: &VmId) -> Option<&EntryRecord> {
         self.entries.get(vm)
--- a/crates/th-steer/src/quota/book.rs
+++ b/crates/th-steer/src/quota/book.rs
@@ -32,8 +32,13 @@
 const MAX_FAILURES: usize = 8;
 /// Time after which the answer to a report is expected, for the time that a refused caller is told.
 const ANSWER_TIME: Millis = Millis(100);
-/// Longest time for which a report is under way.
-const DELAY: Millis = Millis(250);
+/// Longest time for which a report is under way, after which it has failed.
+pub const REPORT_TIMEOUT: Millis = Millis(300);
+/// Time for which a VM that is no longer registered may make up a majority with others. Without the store it refuses requests
+/// with a key before that.
+const MEMBER_TIME: Millis = Millis(10_000);
+/// Time for which it may use its part of a quota.
+const KNOWN_TIME: Millis = Millis(300_000);
 
 /// A report whose answer is awaited.
 #[derive(Debug)]
@@ -71,6 +76,8 @@
     rows: BTreeMap<OrganisationId, Row>,
     keeper: Keeper,
     members: BTreeSet<VmId>,
+    /// VMs that were registered, and when last.
+    known: BTreeMap<VmId, Time>,
     /// All members, in the common order.
     order: Vec<VmId>,
     /// VMs that failed as the keeper since they last answered, until when they are not asked, and how often they failed.
@@ -97,6 +104,7 @@
             rows: BTreeMap::new(),
             keeper: Keeper::default(),
             members: BTreeSet::from([own.clone()]),
+            known: BTreeMap::new(),
             order: vec![own.clone()],
             own,
             failures: BTreeMap::new(),
@@ -127,10 +135,15 @@
         !self.quotas.is_empty()
     }
 
-    /// Sets the VMs that are registered, or were until lately. This VM is always one of them.
-    pub fn set_members(&mut self, members: impl IntoIterator<Item = VmId>) {
-        let mut members: BTreeSet<VmId> = members.into_iter().collect();
-        members.insert(self.own.clone());
+    /// Sets the VMs that are registered; called before each report. This VM is always a member.
+    pub fn set_members(&mut self, registered: impl IntoIterator<Item = VmId>, now: Time) {
+        for vm in registered {
+            self.known.insert(vm, now);
+        }
+        self.known.insert(self.own.clone(), now);
+        self.known.retain(|_, at| now < at.after(KNOWN_TIME));
+        let recent = self.known.iter().filter(|(_, at)| now < at.after(MEMBER_TIME));
+        let members: BTreeSet<VmId> = recent.map(|(vm, _)| vm.clone()).collect();
         if members == self.members {
             return;
         }
@@ -248,13 +261,17 @@
             Some((_, at)) => *at,
             None => self.start,
         };
-        last.after(self.validity()).after(DELAY) <= now
+        last.after(self.validity()).after(REPORT_TIMEOUT) <= now
     }
 
     /// Handles another VM's report, or this VM's own, as the keeper.
     pub fn on_report(&mut self, report: UsageReport, now: Time) -> UsageAnswer {
-        let fleet =
-            Fleet { members: &self.members, first: self.order.first(), validity: self.validity() };
+        let fleet = Fleet {
+            members: &self.members,
+            known: self.known.len(),
+            first: self.order.first(),
+            validity: self.validity(),
+        };
         self.keeper.on_report(report, &self.quotas, &self.limits, &fleet, now)
     }
 
--- a/crates/th-steer/src/quota/keeper.rs
+++ b/crates/th-steer/src/quota/keeper.rs
@@ -72,6 +72,8 @@
 #[derive(Debug)]
 pub(super) struct Fleet<'a> {
     pub(super) members: &'a BTreeSet<VmId>,
+    /// Number of VMs that may still use a part.
+    pub(super) known: usize,
     /// The first VM in the common order.
     pub(super) first: Option<&'a VmId>,
     /// Time for which a report counts.
@@ -132,7 +134,7 @@
             has_first |= fleet.first == Some(vm);
         }
         let members = fleet.members.len().max(1);
-        let part = f64::from(count) / members as f64;
+        let part = f64::from(count) / fleet.known.max(members) as f64;
         let is_majority =
             members < 2 * count as usize || (members == 2 * count as usize && has_first);
         if !is_majority {
--- a/crates/th-steer/src/quota/mod.rs
+++ b/crates/th-steer/src/quota/mod.rs
@@ -12,7 +12,7 @@
 mod quota;
 mod row;
 
-pub use book::{QuotaBook, QuotaView};
+pub use book::{QuotaBook, QuotaView, REPORT_TIMEOUT};
 pub use limits::QuotaLimits;
 pub use message::{TokenGrant, UsageAnswer, UsageEntry, UsageReport};
 pub use quota::Quota;
