--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -29,6 +29,9 @@
     dragging: IntGauge,
     limited: IntGauge,
     isolated: IntGauge,
+    quotas: IntGauge,
+    quota_refused: IntGauge,
+    quota_age: IntGauge,
     age: IntGauge,
     crashing: IntGauge,
     pub(crate) forwards: IntCounter,
@@ -84,6 +87,21 @@
                     "Requests that are rejected because backend servers crash under them.",
                 ),
             ),
+            quotas: add(
+                &registry,
+                IntGauge::new("th_gateway_quotas", "Organisations with a quota."),
+            ),
+            quota_refused: add(
+                &registry,
+                IntGauge::new(
+                    "th_gateway_quota_refused",
+                    "Requests refused beyond a quota, of organisations that have one now.",
+                ),
+            ),
+            quota_age: add(
+                &registry,
+                IntGauge::new("th_gateway_quota_age_ms", "Time since a report was answered."),
+            ),
             vm_connections: add(
                 &registry,
                 IntCounter::new("th_gateway_vm_links_total", "Connections to other VMs."),
@@ -131,7 +149,11 @@
         self.dragging.set(dispatcher.dragging().len() as i64);
         self.isolated.set(dispatcher.is_isolated().into());
         self.crashing.set(dispatcher.rejected_requests() as i64);
-        self.age.set(core.relay.age(core.now()).0 as i64);
+        let (quotas, now) = (core.quotas.borrow(), core.now());
+        self.quotas.set(quotas.count() as i64);
+        self.quota_refused.set(quotas.refused() as i64);
+        self.quota_age.set(quotas.age(now).map_or(0, |it| it.0 as i64));
+        self.age.set(core.relay.age(now).0 as i64);
         self.limited.set(dispatcher.limited().len() as i64);
         self.version.set(dispatcher.routes().map_or(0, |it| it.version().0 as i64));
     }
--- a/crates/th-steer/src/quota/book.rs
+++ b/crates/th-steer/src/quota/book.rs
@@ -84,6 +84,7 @@
     failures: BTreeMap<VmId, (Time, u32)>,
     /// The VM that answered the last report that was answered.
     answered: Option<VmId>,
+    answered_at: Time,
     /// The last keeper that may count this VM, and when it was last told to.
     counted: Option<(VmId, Time)>,
     number: u64,
@@ -109,6 +110,7 @@
             own,
             failures: BTreeMap::new(),
             answered: None,
+            answered_at: now,
             counted: None,
             number: 0,
             reported: now,
@@ -283,7 +285,7 @@
             return;
         }
         self.failures.remove(&sent.keeper);
-        self.answered = Some(sent.keeper);
+        (self.answered, self.answered_at) = (Some(sent.keeper), now);
         let mut changes = BTreeMap::new();
         for grant in answer.grants {
             changes.insert(grant.id, grant.change);
@@ -308,6 +310,21 @@
         *failures += 1;
     }
 
+    /// Number of organisations with a quota.
+    pub fn count(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Time since the last report that a keeper answered; `None` while there are no quotas.
+    pub fn age(&self, now: Time) -> Option<Millis> {
+        self.is_active().then(|| now.since(self.answered_at))
+    }
+
+    /// Number of requests refused since the start, of all organisations with a quota.
+    pub fn refused(&self) -> u64 {
+        self.rows.values().map(|it| it.refused).sum()
+    }
+
     /// Each organisation's quota at this VM, for operators.
     pub fn view(&self, now: Time) -> BTreeMap<OrganisationId, QuotaView> {
         let mut view = BTreeMap::new();
--- a/src/bin/thctl/fleet.rs
+++ b/src/bin/thctl/fleet.rs
@@ -4,10 +4,11 @@
 
 use eyre::Result;
 use platform::{FleetView, StoreClient, probe_readiness};
+use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use th_gateway::DRAGGING_PATH;
-use th_protocol::{BackendId, ServiceId, VmId, ZoneId};
-use th_steer::dispatch::Serving;
+use th_gateway::{DRAGGING_PATH, QUOTAS_PATH};
+use th_protocol::{BackendId, Millis, OrganisationId, ServiceId, VmId, ZoneId};
+use th_steer::{dispatch::Serving, quota::QuotaView};
 
 use crate::{
     args::Fleet,
@@ -27,6 +28,8 @@
 
 /// The entry VMs that avoid each backend server because it drags.
 type Dragging = BTreeMap<BackendId, Vec<VmId>>;
+/// What each VM knows of each organisation's quota.
+type Quotas = BTreeMap<OrganisationId, BTreeMap<VmId, QuotaView>>;
 type BackendCounts<'a> = BTreeMap<(&'a ServiceId, &'a ZoneId), BackendCount>;
 
 fn count_backends(view: &FleetView) -> BackendCounts<'_> {
@@ -58,21 +61,19 @@
     let ready = futures_util::future::join_all(probes).await;
     let counts = count_backends(&view);
     let dragging = find_dragging(&client, &view).await;
-    let text = to_text(&view, &counts, &ready, &dragging)?;
-    Ok(Output::done(text, to_json(&view, &counts, &ready, &dragging)))
+    let quotas = read_quotas(&client, &view).await;
+    let mut text = to_text(&view, &counts, &ready, &dragging)?;
+    text.push_str(&quota_text(&quotas)?);
+    let mut json = to_json(&view, &counts, &ready, &dragging);
+    json["quotas"] = json!(quotas);
+    Ok(Output::done(text, json))
 }
 
 /// Asks all entry VMs which backend servers they avoid because they drag. VMs that do not answer are left out; the text
 /// shows whether they are ready.
 async fn find_dragging(client: &reqwest::Client, view: &FleetView) -> Dragging {
-    let asked = view.entries.iter().map(|it| async {
-        let url = format!("http://{}{DRAGGING_PATH}", it.peers?);
-        let answer = client.get(url).timeout(PROBE_TIMEOUT).send().await.ok()?;
-        let backends: Vec<BackendId> = answer.json().await.ok()?;
-        Some((it.vm.clone(), backends))
-    });
     let mut dragging = Dragging::new();
-    for (vm, backends) in futures_util::future::join_all(asked).await.into_iter().flatten() {
+    for (vm, backends) in ask_all::<Vec<BackendId>>(client, view, DRAGGING_PATH).await {
         for backend in backends {
             dragging.entry(backend).or_default().push(vm.clone());
         }
@@ -80,6 +81,56 @@
     dragging
 }
 
+/// Asks all entry VMs. Those that do not answer are left out.
+async fn ask_all<T: DeserializeOwned>(
+    client: &reqwest::Client,
+    view: &FleetView,
+    path: &str,
+) -> Vec<(VmId, T)> {
+    let asked = view.entries.iter().map(|it| async {
+        let url = format!("http://{}{path}", it.peers?);
+        let answer = client.get(url).timeout(PROBE_TIMEOUT).send().await.ok()?;
+        Some((it.vm.clone(), answer.json().await.ok()?))
+    });
+    futures_util::future::join_all(asked).await.into_iter().flatten().collect()
+}
+
+/// What each organisation with a quota uses of it at each entry VM.
+async fn read_quotas(client: &reqwest::Client, view: &FleetView) -> Quotas {
+    let mut quotas = Quotas::new();
+    for (vm, rows) in
+        ask_all::<BTreeMap<OrganisationId, QuotaView>>(client, view, QUOTAS_PATH).await
+    {
+        for (id, row) in rows {
+            quotas.entry(id).or_default().insert(vm.clone(), row);
+        }
+    }
+    quotas
+}
+
+/// One line for each organisation that is asked for, or was refused.
+fn quota_text(quotas: &Quotas) -> Result<String> {
+    let mut out = String::new();
+    for (id, rows) in quotas {
+        let (mut asked, mut refused, mut tokens, mut rate, mut oldest) =
+            (0.0, 0, 0, 0.0, Millis::ZERO);
+        for row in rows.values() {
+            (asked, refused, tokens) =
+                (asked + row.asked, refused + row.refused, tokens + row.tokens);
+            (rate, oldest) = (row.rate, oldest.max(row.age.unwrap_or_default()));
+        }
+        if asked <= 0.0 && refused == 0 {
+            continue;
+        }
+        let vms = rows.len();
+        writeln!(
+            out,
+            "{id} asks {asked:.1}/s of {rate}/s at {vms} VMs, {refused} refused, {tokens} tokens, known since at most {oldest}"
+        )?;
+    }
+    Ok(out)
+}
+
 fn readiness_text(ready: Option<bool>) -> &'static str {
     match ready {
         Some(true) => "ready",
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -1,6 +1,9 @@
 //! VMs that share an organisation's quota over real connections, each on a thread of its own.
 
 mod entry;
+#[path = "../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+mod tool;
 
 use std::{
     collections::BTreeMap,
@@ -11,9 +14,10 @@
 };
 
 use entry::ListenAddresses;
-use platform::PlatformDialect;
+use platform::{PlatformDialect, write_entry};
 use reqwest::{Client, StatusCode};
 use serde_json::Value;
+use stand_in::StandInStore;
 use th_gateway::{Gateway, GatewaySettings, Listeners, QUOTAS_PATH, admit, set_quotas};
 use th_protocol::{OrganisationId, RequestRate, Time, VmId, ZoneId};
 use th_steer::{
@@ -25,9 +29,10 @@
     net::TcpListener,
     runtime,
     sync::oneshot,
-    task::{LocalSet, spawn_local},
+    task::{LocalSet, spawn_blocking, spawn_local},
     time::sleep,
 };
+use tool::{thctl, thctl_json};
 
 const VMS: usize = 4;
 /// Requests that each VM has under way: far more than the quota is asked for.
@@ -184,6 +189,27 @@
     assert!(view["org-1"]["age"].is_u64(), "{view}");
 }
 
+#[tokio::test]
+async fn the_tool_shows_use_and_refusals_of_all_vms() {
+    let (records, admitted, store) = (records(), Admitted::default(), StandInStore::start().await);
+    let _vms = start_all(&records, &admitted);
+    for record in &records {
+        store.put_bytes(&format!("th/vm/{}", record.vm), &write_entry(record).unwrap());
+    }
+    wait_for_more(&admitted, MANY).await;
+    let address = store.address.to_string();
+    let arguments = address.clone();
+    let shown = spawn_blocking(move || thctl_json(&["fleet", "--store", &arguments])).await;
+    let (code, output) = shown.unwrap();
+    assert_eq!(code, 0, "{output}");
+    let rows = output["quotas"]["org-1"].as_object().unwrap();
+    let sum = |field: &str| rows.values().map(|it| it[field].as_u64().unwrap()).sum::<u64>();
+    assert_eq!(rows.len(), VMS);
+    assert!(MANY as u64 <= sum("admitted") && 0 < sum("refused"), "{output}");
+    let (_, text) = spawn_blocking(move || thctl(&["fleet", "--store", &address])).await.unwrap();
+    assert!(text.contains("of 50/s at 4 VMs"), "{text}");
+}
+
 /// Guards against a check of the windows that cannot fail.
 #[tokio::test]
 async fn vms_that_do_not_know_each_other_exceed_it() {
