--- a/crates/th-gateway/src/answer.rs
+++ b/crates/th-gateway/src/answer.rs
@@ -18,7 +18,12 @@
 
 /// Rejects a request that no backend server has run or will run.
 pub(crate) fn reject(text: &str, retry_after: Millis) -> Answer {
-    let mut answer = reply(StatusCode::SERVICE_UNAVAILABLE, text);
+    reject_with(StatusCode::SERVICE_UNAVAILABLE, text, retry_after)
+}
+
+/// Rejects a request with a status that says that it was not run.
+pub(crate) fn reject_with(status: StatusCode, text: &str, retry_after: Millis) -> Answer {
+    let mut answer = reply(status, text);
     let seconds = format!("{:.3}", retry_after.0 as f64 / 1_000.0);
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         answer.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/th-gateway/src/authorise.rs
+++ b/crates/th-gateway/src/authorise.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    answer::{Answer, reject, reply},
+    answer::{Answer, reject, reject_with, reply},
     core::Core,
     forward::decline,
     outgoing::Outgoing,
@@ -32,7 +32,7 @@
     pub(crate) fn stale(key: Option<KeyDigest>, denial: &Denial) -> Caller {
         let known = match denial {
             Denial::StaleKeys { organisation, .. } => organisation.clone(),
-            Denial::MissingKey | Denial::UnknownKey => None,
+            Denial::MissingKey | Denial::UnknownKey | Denial::QuotaUsed(_) => None,
         };
         Caller { key, organisation: known }
     }
@@ -94,6 +94,10 @@
         Denial::UnknownKey => {
             reply(StatusCode::UNAUTHORIZED, "The key belongs to no organisation.")
         }
+        Denial::QuotaUsed(wait) => {
+            let text = "The organisation has used its quota; the request was not run.";
+            reject_with(StatusCode::TOO_MANY_REQUESTS, text, *wait)
+        }
         Denial::StaleKeys { .. } if is_forwarded => decline(),
         Denial::StaleKeys { .. } => {
             reject("This VM cannot check keys now; the request was not run.", STALE_RETRY_AFTER)
--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -16,6 +16,7 @@
 use crate::{
     answer::{Answer, reject, reply},
     authorise::{Caller, authorise, check_again, deny},
+    charge::Charge,
     core::{Core, Slot},
     crash::{check_crash, reject_crashing, report},
     dialect::RequestInfo,
@@ -131,11 +132,26 @@
     };
     record.route = route.name.clone();
     let key = forwarded.as_ref().map_or(info.key, |it| it.key);
-    let caller = authorise(core, &route, key);
-    if let Err(denial @ (Denial::MissingKey | Denial::UnknownKey)) = &caller {
-        record.attempts.push(denial.to_string());
-        return reject_unread(deny(denial, false), &head, body, routes.limits().body).await;
-    }
+    let (caller, stale) = match authorise(core, &route, key) {
+        Ok(caller) => (caller, None),
+        Err(denial @ Denial::StaleKeys { .. }) => (Caller::stale(key, &denial), Some(denial)),
+        Err(denial) => {
+            record.attempts.push(denial.to_string());
+            return reject_unread(deny(&denial, false), &head, body, routes.limits().body).await;
+        }
+    };
+    record.organisation = caller.organisation.clone();
+    let charge = match &forwarded {
+        None => Charge::take(core, &caller).await,
+        Some(_) => Ok(Charge::none(core)),
+    };
+    let charge = match charge {
+        Ok(charge) => charge,
+        Err(denial) => {
+            record.attempts.push(denial.to_string());
+            return reject_unread(deny(&denial, false), &head, body, routes.limits().body).await;
+        }
+    };
     let time_left = info.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived.after(time_left.min(route.timeout));
     let mut memory = Reservation::new(&core.request_memory);
@@ -152,9 +168,7 @@
     if routes.organisations().is_some() {
         core.dialect.strip_identity(&mut outgoing.headers);
     }
-    let stale = caller.as_ref().err().cloned();
-    outgoing.caller = caller.unwrap_or_else(|denial| Caller::stale(key, &denial));
-    record.organisation = outgoing.caller.organisation.clone();
+    outgoing.caller = caller;
     let Some(service) = core.dispatcher.borrow_mut().choose_service(&route) else {
         return reject("No service of the route takes requests.", NO_ROUTES_RETRY_AFTER);
     };
@@ -169,8 +183,8 @@
     let job = Job { route, service, object, arrived, deadline, tried: Vec::new(), organisation };
     core.dispatcher.borrow_mut().on_request(&job, arrived);
     let answer = match stale {
-        Some(denial) => pass_to_fresher(core, &job, &outgoing, &denial, record).await,
-        None => run(core, job, outgoing, record).await,
+        Some(denial) => pass_to_fresher(core, &job, &outgoing, &denial, &charge, record).await,
+        None => run(core, job, outgoing, &charge, record).await,
     };
     let size = size + answer.body().size_hint().lower();
     core.dispatcher.borrow_mut().on_traffic(Bytes(size).plus(HEAD_BYTES));
@@ -287,6 +301,7 @@
     job: &Job,
     outgoing: &Outgoing,
     denial: &Denial,
+    charge: &Charge,
     record: &mut LogRecord,
 ) -> Answer {
     record.attempts.push(denial.to_string());
@@ -294,7 +309,9 @@
     if record.forwarder.is_some() || job.organisation.is_none() {
         return deny(denial, record.forwarder.is_some());
     }
+    charge.keep(true);
     let done = pass_on(core, job, outgoing, job.route.attempts, record.version).await;
+    charge.keep(!done.result.not_executed);
     record.attempts.push(done.summary);
     if done.result.not_executed && done.result.answer.is_none() {
         return deny(denial, false);
@@ -307,6 +324,7 @@
     core: &Rc<Core>,
     mut job: Job,
     mut outgoing: Outgoing,
+    charge: &Charge,
     record: &mut LogRecord,
 ) -> Answer {
     let forwarded = record.forwarder.is_some();
@@ -349,7 +367,9 @@
             }
             Placement::Reject(Rejection::Isolated, retry_after) if !forwarded => {
                 let attempts = job.route.attempts.saturating_sub(reached).max(1);
+                charge.keep(true);
                 let done = pass_on(core, &job, &outgoing, attempts, record.version).await;
+                charge.keep(!(not_executed && done.result.not_executed));
                 record.attempts.push(done.summary);
                 let late = job.deadline <= core.now();
                 return finish(done.result, last, not_executed, late, retry_after);
@@ -360,7 +380,9 @@
             }
             Placement::Wait => return fail(last, not_executed, false, NO_ROUTES_RETRY_AFTER),
         };
+        charge.keep(true);
         let done = run_hedged(core, &mut job, &outgoing, attempt, address, record).await;
+        charge.keep(!(not_executed && done.result.not_executed));
         record.attempts.push(done.summary);
         if matches!(done.result.outcome, AttemptOutcome::Answered) {
             return into_answer(done.result).unwrap_or_else(|| bad_gateway("No answer."));
@@ -382,7 +404,9 @@
             }
             if !forwarded {
                 let attempts = job.route.attempts - reached;
+                charge.keep(true);
                 let passed = pass_on(core, &job, &outgoing, attempts, record.version).await;
+                charge.keep(!(not_executed && passed.result.not_executed));
                 record.attempts.push(passed.summary);
                 let late = job.deadline <= core.now();
                 return finish(passed.result, Some(done.result), not_executed, late, retry_after);
--- a/crates/th-steer/src/organisation/admission.rs
+++ b/crates/th-steer/src/organisation/admission.rs
@@ -29,6 +29,9 @@
         /// The organisation to which the key belonged.
         organisation: Option<Arc<Organisation>>,
     },
+    /// Its organisation has used its quota.
+    #[error("the quota is used; more after {0}")]
+    QuotaUsed(Millis),
 }
 
 /// Returns the organisation of a request, by its key and the organisations known `age` ago. `limit` is the age from which
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -169,3 +169,38 @@
         assert_eq!(answer.status(), 200, "{key}");
     }
 }
+
+/// An organisation with a quota that is asked for far more gets what it may, and is told when to come back.
+#[tokio::test]
+async fn requests_beyond_the_quota_are_refused_and_not_run() {
+    let (store, server, entry) = deployment().await;
+    let mut item = config_of(8, &json!(["k-port"]));
+    item["tenants"][0]["per_s"] = json!(2);
+    item["tenants"][0]["burst"] = json!(2);
+    store.put("op/config", &item);
+    let key = [("credential", "k-port")];
+    let (mut admitted, mut refused) = (0, Vec::new());
+    for number in 0..400 {
+        let id = format!("ask-{number}");
+        let answer = send(&entry, "/book/x", &id, &key).await;
+        match answer.status().as_u16() {
+            200 => admitted += 1,
+            429 => {
+                let wait = answer.headers()["retry-after"].to_str().unwrap();
+                assert!(wait.parse::<f64>().unwrap() < 5.0, "{wait}");
+                refused.push(id);
+            }
+            other => panic!("status {other}"),
+        }
+        if 20 <= refused.len() {
+            break;
+        }
+    }
+    assert!(0 < admitted && 20 <= refused.len(), "{admitted} {}", refused.len());
+    for id in refused {
+        assert_eq!(server.runs(&id), 0);
+    }
+    // Another organisation and public routes are not touched.
+    assert_eq!(send(&entry, "/book/x", "quay", &[("credential", "k-quay")]).await.status(), 200);
+    assert_eq!(send(&entry, "/open/x", "open", &[]).await.status(), 200);
+}
