Let a VM with a large link give out tokens, and report urgently only what is urgent

One VM after the other took over, each with equal parts only; 9,558 requests got 429, of which most were within their quotas. An organisation near its quota was paced at its rate, though windows allow more, and its repeats counted as demand. Change: VMs with the largest links come first; urgent reports list only the organisations that run out; 600 ms for an answer; pacing at what the windows allow in the long run.

--- a/crates/th-gateway/src/usage.rs
+++ b/crates/th-gateway/src/usage.rs
@@ -29,7 +29,7 @@
 
 /// Sets the quotas of the configuration in force.
 pub fn set_quotas(core: &Core, quotas: BTreeMap<OrganisationId, Quota>) {
-    core.quotas.borrow_mut().set_quotas(quotas);
+    core.quotas.borrow_mut().set_quotas(quotas, core.now());
     core.usage_due.notify_one();
 }
 
@@ -83,7 +83,7 @@
     loop {
         wait_until_due(&core).await;
         let now = core.now();
-        let members: Vec<VmId> = core.dispatcher.borrow().entry_ids().cloned().collect();
+        let members = core.dispatcher.borrow().entry_links();
         core.quotas.borrow_mut().set_members(members, now);
         let keeper = core.quotas.borrow().keeper(now);
         if last.as_ref() != Some(&keeper) {
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use th_protocol::{BackendId, Bytes, Millis, ServiceId, Slots, Time, VmId, ZoneId};
+use th_protocol::{BackendId, Bytes, Mbit, Millis, ServiceId, Slots, Time, VmId, ZoneId};
 
 use super::{
     addresses::{HOST_COUNT_DECAY, HostCounts},
@@ -184,9 +184,9 @@
         self.entries.remove(vm);
     }
 
-    /// The entry VMs.
-    pub fn entry_ids(&self) -> impl Iterator<Item = &VmId> {
-        self.entries.keys()
+    /// The entry VMs, with the capacities of their links as far as known.
+    pub fn entry_links(&self) -> BTreeMap<VmId, Option<Mbit>> {
+        self.entries.values().map(|it| (it.vm.clone(), it.link)).collect()
     }
 
     /// The record of an entry VM.
--- a/crates/th-steer/src/quota/book.rs
+++ b/crates/th-steer/src/quota/book.rs
@@ -6,7 +6,7 @@
 };
 
 use serde::{Deserialize, Serialize};
-use th_protocol::{Millis, OrganisationId, Time, VmId};
+use th_protocol::{Mbit, Millis, OrganisationId, Time, VmId};
 
 use super::{
     Quota, QuotaLimits, UsageAnswer, UsageEntry, UsageReport,
@@ -33,7 +33,7 @@
 /// Time after which the answer to a report is expected, for the time that a refused caller is told.
 const ANSWER_TIME: Millis = Millis(100);
 /// Longest time for which a report is under way, after which it has failed.
-pub const REPORT_TIMEOUT: Millis = Millis(300);
+pub const REPORT_TIMEOUT: Millis = Millis(600);
 /// Time for which a VM that is no longer registered may make up a majority with others. Without the store it refuses requests
 /// with a key before that.
 const MEMBER_TIME: Millis = Millis(10_000);
@@ -77,7 +77,7 @@
     keeper: Keeper,
     members: BTreeSet<VmId>,
     /// VMs that were registered, and when last.
-    known: BTreeMap<VmId, Time>,
+    known: BTreeMap<VmId, (Time, Option<Mbit>)>,
     /// All members, in the common order.
     order: Vec<VmId>,
     /// VMs that failed as the keeper since they last answered, until when they are not asked, and how often they failed.
@@ -90,6 +90,8 @@
     number: u64,
     /// When the last report was made.
     reported: Time,
+    /// When the last report was made that lists all organisations with changes.
+    listed: Time,
     sent: Option<Sent>,
     /// Whether tokens run out.
     urgent: bool,
@@ -114,16 +116,17 @@
             counted: None,
             number: 0,
             reported: now,
+            listed: now,
             sent: None,
             urgent: false,
         }
     }
 
     /// Sets the quotas of a configuration. An organisation that is not listed is unlimited.
-    pub fn set_quotas(&mut self, quotas: BTreeMap<OrganisationId, Quota>) {
+    pub fn set_quotas(&mut self, quotas: BTreeMap<OrganisationId, Quota>, now: Time) {
         self.rows.retain(|id, _| quotas.contains_key(id));
         for (id, quota) in &quotas {
-            let row = self.rows.entry(id.clone()).or_insert_with(|| Row::new(*quota));
+            let row = self.rows.entry(id.clone()).or_insert_with(|| Row::new(*quota, now));
             row.quota = *quota;
             // A lower quota takes effect at once here, and at the other VMs with their next reports.
             row.tokens = row.tokens.min(self.limits.tokens(*quota) as u32);
@@ -137,20 +140,30 @@
         !self.quotas.is_empty()
     }
 
-    /// Sets the VMs that are registered; called before each report. This VM is always a member.
-    pub fn set_members(&mut self, registered: impl IntoIterator<Item = VmId>, now: Time) {
-        for vm in registered {
-            self.known.insert(vm, now);
+    /// Sets the VMs that are registered, with the capacities of their links; called before each report. This VM is always a
+    /// member. Those with the largest links come first in the common order: the keeper receives the reports of all.
+    pub fn set_members(
+        &mut self,
+        registered: impl IntoIterator<Item = (VmId, Option<Mbit>)>,
+        now: Time,
+    ) {
+        for (vm, link) in registered {
+            self.known.insert(vm, (now, link));
         }
-        self.known.insert(self.own.clone(), now);
-        self.known.retain(|_, at| now < at.after(KNOWN_TIME));
-        let recent = self.known.iter().filter(|(_, at)| now < at.after(MEMBER_TIME));
-        let members: BTreeSet<VmId> = recent.map(|(vm, _)| vm.clone()).collect();
-        if members == self.members {
+        self.known.entry(self.own.clone()).or_insert((now, None)).0 = now;
+        self.known.retain(|_, (at, _)| now < at.after(KNOWN_TIME));
+        let recent = self.known.iter().filter(|(_, (at, _))| now < at.after(MEMBER_TIME));
+        let mut order = Vec::new();
+        for (vm, (_, link)) in recent {
+            order.push((Reverse(*link), Reverse(mix(hash_name(vm.as_str()))), vm.clone()));
+        }
+        order.sort();
+        let order: Vec<VmId> = order.into_iter().map(|it| it.2).collect();
+        if order == self.order {
             return;
         }
-        self.order = members.iter().cloned().collect();
-        self.order.sort_by_key(|it| Reverse(mix(hash_name(it.as_str()))));
+        let members: BTreeSet<VmId> = order.iter().cloned().collect();
+        self.order = order;
         self.failures.retain(|vm, _| members.contains(vm));
         self.members = members;
     }
@@ -204,11 +217,16 @@
         let interval = if self.urgent {
             URGENT_INTERVAL.max(self.pace(MAX_URGENT_REPORTS))
         } else {
-            INTERVAL.max(self.pace(MAX_REPORTS))
+            self.interval()
         };
         self.reported.after(interval)
     }
 
+    /// Time between two reports that list all organisations with changes.
+    fn interval(&self) -> Millis {
+        INTERVAL.max(self.pace(MAX_REPORTS))
+    }
+
     /// Shortest time between a VM's reports at which the keeper gets so many a second.
     fn pace(&self, reports: u64) -> Millis {
         Millis(self.members.len() as u64 * 1_000 / reports)
@@ -216,20 +234,25 @@
 
     /// Time for which a report counts.
     fn validity(&self) -> Millis {
-        let interval = INTERVAL.max(self.pace(MAX_REPORTS));
-        interval.plus(interval)
+        self.interval().plus(self.interval())
     }
 
     /// Makes the report for a keeper.
     pub fn report(&mut self, keeper: &VmId, now: Time) -> UsageReport {
         let full = self.answered.as_ref() != Some(keeper);
-        let span = now.since(self.reported);
+        let lists_all = full || self.listed.after(self.interval()) <= now;
+        if lists_all {
+            self.listed = now;
+        }
         let mut entries = Vec::new();
         for (id, row) in &mut self.rows {
             if full {
                 row.forget_answer();
             }
-            let entry = row.entry(id, &self.limits, span, now);
+            if !lists_all && !row.is_urgent() {
+                continue;
+            }
+            let entry = row.entry(id, &self.limits, now);
             if !row.is_known(&entry, now) {
                 entries.push(entry);
             }
--- a/crates/th-steer/src/quota/keeper.rs
+++ b/crates/th-steer/src/quota/keeper.rs
@@ -14,8 +14,6 @@
 const SPREAD_SHARE: f64 = 0.6;
 /// Share of the tokens left that only requests which wait for one may use.
 const RESERVE: f64 = 0.3;
-/// Rate asked from which on tokens are given at an organisation's rate, as a multiple of that.
-const SCARCE_RATE: f64 = 1.25;
 /// Largest rate of a VM that counts, in requests a second.
 const MAX_ASKED: f64 = 1e6;
 /// Share of the tokens left up to which VMs whose part is less than one hold one.
@@ -163,7 +161,7 @@
         now: Time,
     ) -> i32 {
         let passed = now.since(self.filled).min(limits.window).0 as f64 / 1_000.0;
-        let filled = self.level + quota.rate.requests() * share * passed;
+        let filled = self.level + limits.sustained(quota) * share * passed;
         (self.level, self.filled) = (filled.min(limits.burst(quota) * share), now);
         // A malformed message may have no number there.
         let asked = f64::from(entry.asked);
@@ -188,7 +186,7 @@
         let limit = limits.tokens(quota) * share;
         let (room, left) = (limit - used - held, (limit - used).max(0.0));
         let spare = (left * SPREAD_SHARE - targets).max(0.0) / members as f64;
-        let is_scarce = quota.rate.requests() * SCARCE_RATE < asked;
+        let is_scarce = limits.sustained(quota) < asked;
         let fair = target * (left / targets.max(1.0)).min(1.0) + spare;
         let tokens = f64::from(entry.tokens);
         // A VM whose part is less than one token holds one only while there are many left, and else receives it on demand.
--- a/crates/th-steer/src/quota/limits.rs
+++ b/crates/th-steer/src/quota/limits.rs
@@ -42,6 +42,11 @@
         self.allowed(quota) * USED_SHARE
     }
 
+    /// The rate, in requests a second, at which tokens can be given out all the time.
+    pub(crate) fn sustained(&self, quota: Quota) -> f64 {
+        self.tokens(quota) * 1_000.0 / self.window.0 as f64
+    }
+
     /// The number of tokens that may be given out at once beyond the rate.
     pub(crate) fn burst(&self, quota: Quota) -> f64 {
         self.tokens(quota) - quota.rate.requests() * self.window.0 as f64 / 1_000.0
--- a/crates/th-steer/src/quota/row.rs
+++ b/crates/th-steer/src/quota/row.rs
@@ -31,6 +31,8 @@
     fresh: u32,
     /// Requests since the last report, admitted or not.
     recent: u32,
+    /// When the last report that lists this row was made.
+    reported: Time,
     /// Those of them that found no token.
     wanted: u32,
     /// Whether the last answer had no token though one was wanted.
@@ -47,7 +49,7 @@
 }
 
 impl Row {
-    pub(super) fn new(quota: Quota) -> Row {
+    pub(super) fn new(quota: Quota, now: Time) -> Row {
         Row {
             quota,
             tokens: 0,
@@ -55,6 +57,7 @@
             slots: VecDeque::new(),
             fresh: 0,
             recent: 0,
+            reported: now,
             wanted: 0,
             denied: false,
             asked: 0.0,
@@ -141,16 +144,16 @@
         self.slots.iter().map(|(_, count)| count).sum()
     }
 
-    /// Starts a report, for the requests of a time.
+    /// Starts a report, for the requests since the last one.
     pub(super) fn entry(
         &mut self,
         id: &OrganisationId,
         limits: &QuotaLimits,
-        span: Millis,
         now: Time,
     ) -> UsageEntry {
         self.expire(now);
-        let span = span.0.max(1) as f32;
+        let span = now.since(self.reported).0.max(1) as f32;
+        self.reported = now;
         let rate = self.recent as f32 * 1_000.0 / span;
         let weight = 1.0 - (-span / SMOOTHING.0 as f32).exp();
         self.asked += (rate - self.asked) * weight;
