Model the exchange of tokens; tighten three tests of the keeper

Cause: three faults put in by hand survived the tests (an answer to an earlier report, a rate that is no number, an earlier process that is forgotten). The keeper's takeover is not in the model.

--- a/crates/th-model/src/lib.rs
+++ b/crates/th-model/src/lib.rs
@@ -3,6 +3,7 @@
 mod drain;
 mod explore;
 mod grant;
+mod quota;
 mod relay;
 mod shard;
 mod spread;
@@ -11,6 +12,7 @@
 pub use drain::{DrainAction, DrainFault, DrainModel, DrainState};
 pub use explore::{Model, Outcome, explore};
 pub use grant::{Call, GrantAction, GrantFault, GrantModel, GrantState};
+pub use quota::{QuotaAction, QuotaFault, QuotaModel, QuotaState};
 pub use relay::{RelayAction, RelayFault, RelayModel, RelayState};
 pub use shard::{ShardAction, ShardFault, ShardModel, ShardState};
 pub use spread::{Roll, SpreadAction, SpreadFault, SpreadModel, SpreadState};
--- a/crates/th-steer/tests/quota.rs
+++ b/crates/th-steer/tests/quota.rs
@@ -97,10 +97,12 @@
 #[test]
 fn an_answer_to_an_earlier_report_has_no_effect() {
     let (mut book, keeper) = follower(1);
+    assert!(book.take(&id("org"), SETTLED).is_ok());
     let earlier = book.report(&keeper, SETTLED);
-    book.report(&keeper, SETTLED);
+    assert!(book.take(&id("org"), SETTLED).is_err());
+    assert_eq!(book.report(&keeper, SETTLED).entries[0].wanted, 1);
     book.on_answer(grant(earlier.number, 5), SETTLED);
-    assert_eq!(tokens(&book), 1);
+    assert_eq!(tokens(&book), 0);
 }
 
 #[test]
@@ -137,13 +139,18 @@
     assert!(vm.report(&keeper, SETTLED).full);
 }
 
-#[test]
-fn a_repeated_report_gets_nothing() {
+/// A keeper of two VMs that counts itself.
+fn keeper_of_two() -> QuotaBook {
     let mut keeper = book("vm-1");
     keeper.set_members([id("vm-0")], START);
-    let mut vm = book("vm-0");
     let own = keeper.report(&id("vm-1"), SETTLED);
     keeper.on_report(own, SETTLED);
+    keeper
+}
+
+#[test]
+fn a_repeated_report_gets_nothing() {
+    let (mut keeper, mut vm) = (keeper_of_two(), book("vm-0"));
     assert!(vm.take(&id("org"), SETTLED).is_err());
     let report = vm.report(&id("vm-1"), SETTLED);
     let first = keeper.on_report(report.clone(), SETTLED);
@@ -151,6 +158,25 @@
     assert!(keeper.on_report(report, SETTLED).grants.is_empty());
 }
 
+/// A VM that is killed again and again may have spent all that each of its processes got.
+#[test]
+fn an_earlier_process_counts_as_having_used_its_tokens() {
+    let mut keeper = keeper_of_two();
+    let mut given = 0;
+    for process in 0..10 {
+        let now = SETTLED.after(Millis(process * 100));
+        let mut vm = QuotaBook::new(QuotaLimits::default(), id("vm-0"), now);
+        vm.set_quotas(quotas(100.0, 100.0));
+        for _ in 0..1_000 {
+            assert!(vm.take(&id("org"), now).is_err());
+        }
+        let report = UsageReport { settled: true, ..vm.report(&id("vm-1"), now) };
+        given += keeper.on_report(report, now).grants[..].iter().map(|it| it.change).sum::<i32>();
+    }
+    let allowed = QuotaLimits::default().allowed(quotas(100.0, 100.0)[&id("org")]);
+    assert!(0 < given && f64::from(given) <= allowed, "{given} given, {allowed} allowed");
+}
+
 /// A VM counts for one keeper at a time.
 #[test]
 fn a_vm_that_changes_its_keeper_counts_only_later() {
@@ -181,13 +207,14 @@
 
 #[test]
 fn a_malformed_number_is_no_demand() {
-    let mut keeper = book("vm-1");
-    let mut report: UsageReport = book("vm-0").report(&id("vm-1"), SETTLED);
-    report.entries[0].asked = f32::NAN;
-    keeper.on_report(report, SETTLED);
-    report_to_itself(&mut keeper, SETTLED);
-    report_to_itself(&mut keeper, SETTLED.after(Millis(500)));
-    assert!(keeper.take(&id("org"), SETTLED).is_ok());
+    let mut given = Vec::new();
+    for asked in [0.0, f32::NAN, f32::NEG_INFINITY] {
+        let mut report = book("vm-0").report(&id("vm-1"), SETTLED);
+        report.entries[0].asked = asked;
+        given.push(keeper_of_two().on_report(report, SETTLED));
+    }
+    assert!(!given[0].grants.is_empty());
+    assert_eq!((&given[1], &given[2]), (&given[0], &given[0]));
 }
 
 /// Fields that a later build adds are passed over, and those that an earlier one lacks have defaults.
