Let a new keeper give VMs no more than they had, until it has seen a window

Cause: a keeper that takes over does not know what VMs that died with the earlier one had used. Change: until a window has passed, or all known VMs with processes older than a window have reported, the limit is what these had used and held at first.

--- a/crates/th-steer/src/quota/book.rs
+++ b/crates/th-steer/src/quota/book.rs
@@ -251,6 +251,7 @@
             start: self.start,
             number: self.number,
             settled,
+            young: now < self.start.after(self.limits.window),
             full,
             entries,
         }
--- a/crates/th-steer/src/quota/message.rs
+++ b/crates/th-steer/src/quota/message.rs
@@ -22,6 +22,10 @@
     pub asked: f32,
 }
 
+fn yes() -> bool {
+    true
+}
+
 /// A VM's report to the quota keeper. Each value replaces the last one, so that a lost report does no harm.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct UsageReport {
@@ -34,6 +38,9 @@
     /// Whether the VM has reported to no other keeper for so long that none counts it.
     #[serde(default)]
     pub settled: bool,
+    /// Whether the process started less than a window ago, so that an earlier one may have used tokens.
+    #[serde(default = "yes")]
+    pub young: bool,
     /// Whether all organisations are listed; else only those with changes.
     #[serde(default)]
     pub full: bool,
