--- a/crates/th-gateway/src/usage.rs
+++ b/crates/th-gateway/src/usage.rs
@@ -38,9 +38,11 @@
 /// [`QuotaBook::give_back`](th_steer::quota::QuotaBook::give_back).
 pub async fn admit(core: &Core, id: &OrganisationId) -> std::result::Result<(), Millis> {
     let mut answered = core.usage_answered.notified();
-    let refused = core.quotas.borrow_mut().take(id, core.now());
-    let Err(wait) = refused else { return Ok(()) };
-    core.usage_due.notify_one();
+    let taken = core.quotas.borrow_mut().take(id, core.now());
+    if core.quotas.borrow().is_urgent() {
+        core.usage_due.notify_one();
+    }
+    let Err(wait) = taken else { return Ok(()) };
     let end = Instant::now() + TOKEN_WAIT;
     while core.quotas.borrow().may_wait(id) {
         if timeout_at(end, answered).await.is_err() {
--- a/crates/th-steer/src/quota/book.rs
+++ b/crates/th-steer/src/quota/book.rs
@@ -167,6 +167,11 @@
         Err(due.since(now).plus(ANSWER_TIME))
     }
 
+    /// Whether tokens run out, so that the next report is due sooner than others.
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
     /// Whether a request that was not admitted should wait for the answer to the next report. Where an organisation asks for
     /// more than there is, waiting would only delay the refusal.
     pub fn may_wait(&self, id: &OrganisationId) -> bool {
--- a/crates/th-steer/tests/quota_fleet.rs
+++ b/crates/th-steer/tests/quota_fleet.rs
@@ -102,6 +102,17 @@
             let owed = it.quota.rate.requests();
             assert!(MIN_SHARE * owed <= rate, "seed {seed}: {rate}/s of {owed}/s");
         }
+        // Steadily: after the first window, half of its rate or more in each second.
+        for number in 0..2 {
+            let it = &fleet.organisations[number];
+            for second in 6..20 {
+                let from = surge.after(Millis(second * 1_000));
+                let times = it.admitted.iter().filter(|at| from <= **at);
+                let count = times.filter(|at| **at < from.after(Millis(1_000))).count() as f64;
+                let owed = it.quota.rate.requests();
+                assert!(0.5 * owed <= count, "seed {seed}, second {second}: {count} of {owed}");
+            }
+        }
         let share = fleet.share_since(2, since);
         assert!(MIN_SHARE <= share, "seed {seed}: {share} admitted");
         let worst = fleet.worst_window(Time::ZERO);
