Order what is known of the store by era and revision

Cause: the store may come back from a copy some seconds old, and gives out revisions again. A change whose revision was not newer than the known one of its key was ignored, and the changes that VMs pass on were compared by revision alone.

Change: StoreMoment (era, revision) orders items, the cursor of watches and the log of changes. The era of each answer (Store-Era, also of refusals) is read. When it rises, the VM that watches for its data centre reads everything and passes on the differences; VMs that follow from what is known of the earlier era need not read. An answer of an earlier era is ignored. What was removed is deferred anew, a missing evacuation stays, and an item of the copy that is older than the last known write of its writer is ignored. The VM's own entry and its crash reports are written again; a lease of an earlier era is neither renewed nor ended, since its id may be another VM's. Between VMs the era is a header (th-era): earlier builds ignore it, a store that states no era sends none.

The age of what is known counts from the start of the answered call, or the end of its wait if there were no changes, not from the time at which the answer was read: a process that was frozen in a call took old knowledge for new. A VM that passes on changes says how long it held the question (th-held-ms). The age that another VM's knowledge may have grows by the time of an answered call, in relay/pace.rs and in the model.

tests/relay_pace.rs expects 1300 ms in place of 1250 ms for a limit of 500 ms: the longest time now includes that call's time. The check that all steps fit into each limit is unchanged. tests/relay.rs of th-steer: moments in place of revisions.

--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     limited: IntGauge,
     isolated: IntGauge,
     age: IntGauge,
+    era: IntGauge,
     crashing: IntGauge,
     pub(crate) forwards: IntCounter,
     pub(crate) vm_connections: IntCounter,
@@ -77,6 +78,10 @@
                 &registry,
                 IntGauge::new("th_gateway_store_age_ms", "Age of what is known of the store."),
             ),
+            era: add(
+                &registry,
+                IntGauge::new("th_gateway_store_era", "Era of the store whose content is known."),
+            ),
             crashing: add(
                 &registry,
                 IntGauge::new(
@@ -132,6 +137,7 @@
         self.isolated.set(dispatcher.is_isolated().into());
         self.crashing.set(dispatcher.rejected_requests() as i64);
         self.age.set(core.relay.age(core.now()).0 as i64);
+        self.era.set(core.relay.era().0 as i64);
         self.limited.set(dispatcher.limited().len() as i64);
         self.version.set(dispatcher.routes().map_or(0, |it| it.version().0 as i64));
     }
--- a/crates/th-gateway/src/relay.rs
+++ b/crates/th-gateway/src/relay.rs
@@ -3,11 +3,11 @@
 use std::{cell::RefCell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use th_protocol::{Millis, Revision, Time};
+use th_protocol::{Era, Millis, Revision, StoreMoment, Time};
 use th_steer::relay::{ChangeLog, ItemChange};
 use thiserror::Error;
 use tokio::{
@@ -31,6 +31,10 @@
 const CHANGES_PATH: &str = "/v1/changes";
 /// Path of the request for the backend servers that drag.
 pub const DRAGGING_PATH: &str = "/v1/dragging";
+/// Era of the store in which the revisions of a request or an answer are. Earlier builds send none, and ignore it.
+const ERA: HeaderName = HeaderName::from_static("th-era");
+/// Time in milliseconds from the arrival of a request for changes to its answer. Earlier builds send none, and ignore it.
+const HELD: HeaderName = HeaderName::from_static("th-held-ms");
 /// Maximum size of a request for changes, in bytes.
 const MAX_REQUEST: usize = 256 << 10;
 /// Maximum size of an answer, in bytes: far more than the changes of a few seconds.
@@ -49,9 +53,9 @@
     /// The connection broke.
     #[error("{0}: {1}")]
     Http(SocketAddr, hyper::Error),
-    /// It does not know the changes after that revision.
-    #[error("{0}: it does not know the changes after revision {1}")]
-    Unknown(SocketAddr, Revision),
+    /// It does not know the changes after that moment.
+    #[error("{0}: it does not know the changes after {1}")]
+    Unknown(SocketAddr, StoreMoment),
     /// It answered with an error status.
     #[error("{0}: status {1}")]
     Status(SocketAddr, StatusCode),
@@ -63,7 +67,8 @@
     Timeout(SocketAddr, Millis),
 }
 
-/// Form of [`ItemChange`] on the wire.
+/// Form of [`ItemChange`] on the wire. The revision is of the answer's era; 0 if the change was made in an earlier one and is
+/// still in force.
 #[derive(Serialize, Deserialize)]
 struct ChangePart {
     key: String,
@@ -93,10 +98,14 @@
 pub struct Changes {
     /// The changes.
     pub changes: Vec<ItemChange>,
-    /// Revision up to which they are complete.
-    pub at: Revision,
-    /// Time since the store had that revision.
+    /// Moment up to which they are complete.
+    pub at: StoreMoment,
+    /// Time since the store was at that moment, when the VM answered.
     pub age: Millis,
+    /// Time for which the VM held the request.
+    pub held: Millis,
+    /// The era that it stated; earlier builds state none and do not tell eras apart.
+    pub stated: Option<Era>,
 }
 
 /// What this VM passes on to others.
@@ -108,14 +117,14 @@
 }
 
 impl Relay {
-    /// Starts anew after everything was read: changes are known from a revision on.
-    pub fn reset(&self, at: Revision, now: Time) {
-        self.log.borrow_mut().reset(at, now);
+    /// Starts anew after everything was read: changes are known from a moment on, at which the store was at the time `current`.
+    pub fn reset(&self, at: StoreMoment, current: Time) {
+        self.log.borrow_mut().reset(at, current);
         self.advanced.notify_waiters();
     }
 
-    /// Passes on changes up to revision `at`, which the store had at the time `current`.
-    pub fn append(&self, changes: Vec<ItemChange>, at: Revision, current: Time, now: Time) {
+    /// Passes on changes up to `at`, at which the store was at the time `current`.
+    pub fn append(&self, changes: Vec<ItemChange>, at: StoreMoment, current: Time, now: Time) {
         self.log.borrow_mut().append(changes, at, current, now);
         self.advanced.notify_waiters();
     }
@@ -125,6 +134,11 @@
         now.since(self.log.borrow().current())
     }
 
+    /// Era of the store up to which this VM knows its changes.
+    pub(crate) fn era(&self) -> Era {
+        self.log.borrow().at().era
+    }
+
     /// Ends the waits of other VMs, since this VM's own source failed.
     pub fn interrupt(&self) {
         self.advanced.notify_waiters();
@@ -163,10 +177,13 @@
     core: &Rc<Core>,
     request: Request<Incoming>,
 ) -> std::result::Result<Answer, BoxError> {
+    let (arrived, relay) = (core.now(), &core.relay);
+    let era = read_number(request.headers(), &ERA).map_or_else(|| relay.era(), Era);
     let body = Limited::new(request.into_body(), MAX_REQUEST).collect().await?.to_bytes();
     let asked: ChangesRequest = rmp_serde::from_slice(&body)?;
-    let (after, relay) = (Revision(asked.after), &core.relay);
-    if relay.log.borrow().at() <= after {
+    let after = StoreMoment::new(era, Revision(asked.after));
+    let known = relay.log.borrow().at();
+    if known <= after && known.era == after.era {
         let wait = Duration::from_millis(Millis(asked.wait_ms).min(MAX_WAIT).0);
         let end = tokio::time::Instant::now() + wait;
         // At the end of the wait the answer has no changes, and says how old the knowledge is.
@@ -175,16 +192,26 @@
     let Some(changes) = relay.log.borrow().since(after) else {
         return Ok(reply(StatusCode::GONE, "The changes after the revision are not known."));
     };
-    let part =
-        |it: ItemChange| ChangePart { key: it.key, value: it.value, revision: it.revision.0 };
-    let log = relay.log.borrow();
+    let (log, now) = (relay.log.borrow(), core.now());
+    let at = log.at();
+    let part = |it: ItemChange| {
+        let revision = if it.moment.era == at.era { it.moment.revision.0 } else { 0 };
+        ChangePart { key: it.key, value: it.value, revision }
+    };
     let answer = ChangesAnswer {
         changes: changes.into_iter().map(part).collect(),
-        at: log.at().0,
-        age_ms: core.now().since(log.current()).0,
+        at: at.revision.0,
+        age_ms: now.since(log.current()).0,
     };
     Ok(match rmp_serde::to_vec(&answer) {
-        Ok(body) => Response::new(AnswerBody::new(Bytes::from(body))),
+        Ok(body) => {
+            let mut answer = Response::new(AnswerBody::new(Bytes::from(body)));
+            if at.era != Era::ZERO {
+                answer.headers_mut().insert(ERA, at.era.0.into());
+            }
+            answer.headers_mut().insert(HELD, now.since(arrived).0.into());
+            answer
+        }
         Err(error) => {
             log::error!(target: "store", "Encoding changes for another VM failed: {error}");
             reply(StatusCode::INTERNAL_SERVER_ERROR, "The changes could not be encoded.")
@@ -192,6 +219,16 @@
     })
 }
 
+/// Reads a header of this module; `None` if it is absent or no number, as from a build that sends none.
+fn read_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    let value = headers.get(name)?;
+    let number = value.to_str().ok().and_then(|it| it.parse().ok());
+    if number.is_none() {
+        log::warn!(target: "store", "{name}={value:?} Not a number; ignoring it.");
+    }
+    number
+}
+
 /// Asks other VMs for changes; keeps the connection to the VM that was asked last.
 #[derive(Default)]
 pub struct RelayClient {
@@ -199,12 +236,12 @@
 }
 
 impl RelayClient {
-    /// Asks for the changes after a revision. The VM may wait up to `wait` for some; it must have answered `slack` later.
+    /// Asks for the changes after a moment. The VM may wait up to `wait` for some; it must have answered `slack` later.
     pub async fn changes(
         &mut self,
         core: &Core,
         address: SocketAddr,
-        after: Revision,
+        after: StoreMoment,
         wait: Millis,
         slack: Millis,
     ) -> Result<Changes> {
@@ -226,15 +263,18 @@
     core: &Core,
     kept: Option<Connection>,
     address: SocketAddr,
-    after: Revision,
+    after: StoreMoment,
     wait: Millis,
 ) -> Result<(Changes, Connection)> {
     let malformed = |cause: String| RelayError::Malformed(address, cause);
-    let asked = ChangesRequest { after: after.0, wait_ms: wait.0 };
+    let asked = ChangesRequest { after: after.revision.0, wait_ms: wait.0 };
     let body = rmp_serde::to_vec(&asked).map_err(|it| malformed(it.to_string()))?;
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = CHANGES_PATH.parse().map_err(|it| malformed(format!("{it}")))?;
+    if after.era != Era::ZERO {
+        request.headers_mut().insert(ERA, HeaderValue::from(after.era.0));
+    }
     let mut connection = match kept.filter(|it| it.sender.is_ready()) {
         Some(connection) => connection,
         None => Connection::open(address, core.settings.connect_timeout).await?,
@@ -247,6 +287,9 @@
     if !answer.status().is_success() {
         return Err(RelayError::Status(address, answer.status()));
     }
+    let stated = read_number(answer.headers(), &ERA).map(Era);
+    let era = stated.unwrap_or(after.era);
+    let held = read_number(answer.headers(), &HELD).map_or(Millis::ZERO, Millis);
     let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
     let body = body.map_err(|it| malformed(it.to_string()))?.to_bytes();
     let answer: ChangesAnswer =
@@ -254,8 +297,9 @@
     let mut changes = Vec::with_capacity(answer.changes.len());
     for part in answer.changes {
         let ChangePart { key, value, revision } = part;
-        changes.push(ItemChange { key, value, revision: Revision(revision) });
+        let moment = StoreMoment::new(era, Revision(revision));
+        changes.push(ItemChange { key, value, moment });
     }
-    let (at, age) = (Revision(answer.at), Millis(answer.age_ms));
-    Ok((Changes { changes, at, age }, connection))
+    let (at, age) = (StoreMoment::new(era, Revision(answer.at)), Millis(answer.age_ms));
+    Ok((Changes { changes, at, age, held, stated }, connection))
 }
--- a/crates/th-model/src/relay.rs
+++ b/crates/th-model/src/relay.rs
@@ -19,6 +19,10 @@
 const INTERVAL: u8 = 4;
 /// Time beyond the interval within which another VM must have answered, in ticks: at least the production's 0.3 s.
 const SLACK: u8 = 2;
+/// Time that an answered call takes, by which knowledge seems older than it is, in ticks: the production's 0.25 s.
+const ANSWER: u8 = 1;
+/// The greatest age of what a VM may pass on.
+const LONGEST_RELAYED: u8 = INTERVAL + SLACK + ANSWER;
 /// Time within which a configuration must be known, in ticks: 2.5 s.
 const LIMIT: u8 = 10;
 /// Time for which a failed source is not asked, in ticks: 5 s.
@@ -26,7 +30,7 @@
 /// Time of a call and the delay after it in the variant whose watches wait for long.
 const LONG_CALL: Millis = Millis(3_700);
 /// Ages beyond this are not distinguished.
-const OLDEST: u8 = INTERVAL + 2 * SLACK + 1;
+const OLDEST: u8 = LONGEST_RELAYED + SLACK + 1;
 
 /// A fault that is put into the model on purpose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -203,12 +207,12 @@
             RelayFault::WaitAnew => waited,
             _ => state.vms[index].age,
         };
-        let answers = !source.frozen && (advanced || INTERVAL + SLACK <= passed);
-        let is_late = self.fault != RelayFault::NoTimeout && INTERVAL + 2 * SLACK <= passed;
+        let answers = !source.frozen && (advanced || LONGEST_RELAYED <= passed);
+        let is_late = self.fault != RelayFault::NoTimeout && LONGEST_RELAYED + SLACK <= passed;
         if !answers && !is_late {
             return false;
         }
-        let is_current = self.fault == RelayFault::AnyAge || source.age <= INTERVAL + SLACK;
+        let is_current = self.fault == RelayFault::AnyAge || source.age <= LONGEST_RELAYED;
         if answers && is_current {
             let vm = &mut state.vms[index];
             vm.known |= source.known;
--- a/crates/th-protocol/src/lib.rs
+++ b/crates/th-protocol/src/lib.rs
@@ -6,6 +6,7 @@
 mod ids;
 mod load;
 mod lookup;
+mod moment;
 mod peer;
 mod rate;
 mod status;
@@ -27,6 +28,7 @@
 };
 pub use load::LoadReport;
 pub use lookup::{EntryAddress, LookupAnswer};
+pub use moment::{MomentError, StoreMoment};
 pub use peer::{
     BundleAnswer, BundleHead, BundleRequest, CheckAnswer, HeadroomDigest, Heartbeat, IndirectCheck,
     LeavingNotice, LeavingSource, MemberState, PeerRecord,
@@ -34,7 +36,7 @@
 pub use rate::{RateError, RequestRate};
 pub use status::Status;
 pub use units::{
-    AttemptId, Bytes, Connections, Incarnation, Mbit, Millis, Permille, Revision, Slots, Time,
+    AttemptId, Bytes, Connections, Era, Incarnation, Mbit, Millis, Permille, Revision, Slots, Time,
     UnitError, Version,
 };
 pub use verdict::{Notice, Reason, Verdict, VerdictError};
--- a/crates/th-protocol/src/units.rs
+++ b/crates/th-protocol/src/units.rs
@@ -109,6 +109,8 @@
     /// A number that identifies one start of an entry VM's process; a later start has a larger
     /// number.
     Incarnation(u64), "";
+    /// How often the platform's service came back from an older copy of its content, plus one; 0 if it states none.
+    Era(u64), "";
     /// The revision of a value in the platform's service.
     Revision(u64), "";
     /// The id of one attempt to run a request on a backend server.
--- a/crates/th-steer/src/relay/mod.rs
+++ b/crates/th-steer/src/relay/mod.rs
@@ -5,9 +5,13 @@
 //! from their registration, so nothing is agreed on: a VM whose source fails asks the next one, and finally the store.
 
 mod change_log;
+mod freshness;
+mod last_writes;
 mod pace;
 mod upstream;
 
 pub use change_log::{ChangeLog, ItemChange};
+pub use freshness::{relayed_time, watch_time};
+pub use last_writes::{LastWrites, WriteMark};
 pub use pace::{PaceError, WatchPace};
 pub use upstream::{Source, Upstream};
--- a/crates/th-steer/src/relay/pace.rs
+++ b/crates/th-steer/src/relay/pace.rs
@@ -101,12 +101,18 @@
         silent.max(unreachable).max(refused)
     }
 
+    /// The greatest age of what another VM may pass on. What is known counts from the start of a call, so it includes the time
+    /// that an answered call takes.
+    pub fn longest_relayed(&self) -> Millis {
+        self.interval.plus(self.slack).plus(self.answer)
+    }
+
     /// The longest time from the later of two moments, a change and the store's return, to the knowledge of the change.
     pub fn longest_age(&self) -> Millis {
         // The connection falls silent between two watches.
         let silent = self.interval.plus(self.wait).plus(self.repeat);
         // Another VM that is asked for changes first freezes.
-        let relayed = self.interval.plus(self.slack).plus(self.slack);
+        let relayed = self.longest_relayed().plus(self.slack);
         silent.max(relayed).max(self.longest_gap()).plus(self.answer)
     }
 
--- a/crates/th-steer/tests/relay.rs
+++ b/crates/th-steer/tests/relay.rs
@@ -3,14 +3,19 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use rstest::rstest;
-use th_protocol::{Millis, Revision, Time, VmId};
+use th_protocol::{Era, Millis, Revision, StoreMoment, Time, VmId};
 use th_steer::relay::{ChangeLog, ItemChange, Source, Upstream};
 
 const START: Time = Time(100_000);
 
+/// A moment of the first era.
+fn at(revision: u64) -> StoreMoment {
+    StoreMoment::new(Era(1), Revision(revision))
+}
+
 fn put(key: &str, revision: u64) -> ItemChange {
     let value = Some(format!("{key}@{revision}").into_bytes());
-    ItemChange { key: key.to_owned(), value, revision: Revision(revision) }
+    ItemChange { key: key.to_owned(), value, moment: at(revision) }
 }
 
 fn removal(key: &str, revision: u64) -> ItemChange {
@@ -35,8 +40,8 @@
 #[test]
 fn a_vm_that_continues_anywhere_reaches_the_same_items() {
     let mut log = ChangeLog::default();
-    log.reset(Revision(10), START);
-    let mut states = vec![(Revision(10), BTreeMap::new())];
+    log.reset(at(10), START);
+    let mut states = vec![(at(10), BTreeMap::new())];
     let mut items = BTreeMap::new();
     for step in 1..=60_u64 {
         // Two items change in one revision.
@@ -46,40 +51,40 @@
             _ => vec![put(&first, 10 + step), put(&second, 10 + step)],
         };
         apply(&mut items, changes.clone());
-        log.append(changes, Revision(10 + step), START, START.after(Millis(step)));
-        states.push((Revision(10 + step), items.clone()));
+        log.append(changes, at(10 + step), START, START.after(Millis(step)));
+        states.push((at(10 + step), items.clone()));
     }
     for (revision, mut state) in states {
         apply(&mut state, log.since(revision).unwrap());
         assert_eq!(state, items, "from {revision}");
     }
-    assert_eq!(log.since(Revision(9)), None, "older changes are not known");
-    assert_eq!(log.since(Revision(70)), Some(Vec::new()));
+    assert_eq!(log.since(at(9)), None, "older changes are not known");
+    assert_eq!(log.since(at(70)), Some(Vec::new()));
 }
 
 #[test]
 fn a_log_knows_nothing_before_its_start() {
     let mut log = ChangeLog::default();
-    assert_eq!(log.since(Revision(5)), None);
-    log.append(vec![put("a", 5)], Revision(5), START, START);
-    assert_eq!(log.since(Revision(4)), None, "changes before the first one may be missing");
-    log.reset(Revision(8), START);
-    assert_eq!((log.since(Revision(8)), log.since(Revision(7))), (Some(Vec::new()), None));
+    assert_eq!(log.since(at(5)), None);
+    log.append(vec![put("a", 5)], at(5), START, START);
+    assert_eq!(log.since(at(4)), None, "changes before the first one may be missing");
+    log.reset(at(8), START);
+    assert_eq!((log.since(at(8)), log.since(at(7))), (Some(Vec::new()), None));
 }
 
 /// The log of a fleet that changes all the time is bounded, and tells a VM that was away too long to read everything.
 #[test]
 fn old_changes_are_dropped() {
     let mut log = ChangeLog::default();
-    log.reset(Revision(0), START);
+    log.reset(at(0), START);
     for step in 1..=1_000 {
         let now = START.after(Millis(step * 100));
-        log.append(vec![put(&format!("k{step}"), step)], Revision(step), now, now);
+        log.append(vec![put(&format!("k{step}"), step)], at(step), now, now);
     }
-    let known = (0..=1_000).find(|it| log.since(Revision(*it)).is_some()).unwrap();
+    let known = (0..=1_000).find(|it| log.since(at(*it)).is_some()).unwrap();
     assert!((800..=900).contains(&known), "known from {known}");
-    assert_eq!(log.since(Revision(known)).unwrap().len() as u64, 1_000 - known);
-    assert_eq!((log.at(), log.current()), (Revision(1_000), START.after(Millis(100_000))));
+    assert_eq!(log.since(at(known)).unwrap().len() as u64, 1_000 - known);
+    assert_eq!((log.at(), log.current()), (at(1_000), START.after(Millis(100_000))));
 }
 
 #[rstest]
--- a/crates/th-steer/tests/relay_pace.rs
+++ b/crates/th-steer/tests/relay_pace.rs
@@ -18,7 +18,7 @@
     let error = WatchPace::new(Millis(500)).check().unwrap_err();
     assert_eq!(
         error.to_string(),
-        "changes must be known after 500ms, but while calls fail they are known after up to 1250ms"
+        "changes must be known after 500ms, but while calls fail they are known after up to 1300ms"
     );
 }
 
--- a/src/bin/thctl/fleet.rs
+++ b/src/bin/thctl/fleet.rs
@@ -6,7 +6,7 @@
 use platform::{FleetView, StoreClient, probe_readiness};
 use serde_json::{Value, json};
 use th_gateway::DRAGGING_PATH;
-use th_protocol::{BackendId, ServiceId, VmId, ZoneId};
+use th_protocol::{BackendId, Era, ServiceId, VmId, ZoneId};
 use th_steer::dispatch::Serving;
 
 use crate::{
@@ -95,6 +95,9 @@
     dragging: &Dragging,
 ) -> Result<String> {
     let mut out = String::new();
+    if view.at.era != Era::ZERO {
+        writeln!(out, "store in era {}", view.at.era)?;
+    }
     match &view.config {
         Some((revision, table)) => {
             let routes = table.iter().count();
@@ -152,6 +155,6 @@
     for it in &view.unusable {
         unusable.push(json!({"key": it.key, "revision": it.revision, "cause": it.cause}));
     }
-    json!({"version": view.version(), "revision": view.at, "backends": backends, "entries": entries,
+    json!({"version": view.version(), "revision": view.at.revision, "era": view.at.era, "backends": backends, "entries": entries,
         "evacuated": view.evacuated, "dragging": dragging, "unusable": unusable})
 }
--- a/tests/thctl_fleet.rs
+++ b/tests/thctl_fleet.rs
@@ -43,6 +43,7 @@
     let (code, output) = run_fleet(&store).await;
     assert_eq!(code, 0, "{output}");
     assert_eq!(output["version"], 12);
+    assert_eq!(output["era"], 1);
     assert_eq!(output["evacuated"], json!(["south-a"]));
     let counts = json!([{"service": "desk", "zone": "north-a", "ready": 2, "slots": 8, "draining": 1, "evacuated": false}]);
     assert_eq!(output["backends"], counts);
@@ -54,6 +55,7 @@
         spawn_blocking(move || thctl(&["fleet", "--store", &address])).await.unwrap();
     assert_eq!(code, 0);
     for part in [
+        "store in era 1",
         "configuration 12",
         "desk in north-a: 2 ready with 8 slots, 1 draining",
         "vm-1 in north-a: no answer",
