Learn of the store's return from others, and test what must not go back

A VM that cannot reach the store asks another one once its own knowledge is too old; where that one does not know all changes since (it had not seen what this VM had seen of the earlier era), it takes those that are known (th-partial), does not count its own knowledge as current, and reads everything when the store is back. Before, such a VM learnt nothing if it was the one that watches.

In the model, VMs without their way to the store ask others. The first version of that was refuted: the model aged VMs one after the other in a tick, so that two VMs that ask each other kept an age that a third had already passed. All VMs age before any acts now.

--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -30,5 +30,5 @@
 pub use gateway::{Gateway, Result};
 pub use logging::{LineCounts, start_logging};
 pub use pipeline::{Framing, HeadStatus, RequestHead, parse_head};
-pub use relay::{Changes, DRAGGING_PATH, Relay, RelayClient, RelayError};
+pub use relay::{Changes, DRAGGING_PATH, Question, Relay, RelayClient, RelayError};
 pub use settings::{GatewaySettings, Listeners};
--- a/crates/th-gateway/src/relay.rs
+++ b/crates/th-gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use th_protocol::{Era, Millis, Revision, StoreMoment, Time};
-use th_steer::relay::{ChangeLog, ItemChange};
+use th_steer::relay::{ChangeLog, ItemChange, News};
 use thiserror::Error;
 use tokio::{
     sync::Notify,
@@ -35,6 +35,9 @@
 const ERA: HeaderName = HeaderName::from_static("th-era");
 /// Time in milliseconds from the arrival of a request for changes to its answer. Earlier builds send none, and ignore it.
 const HELD: HeaderName = HeaderName::from_static("th-held-ms");
+/// Present on a request whose sender cannot reach the store, and takes some changes where not all are known; and on an answer
+/// that holds only some. Earlier builds ignore it.
+const PARTIAL: HeaderName = HeaderName::from_static("th-partial");
 /// Maximum size of a request for changes, in bytes.
 const MAX_REQUEST: usize = 256 << 10;
 /// Maximum size of an answer, in bytes: far more than the changes of a few seconds.
@@ -104,10 +107,19 @@
     pub age: Millis,
     /// Time for which the VM held the request.
     pub held: Millis,
+    /// Whether there may be others that the VM does not know.
+    pub is_partial: bool,
     /// The era that it stated; earlier builds state none and do not tell eras apart.
     pub stated: Option<Era>,
 }
 
+impl Changes {
+    /// What decides whether they are taken over.
+    pub fn news(&self) -> News {
+        News { age: self.age, era: self.at.era, is_stated: self.stated.is_some() }
+    }
+}
+
 /// What this VM passes on to others.
 #[derive(Default)]
 pub struct Relay {
@@ -178,6 +190,7 @@
     request: Request<Incoming>,
 ) -> std::result::Result<Answer, BoxError> {
     let (arrived, relay) = (core.now(), &core.relay);
+    let takes_part = request.headers().contains_key(&PARTIAL);
     let era = read_number(request.headers(), &ERA).map_or_else(|| relay.era(), Era);
     let body = Limited::new(request.into_body(), MAX_REQUEST).collect().await?.to_bytes();
     let asked: ChangesRequest = rmp_serde::from_slice(&body)?;
@@ -189,10 +202,14 @@
         // At the end of the wait the answer has no changes, and says how old the knowledge is.
         let _ = timeout_at(end, relay.advanced.notified()).await;
     }
-    let Some(changes) = relay.log.borrow().since(after) else {
-        return Ok(reply(StatusCode::GONE, "The changes after the revision are not known."));
-    };
     let (log, now) = (relay.log.borrow(), core.now());
+    let (changes, is_partial) = match log.since(after) {
+        Some(changes) => (changes, false),
+        None if takes_part => (log.kept(after), true),
+        None => {
+            return Ok(reply(StatusCode::GONE, "The changes after the revision are not known."));
+        }
+    };
     let at = log.at();
     let part = |it: ItemChange| {
         let revision = if it.moment.era == at.era { it.moment.revision.0 } else { 0 };
@@ -210,6 +227,9 @@
                 answer.headers_mut().insert(ERA, at.era.0.into());
             }
             answer.headers_mut().insert(HELD, now.since(arrived).0.into());
+            if is_partial {
+                answer.headers_mut().insert(PARTIAL, HeaderValue::from_static("1"));
+            }
             answer
         }
         Err(error) => {
@@ -229,6 +249,19 @@
     number
 }
 
+/// A question to another VM for changes.
+#[derive(Debug, Clone, Copy)]
+pub struct Question {
+    /// The moment after which they are asked for.
+    pub after: StoreMoment,
+    /// Time for which the VM may wait for some.
+    pub wait: Millis,
+    /// Time after that until it must have answered.
+    pub slack: Millis,
+    /// Whether some changes are taken where not all are known.
+    pub takes_part: bool,
+}
+
 /// Asks other VMs for changes; keeps the connection to the VM that was asked last.
 #[derive(Default)]
 pub struct RelayClient {
@@ -236,18 +269,16 @@
 }
 
 impl RelayClient {
-    /// Asks for the changes after a moment. The VM may wait up to `wait` for some; it must have answered `slack` later.
+    /// Asks for changes.
     pub async fn changes(
         &mut self,
         core: &Core,
         address: SocketAddr,
-        after: StoreMoment,
-        wait: Millis,
-        slack: Millis,
+        question: Question,
     ) -> Result<Changes> {
-        let limit = wait.plus(slack);
+        let limit = question.wait.plus(question.slack);
         let kept = self.connection.take().filter(|it| it.address == address);
-        let asked = ask(core, kept, address, after, wait);
+        let asked = ask(core, kept, address, question);
         match timeout(Duration::from_millis(limit.0), asked).await {
             Ok(Ok((changes, connection))) => {
                 self.connection = Some(connection);
@@ -263,11 +294,11 @@
     core: &Core,
     kept: Option<Connection>,
     address: SocketAddr,
-    after: StoreMoment,
-    wait: Millis,
+    question: Question,
 ) -> Result<(Changes, Connection)> {
+    let after = question.after;
     let malformed = |cause: String| RelayError::Malformed(address, cause);
-    let asked = ChangesRequest { after: after.revision.0, wait_ms: wait.0 };
+    let asked = ChangesRequest { after: after.revision.0, wait_ms: question.wait.0 };
     let body = rmp_serde::to_vec(&asked).map_err(|it| malformed(it.to_string()))?;
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
@@ -275,6 +306,9 @@
     if after.era != Era::ZERO {
         request.headers_mut().insert(ERA, HeaderValue::from(after.era.0));
     }
+    if question.takes_part {
+        request.headers_mut().insert(PARTIAL, HeaderValue::from_static("1"));
+    }
     let mut connection = match kept.filter(|it| it.sender.is_ready()) {
         Some(connection) => connection,
         None => Connection::open(address, core.settings.connect_timeout).await?,
@@ -289,6 +323,7 @@
     }
     let stated = read_number(answer.headers(), &ERA).map(Era);
     let era = stated.unwrap_or(after.era);
+    let is_partial = answer.headers().contains_key(&PARTIAL);
     let held = read_number(answer.headers(), &HELD).map_or(Millis::ZERO, Millis);
     let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
     let body = body.map_err(|it| malformed(it.to_string()))?.to_bytes();
@@ -301,5 +336,5 @@
         changes.push(ItemChange { key, value, moment });
     }
     let (at, age) = (StoreMoment::new(era, Revision(answer.at)), Millis(answer.age_ms));
-    Ok((Changes { changes, at, age, held, stated }, connection))
+    Ok((Changes { changes, at, age, held, is_partial, stated }, connection))
 }
--- a/crates/th-model/src/relay.rs
+++ b/crates/th-model/src/relay.rs
@@ -133,7 +133,7 @@
     format!("vm-{index}").parse().expect("the id is valid")
 }
 
-fn choose(vm: &Vm, index: usize) -> Option<usize> {
+fn upstream(vm: &Vm, index: usize) -> Upstream {
     let mut upstream = Upstream::new(id(index));
     for (other, left) in vm.failed.iter().enumerate() {
         if 0 < *left {
@@ -141,13 +141,25 @@
             upstream.on_failure(id(other), START.before(passed));
         }
     }
-    let all: Vec<VmId> = (0..VMS).map(id).collect();
-    match upstream.choose(&all, START) {
+    upstream
+}
+
+fn all_vms() -> Vec<VmId> {
+    (0..VMS).map(id).collect()
+}
+
+fn choose(vm: &Vm, index: usize) -> Option<usize> {
+    match upstream(vm, index).choose(&all_vms(), START) {
         Source::Store => None,
-        Source::Peer(peer) => all.iter().position(|it| *it == peer),
+        Source::Peer(peer) => all_vms().iter().position(|it| *it == peer),
     }
 }
 
+fn choose_other(vm: &Vm, index: usize) -> Option<usize> {
+    let peer = upstream(vm, index).choose_other(&all_vms(), START)?;
+    all_vms().iter().position(|it| *it == peer)
+}
+
 /// Whether the limit has passed since the write and the store's last return.
 fn is_due(state: &RelayState) -> bool {
     !state.silent && LIMIT <= state.back && state.written.is_some_and(|it| LIMIT <= it)
@@ -159,6 +171,7 @@
         let vm = &mut state.vms[index];
         if vm.cut {
             vm.phase = Phase::Pause(1);
+            self.ask_other(state, index);
             return;
         }
         if state.silent || vm.hushed {
@@ -171,6 +184,24 @@
         vm.phase = Phase::Pause(INTERVAL);
     }
 
+    /// Lets a VM that cannot reach the store ask another one, once its own knowledge is too old.
+    fn ask_other(&self, state: &mut RelayState, index: usize) {
+        if state.vms[index].age <= LONGEST_RELAYED {
+            return;
+        }
+        let Some(peer) = choose_other(&state.vms[index], index) else {
+            return;
+        };
+        let source = state.vms[peer].clone();
+        let vm = &mut state.vms[index];
+        if source.frozen || LONGEST_RELAYED < source.age {
+            vm.failed[peer] = COOLDOWN;
+            return;
+        }
+        vm.known |= source.known;
+        vm.age = if self.fault == RelayFault::AgeLost { 0 } else { source.age };
+    }
+
     /// Repeats a call without an answer once it is overdue.
     fn give_up(&self, state: &mut RelayState, index: usize) {
         let vm = &mut state.vms[index];
@@ -232,13 +263,15 @@
         next.tick = (next.tick + 1).min(self.ticks);
         next.written = next.written.map(|it| (it + 1).min(LIMIT));
         next.back = (next.back + 1).min(LIMIT);
-        let mut advanced = [false; VMS];
-        for (index, has_news) in advanced.iter_mut().enumerate() {
-            let vm = &mut next.vms[index];
+        for vm in &mut next.vms {
             vm.age = (vm.age + 1).min(OLDEST);
             for left in &mut vm.failed {
                 *left = left.saturating_sub(1);
             }
+        }
+        let mut advanced = [false; VMS];
+        for (index, has_news) in advanced.iter_mut().enumerate() {
+            let vm = &mut next.vms[index];
             if vm.frozen {
                 continue;
             }
--- a/crates/th-steer/src/relay/change_log.rs
+++ b/crates/th-steer/src/relay/change_log.rs
@@ -110,6 +110,12 @@
         if after.revision < span.first || is_beyond {
             return None;
         }
+        Some(self.kept(after))
+    }
+
+    /// The kept changes after a moment, whether or not these are all. For a VM that cannot reach the store, they are better
+    /// than nothing.
+    pub fn kept(&self, after: StoreMoment) -> Vec<ItemChange> {
         let mut changes = Vec::new();
         for ((moment, key), kept) in &self.changes {
             if after < *moment {
@@ -117,7 +123,7 @@
                 changes.push(ItemChange { key, value, moment: *moment });
             }
         }
-        Some(changes)
+        changes
     }
 
     /// The moment up to which changes are known.
--- a/crates/th-steer/src/relay/mod.rs
+++ b/crates/th-steer/src/relay/mod.rs
@@ -7,11 +7,13 @@
 mod change_log;
 mod freshness;
 mod last_writes;
+mod news;
 mod pace;
 mod upstream;
 
 pub use change_log::{ChangeLog, ItemChange};
 pub use freshness::{relayed_time, watch_time};
 pub use last_writes::{LastWrites, WriteMark};
+pub use news::{News, NewsError};
 pub use pace::{PaceError, WatchPace};
 pub use upstream::{Source, Upstream};
--- a/crates/th-steer/src/relay/upstream.rs
+++ b/crates/th-steer/src/relay/upstream.rs
@@ -35,21 +35,30 @@
     /// Chooses among the registered VMs of the data centre: the first one in the common order that has not failed
     /// lately. The first VM of all, and one that finds all before it failed, ask the store.
     pub fn choose(&mut self, vms: &[VmId], now: Time) -> Source {
-        self.failures.retain(|_, at| now < at.after(RETRY_INTERVAL));
-        let mut order: Vec<(Reverse<u64>, &VmId)> = Vec::with_capacity(vms.len());
-        for vm in vms {
-            order.push((Reverse(mix(hash_name(vm.as_str()))), vm));
-        }
-        order.sort_unstable();
-        for (_, vm) in order {
-            if *vm == self.own {
-                break;
-            }
-            if !self.failures.contains_key(vm) {
-                return Source::Peer(vm.clone());
-            }
+        let order = self.order(vms, now);
+        let before = order.into_iter().take_while(|it| **it != self.own);
+        match self.first_sound(before) {
+            Some(vm) => Source::Peer(vm),
+            None => Source::Store,
         }
-        Source::Store
+    }
+
+    /// Chooses whom to ask for what the store has while this VM cannot reach it: any other VM that has not failed lately.
+    pub fn choose_other(&mut self, vms: &[VmId], now: Time) -> Option<VmId> {
+        let order = self.order(vms, now);
+        self.first_sound(order.into_iter().filter(|it| **it != self.own))
+    }
+
+    fn first_sound<'a>(&self, mut vms: impl Iterator<Item = &'a VmId>) -> Option<VmId> {
+        vms.find(|it| !self.failures.contains_key(*it)).cloned()
+    }
+
+    /// The common order of VMs. Also forgets failures of long ago.
+    fn order<'a>(&mut self, vms: &'a [VmId], now: Time) -> Vec<&'a VmId> {
+        self.failures.retain(|_, at| now < at.after(RETRY_INTERVAL));
+        let mut order: Vec<&VmId> = vms.iter().collect();
+        order.sort_unstable_by_key(|vm| (Reverse(mix(hash_name(vm.as_str()))), *vm));
+        order
     }
 
     /// Handles a VM that did not answer in time, or whose changes were not current.
--- a/crates/th-steer/tests/relay_eras.rs
+++ b/crates/th-steer/tests/relay_eras.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use th_protocol::{Era, Millis, Revision, StoreMoment, Time};
-use th_steer::relay::{ChangeLog, ItemChange, LastWrites, WriteMark};
+use th_steer::relay::{ChangeLog, ItemChange, LastWrites, News, NewsError, WriteMark};
 
 const START: Time = Time(100_000);
 
@@ -199,3 +199,35 @@
     writes.on_removed("e", Era(1));
     assert_eq!(writes.is_outdated("e", moment, None), expected);
 }
+
+/// Guards against knowledge of an earlier era that is put over a later one, and against builds that do not tell eras apart.
+#[rstest]
+#[case::current(News { age: Millis(900), era: Era(2), is_stated: true }, Ok(()))]
+#[case::of_a_later_era(News { age: Millis(900), era: Era(4), is_stated: true }, Ok(()))]
+#[case::old(News { age: Millis(1_501), era: Era(2), is_stated: true }, Err(NewsError::Old(Millis(1_501), Millis(1_500))))]
+#[case::of_an_earlier_era(News { age: Millis(0), era: Era(1), is_stated: true }, Err(NewsError::EarlierEra(Era(1), Era(2))))]
+#[case::of_an_earlier_build(News { age: Millis(0), era: Era(2), is_stated: false }, Err(NewsError::Unsure(Era(3))))]
+fn what_another_vm_passes_on_is_checked(
+    #[case] news: News,
+    #[case] expected: Result<(), NewsError>,
+) {
+    assert_eq!(news.check(Millis(1_500), Era(2), Era(3)), expected);
+}
+
+/// A store that states no era, or that has not come back since: earlier builds are followed.
+#[test]
+fn an_earlier_build_is_followed_while_the_era_stays() {
+    for era in [Era::ZERO, Era(2)] {
+        let news = News { age: Millis(10), era, is_stated: false };
+        assert_eq!(news.check(Millis(1_500), era, era), Ok(()));
+    }
+}
+
+/// A VM that cannot reach the store is better off with some changes than with none.
+#[test]
+fn kept_changes_are_given_where_not_all_are_known() {
+    let log = log();
+    assert_eq!(log.since(at(1, 21)), None);
+    let kept: Vec<String> = log.kept(at(1, 21)).into_iter().map(|it| it.key).collect();
+    assert_eq!(kept, ["new", "lost"]);
+}
