Model a store that comes back from older copies

Two VMs, one item, three writes, two returns, answers that arrive crossed; changes pass through the production ChangeLog. A first version of the model was refuted: an answer must be judged by the moment that was asked for, not by the one known at its arrival (the code did so already).

--- a/crates/th-model/src/lib.rs
+++ b/crates/th-model/src/lib.rs
@@ -1,6 +1,7 @@
 //! Models of the core protocols, whose reachable states are all checked.
 
 mod drain;
+mod era;
 mod explore;
 mod grant;
 mod relay;
@@ -9,6 +10,7 @@
 mod ticket;
 
 pub use drain::{DrainAction, DrainFault, DrainModel, DrainState};
+pub use era::{EraAction, EraFault, EraModel, EraState};
 pub use explore::{Model, Outcome, explore};
 pub use grant::{Call, GrantAction, GrantFault, GrantModel, GrantState};
 pub use relay::{RelayAction, RelayFault, RelayModel, RelayState};
--- a/crates/th-steer/src/relay/change_log.rs
+++ b/crates/th-steer/src/relay/change_log.rs
@@ -19,7 +19,7 @@
 }
 
 /// A kept change.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Kept {
     value: Option<Vec<u8>>,
     /// When this VM learnt of it.
@@ -27,7 +27,7 @@
 }
 
 /// The revisions of an era between which all changes are known.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Span {
     first: Revision,
     last: Revision,
@@ -38,7 +38,7 @@
 /// When the store comes back from an older copy, the items that differ from what was known are changes of the new era. A VM
 /// that follows from an earlier era gets them together with the changes that it lacks of that era, and need not read
 /// everything itself.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct ChangeLog {
     /// By moment and key.
     changes: BTreeMap<(StoreMoment, String), Kept>,
