Let the soak's store come back from an older copy

The store falls silent for up to 1.5 s and is back from a copy up to 3 s old, up to three times in half of the seeds with faults; operators and servers write again after 1 s. Drawn apart, so that the other events of a seed stay. Servers count their writes.

--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -27,6 +27,9 @@
 pub(crate) const SERVERS: usize = 8;
 /// Time for which a backend server runs a request.
 const RUN_TIME: Duration = Duration::from_millis(30);
+/// Time after the store is back from an older copy within which operators and servers have written again; the platform's pages
+/// say about two seconds.
+const REWRITE_TIME: Duration = Duration::from_secs(1);
 /// Maximum time from SIGTERM to the exit of a process: the grace period of the settings and a margin.
 const STOP_TIMEOUT: Duration = Duration::from_millis(7_500);
 const ZONES: [&str; 2] = ["north-a", "south-a"];
@@ -39,6 +42,8 @@
     pub(crate) zone: &'static str,
     /// When the store accepted that it drains.
     pub(crate) drained: Option<Instant>,
+    /// Whether its entry was removed.
+    left: bool,
 }
 
 impl Server {
@@ -46,6 +51,8 @@
         let mut entry = self.server.entry(state);
         entry["address"] = json!(self.proxy.address.to_string());
         entry["zone"] = json!(self.zone);
+        // Its writes count up.
+        entry["sequence"] = json!(if state == "ready" { 4 } else { 5 });
         entry
     }
 }
@@ -90,6 +97,8 @@
     pub(crate) disturbed: Disturbances,
     /// Versions of the configurations, and when the store accepted each.
     pub(crate) configs: Mutex<BTreeMap<u64, Instant>>,
+    /// Number of evacuations in force.
+    evacuations: AtomicU32,
     /// Number of processes that exited unexpectedly.
     pub(crate) exits: AtomicU32,
     next_server: AtomicU64,
@@ -149,6 +158,7 @@
             replaced: Mutex::default(),
             disturbed: Disturbances::default(),
             configs: Mutex::default(),
+            evacuations: AtomicU32::new(0),
             exits: AtomicU32::new(0),
             next_server: AtomicU64::new(0),
         });
@@ -168,7 +178,7 @@
         let server = StandInServer::start(&format!("i-{number}"), RUN_TIME).await;
         let proxy = Proxy::start(server.address).await;
         let zone = ZONES[number as usize % ZONES.len()];
-        let server = Server { server, proxy, zone, drained: None };
+        let server = Server { server, proxy, zone, drained: None, left: false };
         self.store.put(&format!("servers/{}", server.server.id), &server.entry("ready"));
         server
     }
@@ -180,6 +190,30 @@
         configs.insert(version, Instant::now());
     }
 
+    /// Writes again what operators and servers had written, as they do after the store lost it.
+    fn write_again(&self) {
+        let configs = self.configs.lock().unwrap();
+        if let Some(version) = configs.keys().next_back() {
+            self.store.put("op/config", &config(*version));
+        }
+        for server in self.all_servers() {
+            let key = format!("servers/{}", server.server.id);
+            match server.drained {
+                None => self.store.put(&key, &server.entry("ready")),
+                Some(_) if !server.left => self.store.put(&key, &server.entry("draining")),
+                Some(_) => self.store.remove(&key),
+            }
+        }
+        self.write_evacuation();
+    }
+
+    fn write_evacuation(&self) {
+        match self.evacuations.load(Ordering::Relaxed) {
+            0 => self.store.remove("op/evacuate/south-a"),
+            _ => self.store.put("op/evacuate/south-a", &json!({})),
+        }
+    }
+
     /// Returns all servers of the run.
     pub(crate) fn all_servers(&self) -> Vec<Server> {
         let mut servers = self.servers.lock().unwrap().clone();
@@ -257,6 +291,17 @@
                     sleep(back).await;
                 }
             }
+            Event::OlderCopy(age, away) => {
+                let copy = self.store.copy();
+                sleep(age).await;
+                self.disturbed.add(None, away + REWRITE_TIME + Duration::from_secs(1));
+                self.store.set_silent(true);
+                sleep(away).await;
+                self.store.restore(copy);
+                self.store.set_silent(false);
+                sleep(REWRITE_TIME).await;
+                self.write_again();
+            }
             Event::Forget => {
                 self.disturbed.add(None, Duration::from_secs(1));
                 self.store.compact_history();
@@ -275,11 +320,16 @@
                 self.replaced.lock().unwrap().push(retired);
                 sleep(Duration::from_secs(3)).await;
                 self.store.remove(&format!("servers/{id}"));
+                for server in self.replaced.lock().unwrap().iter_mut() {
+                    server.left |= server.server.id == id;
+                }
             }
             Event::Evacuate(span) => {
-                self.store.put("op/evacuate/south-a", &json!({}));
+                self.evacuations.fetch_add(1, Ordering::Relaxed);
+                self.write_evacuation();
                 sleep(span).await;
-                self.store.remove("op/evacuate/south-a");
+                self.evacuations.fetch_sub(1, Ordering::Relaxed);
+                self.write_evacuation();
             }
         }
     }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -41,6 +41,8 @@
     Store(StoreFault, Duration),
     /// The store falls silent that many times, for the first duration each, and is back for the second in between.
     Silences(u32, Duration, Duration),
+    /// The store falls silent for the second duration, and is back from a copy that is as old as the first one.
+    OlderCopy(Duration, Duration),
     /// The store discards its history.
     Forget,
     /// The operators write a new configuration.
@@ -127,6 +129,13 @@
             let times = 1 + generator.below(3) as u32;
             events.push((at, Event::Silences(times, generator.span(), generator.span())));
         }
+        let mut generator = EventGenerator(ChaCha8Rng::seed_from_u64(seed.rotate_left(32)));
+        if !planned && generator.below(2) == 0 {
+            for _ in 0..1 + generator.below(3) {
+                let at = Duration::from_millis(generator.below(length.as_millis() as u64));
+                events.push((at, Event::OlderCopy(generator.span(), generator.span() / 2)));
+            }
+        }
         events.sort_by_key(|it| it.0);
         Plan { events }
     }
