--- a/crates/th-steer/tests/relay.rs
+++ b/crates/th-steer/tests/relay.rs
@@ -134,3 +134,21 @@
     let own: VmId = "vm-9".parse().unwrap();
     assert_eq!(Upstream::new(own).choose(&[], START), Source::Store);
 }
+
+/// A VM that cannot reach the store, and may be the one that the others ask, finds another one that has not failed it.
+#[test]
+fn without_the_store_any_other_vm_is_asked() {
+    let vms = vms(6);
+    for vm in &vms {
+        let mut upstream = Upstream::new(vm.clone());
+        let mut asked = BTreeSet::new();
+        while let Some(other) = upstream.choose_other(&vms, START) {
+            assert!(other != *vm && asked.insert(other.clone()));
+            upstream.on_failure(other, START);
+        }
+        assert_eq!(asked.len(), vms.len() - 1);
+        assert!(upstream.choose_other(&vms, START.after(Millis(10_000))).is_some());
+    }
+    let own = vms[0].clone();
+    assert_eq!(Upstream::new(own.clone()).choose_other(&[own], START), None);
+}
