--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     quota_refused: IntGauge,
     quota_age: IntGauge,
     age: IntGauge,
+    era: IntGauge,
     crashing: IntGauge,
     pub(crate) forwards: IntCounter,
     pub(crate) vm_connections: IntCounter,
@@ -86,6 +87,10 @@
                 &registry,
                 IntGauge::new("th_gateway_store_age_ms", "Age of what is known of the store."),
             ),
+            era: add(
+                &registry,
+                IntGauge::new("th_gateway_store_era", "Era of the store whose content is known."),
+            ),
             crashing: add(
                 &registry,
                 IntGauge::new(
@@ -170,6 +175,7 @@
         self.quota_refused.set(quotas.refused() as i64);
         self.quota_age.set(quotas.age(now).map_or(0, |it| it.0 as i64));
         self.age.set(core.relay.age(now).0 as i64);
+        self.era.set(core.relay.era().0 as i64);
         self.limited.set(dispatcher.limited().len() as i64);
         self.version.set(dispatcher.routes().map_or(0, |it| it.version().0 as i64));
     }
--- a/crates/th-gateway/src/usage.rs
+++ b/crates/th-gateway/src/usage.rs
@@ -15,7 +15,7 @@
     body::AnswerBody,
     connection::Connection,
     core::Core,
-    relay::{BoxError, RelayError, Result, post},
+    relay::{BoxError, RelayError, Result, message, post},
 };
 
 /// Path of reports to the VM that gives out tokens.
@@ -141,12 +141,12 @@
     let malformed = |cause: String| RelayError::Malformed(address, cause);
     let body = rmp_serde::to_vec_named(report).map_err(|it| malformed(it.to_string()))?;
     let kept = connection.take().filter(|it: &Connection| it.address == address);
-    let sent = post(core, kept, address, USAGE_PATH, body, MAX_MESSAGE);
+    let sent = post(core, kept, address, message(USAGE_PATH, body), MAX_MESSAGE);
     let limit = Duration::from_millis(REPORT_TIMEOUT.0);
-    let (status, body, open) =
+    let (head, body, open) =
         timeout(limit, sent).await.map_err(|_| RelayError::Timeout(address, REPORT_TIMEOUT))??;
-    if !status.is_success() {
-        return Err(RelayError::Status(address, status));
+    if !head.status.is_success() {
+        return Err(RelayError::Status(address, head.status));
     }
     *connection = Some(open);
     rmp_serde::from_slice(&body).map_err(|it| malformed(it.to_string()))
--- a/crates/th-model/src/lib.rs
+++ b/crates/th-model/src/lib.rs
@@ -1,6 +1,7 @@
 //! Models of the core protocols, whose reachable states are all checked.
 
 mod drain;
+mod era;
 mod explore;
 mod grant;
 mod quota;
@@ -10,6 +11,7 @@
 mod ticket;
 
 pub use drain::{DrainAction, DrainFault, DrainModel, DrainState};
+pub use era::{EraAction, EraFault, EraModel, EraState};
 pub use explore::{Model, Outcome, explore};
 pub use grant::{Call, GrantAction, GrantFault, GrantModel, GrantState};
 pub use quota::{QuotaAction, QuotaFault, QuotaModel, QuotaState};
--- a/src/bin/thctl/fleet.rs
+++ b/src/bin/thctl/fleet.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use th_gateway::{DRAGGING_PATH, QUOTAS_PATH};
-use th_protocol::{BackendId, Millis, OrganisationId, ServiceId, VmId, ZoneId};
+use th_protocol::{BackendId, Era, Millis, OrganisationId, ServiceId, VmId, ZoneId};
 use th_steer::{dispatch::Serving, quota::QuotaView};
 
 use crate::{
@@ -146,6 +146,9 @@
     dragging: &Dragging,
 ) -> Result<String> {
     let mut out = String::new();
+    if view.at.era != Era::ZERO {
+        writeln!(out, "store in era {}", view.at.era)?;
+    }
     match &view.config {
         Some((revision, table)) => {
             let routes = table.iter().count();
@@ -203,6 +206,6 @@
     for it in &view.unusable {
         unusable.push(json!({"key": it.key, "revision": it.revision, "cause": it.cause}));
     }
-    json!({"version": view.version(), "revision": view.at, "backends": backends, "entries": entries,
+    json!({"version": view.version(), "revision": view.at.revision, "era": view.at.era, "backends": backends, "entries": entries,
         "evacuated": view.evacuated, "dragging": dragging, "unusable": unusable})
 }
