Decide which answers a VM can hold

Nothing decided whether an answer can be held before its request is sent. Pure modules for it: one account of all that a VM holds, sizes of answers learnt per route, and refusals of requests with large answers first, whose return is spread over time by the rate at which callers take answers. Not wired yet.

--- a/crates/th-steer/src/lib.rs
+++ b/crates/th-steer/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod dispatch;
 pub mod engine;
 pub mod explain;
+pub mod held;
 pub mod limit;
 pub mod member;
 pub mod queue;
