Hold all memory of a VM in one account

Bodies were counted until the HTTP library took them into its queue, so what lay there for callers that read slowly counted for nothing; connections, heads and pipelined bytes were not counted at all. While memory was full, answers that had been made waited in their servers' connections.

Now one account counts connections, requests, expected answers and answers until the socket has taken their last byte. Metrics and log lines show it.

Without the change to the body, nothing would be held for slow callers.

--- a/crates/th-gateway/src/body.rs
+++ b/crates/th-gateway/src/body.rs
@@ -6,45 +6,69 @@
     task::{Context, Poll},
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
+use bytes::{Buf, Bytes};
 use hyper::body::{Body, Frame, SizeHint};
 
 use crate::memory::Reservation;
 
-/// A complete body, together with the memory reserved for it until the caller has received it.
+/// Bytes of an answer, together with the memory reserved for them until the caller's socket has taken the last one.
+pub(crate) struct HeldBytes {
+    data: Bytes,
+    _memory: Option<Reservation>,
+}
+
+impl Buf for HeldBytes {
+    fn remaining(&self) -> usize {
+        self.data.remaining()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        self.data.chunk()
+    }
+
+    fn advance(&mut self, count: usize) {
+        self.data.advance(count);
+    }
+}
+
+/// A complete body.
 #[derive(Default)]
 pub(crate) struct AnswerBody {
-    data: Full<Bytes>,
-    _memory: Option<Reservation>,
+    /// `None` if it is empty or has been handed over.
+    data: Option<HeldBytes>,
 }
 
 impl AnswerBody {
     pub(crate) fn new(data: Bytes) -> AnswerBody {
-        AnswerBody { data: Full::new(data), _memory: None }
+        AnswerBody::with(data, None)
     }
 
     pub(crate) fn reserved(data: Bytes, memory: Reservation) -> AnswerBody {
-        AnswerBody { data: Full::new(data), _memory: Some(memory) }
+        AnswerBody::with(data, Some(memory))
+    }
+
+    fn with(data: Bytes, memory: Option<Reservation>) -> AnswerBody {
+        let data = HeldBytes { data, _memory: memory };
+        AnswerBody { data: Some(data).filter(Buf::has_remaining) }
     }
 }
 
 impl Body for AnswerBody {
-    type Data = Bytes;
+    type Data = HeldBytes;
     type Error = Infallible;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Pin::new(&mut self.data).poll_frame(cx)
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<HeldBytes>, Infallible>>> {
+        Poll::Ready(self.data.take().map(|it| Ok(Frame::data(it))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.data.is_end_stream()
+        self.data.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.data.size_hint()
+        SizeHint::with_exact(self.data.as_ref().map_or(0, Buf::remaining) as u64)
     }
 }
--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -9,6 +9,7 @@
 use th_protocol::{Bytes, Millis, Time, Version, VmId};
 use th_steer::{
     dispatch::{Attempt, AttemptOutcome, CallerLimits, Job, Placement, Rejection, Route},
+    held::HeldKind,
     route::hash_name,
 };
 use tokio::{
@@ -18,6 +19,7 @@
 
 use crate::{
     answer::{Answer, reject, reply},
+    answer_room::{AnswerRoom, learn_size},
     core::{Core, Slot},
     crash::{check_crash, reject_crashing, report},
     dialect::RequestInfo,
@@ -35,6 +37,9 @@
 /// Time until the deadline of a request that states none.
 const DEFAULT_TIME_LEFT: Millis = Millis(30_000);
 
+/// Name of a lack of memory for the answer in the request log.
+const NO_MEMORY: &str = "NoMemory";
+
 /// Counts a request as in flight until this is dropped.
 struct InFlight(Rc<Core>);
 
@@ -161,7 +166,7 @@
     record.route = route.name.clone();
     let time_left = info.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived.after(time_left.min(route.timeout));
-    let mut memory = Reservation::new(&core.request_memory);
+    let mut memory = Reservation::new(&core.memory, HeldKind::Requests);
     let reading = buffer_request(core, &routes, head, body, &info, &mut memory);
     let mut outgoing =
         match timeout(Duration::from_millis(deadline.since(arrived).0), reading).await {
@@ -179,6 +184,13 @@
         Some(it) => limit_attempts(route, it.attempts),
         None => route,
     };
+    outgoing.room = match AnswerRoom::reserve(core, &route.name) {
+        Ok(room) => room,
+        Err(retry_after) => {
+            record.attempts.push(NO_MEMORY.to_owned());
+            return reject_unheld(forwarded.is_some(), retry_after);
+        }
+    };
     let object = info.object.as_deref().map(|it| hash_name(&format!("{}/{it}", route.prefix)));
     let size = outgoing.body.len() as u64;
     record.object = object;
@@ -190,6 +202,14 @@
     answer
 }
 
+/// Rejects a request whose answer could not be held; another VM may take one that was passed on.
+fn reject_unheld(forwarded: bool, retry_after: Millis) -> Answer {
+    if forwarded {
+        return decline();
+    }
+    reject("This VM holds too many answers; the request was not run.", retry_after)
+}
+
 /// Places a request; waits if no slot is free.
 async fn place(core: &Rc<Core>, job: &Job) -> Placement {
     let (placement, waiter) = core.dispatcher.borrow_mut().place(job.clone(), core.now());
@@ -249,9 +269,11 @@
     let detail = &result.detail;
     let summary = format!("{backend} {warm} expected={expected} took={took}: {detail}");
     core.metrics.count_attempt(&slot.job().service, result.outcome);
+    let route = Arc::clone(&slot.job().route);
     slot.finish(result.outcome);
     let served = result.outcome == AttemptOutcome::Answered;
     if served {
+        learn_size(&core, &route.name, &result);
         let cleared = core.dispatcher.borrow_mut().on_served(outgoing.fingerprint);
         report(&core, cleared);
     } else if result.lost {
@@ -285,6 +307,7 @@
     let started = core.now();
     core.metrics.forwards.inc();
     let result = forward(core, job, outgoing, Version(version), attempts).await;
+    learn_size(core, &job.route.name, &result);
     let took = core.now().since(started);
     let summary = format!("forwarded took={took}: {}", result.detail);
     FinishedAttempt { result, summary }
--- a/crates/th-gateway/src/connection.rs
+++ b/crates/th-gateway/src/connection.rs
@@ -1,6 +1,6 @@
 //! Connections to backend servers.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -15,7 +15,10 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-use crate::core::Core;
+use crate::{
+    core::Core,
+    memory::{MemoryPool, Reservation},
+};
 
 /// The result of opening a connection.
 pub(crate) type Result<T, E = ConnectError> = std::result::Result<T, E>;
@@ -41,6 +44,7 @@
     /// Time from which it is not used again, since the server may close it.
     pub(crate) expires: Time,
     driver: AbortHandle,
+    _memory: Reservation,
 }
 
 impl Drop for Connection {
@@ -50,7 +54,11 @@
 }
 
 impl Connection {
-    pub(crate) async fn open(address: SocketAddr, limit: Millis) -> Result<Connection> {
+    pub(crate) async fn open(
+        address: SocketAddr,
+        limit: Millis,
+        memory: &Rc<MemoryPool>,
+    ) -> Result<Connection> {
         let connecting = timeout(Duration::from_millis(limit.0), TcpStream::connect(address));
         let stream = connecting.await.map_err(|_| ConnectError::Timeout(address))?;
         let stream = stream.map_err(|it| ConnectError::Connect(address, it))?;
@@ -64,7 +72,8 @@
                 log::debug!(target: "backend", "address={address} The connection ended: {error}");
             }
         });
-        Ok(Connection { sender, address, expires: Time::ZERO, driver: task.abort_handle() })
+        let (driver, memory) = (task.abort_handle(), Reservation::connection(memory));
+        Ok(Connection { sender, address, expires: Time::ZERO, driver, _memory: memory })
     }
 }
 
@@ -155,7 +164,8 @@
             },
         }
     }
-    let mut connection = Connection::open(address, core.settings.connect_timeout).await?;
+    let mut connection =
+        Connection::open(address, core.settings.connect_timeout, &core.memory).await?;
     opened.inc();
     match connection.sender.try_send_request(request).await {
         Ok(response) => Ok((response, connection)),
--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -2,13 +2,16 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
 };
 
 use th_platform::{BootClock, Clock};
 use th_protocol::{BackendId, Time, VmId};
-use th_steer::dispatch::{Attempt, AttemptOutcome, CrashReport, Dispatcher, Job, Placement};
+use th_steer::{
+    dispatch::{Attempt, AttemptOutcome, CrashReport, Dispatcher, Job, Placement},
+    held::AnswerSizes,
+};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
@@ -37,10 +40,10 @@
     pub(crate) metrics: Metrics,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<Placement>>>,
     pub(crate) in_flight: Cell<u32>,
-    /// Memory for the bodies of requests.
-    pub(crate) request_memory: Rc<MemoryPool>,
-    /// Memory for the bodies of answers.
-    pub(crate) answer_memory: Rc<MemoryPool>,
+    /// Memory held for messages and connections.
+    pub(crate) memory: Rc<MemoryPool>,
+    /// Sizes of the answers of each route.
+    pub(crate) answer_sizes: RefCell<AnswerSizes>,
     pub(crate) connections: Cell<u32>,
     pub(crate) stopping: Cell<bool>,
     /// Wakes callers' connections once the process accepts no more requests, so that they close.
@@ -59,8 +62,8 @@
             reported: RefCell::new(Some(reported)),
             dispatcher: RefCell::new(dispatcher),
             relay: Relay::default(),
-            request_memory: MemoryPool::new(settings.body_memory),
-            answer_memory: MemoryPool::new(settings.body_memory),
+            memory: MemoryPool::new(settings.held),
+            answer_sizes: RefCell::default(),
             settings,
             dialect,
             pool: RefCell::default(),
@@ -105,6 +108,15 @@
         }
     }
 
+    /// Drops the sizes of answers of routes that are no longer in force.
+    pub(crate) fn forget_answer_sizes(&self) {
+        let Some(routes) = self.dispatcher.borrow().routes().cloned() else {
+            return;
+        };
+        let names: BTreeSet<&str> = routes.iter().map(|it| it.name.as_str()).collect();
+        self.answer_sizes.borrow_mut().retain(|it| names.contains(it));
+    }
+
     /// Closes the idle connections to a backend server that gets no more requests.
     pub fn drop_connections(&self, backend: &BackendId) {
         self.pool.borrow_mut().remove(backend);
--- a/crates/th-gateway/src/crash.rs
+++ b/crates/th-gateway/src/crash.rs
@@ -30,7 +30,7 @@
     id: &str,
     request: Fingerprint,
 ) {
-    match Connection::open(address, CHECK_TIMEOUT).await {
+    match Connection::open(address, CHECK_TIMEOUT, &core.memory).await {
         Ok(mut connection) => {
             core.metrics.connections.inc();
             connection.expires = core.now().after(core.settings.idle_timeout);
--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -13,7 +13,7 @@
     answer::{Answer, reject},
     connection::{Connection, SendError, send_pooled},
     core::Core,
-    outgoing::{AttemptResult, Outgoing, buffer_answer},
+    outgoing::{AttemptResult, Outgoing},
 };
 
 /// The result of sending a request to another VM.
@@ -165,7 +165,7 @@
         send_pooled(core, &core.vm_pool, vm, address, request, opened).await?;
     let (mut head, body) = response.into_parts();
     let info = core.dialect.read_answer(&head);
-    let body = match buffer_answer(core, body).await {
+    let body = match outgoing.room.buffer(&head.headers, body).await {
         Ok(body) => body,
         Err(error) => {
             return Ok(AttemptResult::without_answer(AttemptOutcome::Broken, false, error));
@@ -197,7 +197,10 @@
             let mut opened = Vec::new();
             for (backend, address) in &links {
                 let limit = core.settings.connect_timeout;
-                opened.push(async move { (backend, Connection::open(*address, limit).await) });
+                let memory = &core.memory;
+                opened.push(
+                    async move { (backend, Connection::open(*address, limit, memory).await) },
+                );
             }
             let mut reached = false;
             for (backend, result) in join_all(opened).await {
--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -112,6 +112,8 @@
         if ticks.is_multiple_of(SWEEP_TICKS) {
             let now = core.now();
             core.dispatcher.borrow_mut().tick(now);
+            core.memory.tick(now);
+            core.forget_answer_sizes();
             core.pool.borrow_mut().sweep(now);
             core.vm_pool.borrow_mut().sweep(now);
         }
--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -18,6 +18,7 @@
 use crate::{
     body::AnswerBody,
     core::Core,
+    memory::Reservation,
     pipeline::{Pipeline, PipelinedStream, StartAhead},
 };
 
@@ -110,6 +111,7 @@
         log::debug!(target: "entry", "Setting TCP_NODELAY failed: {error}");
     }
     core.connections.set(core.connections.get() + 1);
+    let _memory = Reservation::connection(&core.memory);
     let limits = core.dispatcher.borrow().routes().map(|it| it.limits()).unwrap_or_default();
     let idle = Duration::from_millis(limits.idle.plus(limits.send).0 * IDLE_FACTOR);
     let max_head = (limits.head.0 as usize * 2).max(MIN_HEAD_BUFFER);
@@ -120,7 +122,7 @@
             ahead(request)
         })
     });
-    let pipeline = Rc::new(Pipeline::new(ahead, depth, max_head));
+    let pipeline = Rc::new(Pipeline::new(ahead, depth, max_head, &core.memory));
     let stream = PipelinedStream::new(stream, Rc::clone(&pipeline), idle);
     let shared = (Rc::clone(&core), Rc::clone(&pipeline));
     let service = service_fn(move |mut request: Request<Incoming>| {
--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -7,7 +7,7 @@
     Registry, TextEncoder, core::Collector,
 };
 use th_protocol::{Millis, ServiceId};
-use th_steer::dispatch::AttemptOutcome;
+use th_steer::{dispatch::AttemptOutcome, held::HeldKind};
 
 use crate::core::Core;
 
@@ -31,6 +31,9 @@
     isolated: IntGauge,
     age: IntGauge,
     crashing: IntGauge,
+    held: IntGaugeVec,
+    held_limit: IntGauge,
+    refused: IntCounterVec,
     pub(crate) forwards: IntCounter,
     pub(crate) vm_connections: IntCounter,
 }
@@ -57,6 +60,22 @@
                 "Attempts at backend servers.",
                 &["service", "end"],
             ),
+            refused: counters(
+                "th_gateway_refused_total",
+                "Requests turned away for lack of memory.",
+                &["for"],
+            ),
+            held: add(
+                &registry,
+                IntGaugeVec::new(
+                    Opts::new("th_gateway_held_bytes", "Memory held for messages and connections."),
+                    &["kind"],
+                ),
+            ),
+            held_limit: add(
+                &registry,
+                IntGauge::new("th_gateway_held_limit_bytes", "Limit on the memory held."),
+            ),
             lookups: add(&registry, IntCounter::new("th_gateway_lookups_total", "Look-ups.")),
             connections: add(
                 &registry,
@@ -119,12 +138,22 @@
         self.attempts.with_label_values(&[service.as_str(), outcome.as_str()]).inc();
     }
 
+    /// Counts a request turned away because its own body, or its answer, could not be held.
+    pub(crate) fn count_refused(&self, message: &str) {
+        self.refused.with_label_values(&[message]).inc();
+    }
+
     pub(crate) fn set_state(&self, core: &Core) {
         let lines = &core.settings.line_counts;
         for (reason, count) in [("thinned", &lines.thinned), ("lost", &lines.lost)] {
             let count = i64::try_from(count.load(Ordering::Relaxed)).unwrap_or(i64::MAX);
             self.lines.with_label_values(&[reason]).set(count);
         }
+        for kind in HeldKind::ALL {
+            let used = i64::try_from(core.memory.used(kind).0).unwrap_or(i64::MAX);
+            self.held.with_label_values(&[kind.name()]).set(used);
+        }
+        self.held_limit.set(i64::try_from(core.memory.limit().0).unwrap_or(i64::MAX));
         let dispatcher = core.dispatcher.borrow();
         self.in_flight.set(core.in_flight.get().into());
         self.waiting.set(dispatcher.waiting() as i64);
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -2,34 +2,22 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri, response};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
-use th_protocol::{BackendId, Bytes as ByteCount, Millis, header::remove_hop_by_hop_headers};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use th_protocol::{BackendId, Millis, header::remove_hop_by_hop_headers};
 use th_steer::dispatch::{AttemptOutcome, Fingerprint};
-use thiserror::Error;
 use tokio::time::timeout;
 
 use crate::{
+    answer_room::{AnswerError, AnswerRoom},
     body::AnswerBody,
     connection::{Connection, SendError, send_pooled},
     core::Core,
     dialect::AnswerInfo,
-    memory::Reservation,
 };
 
-pub(crate) type Result<T, E = AnswerError> = std::result::Result<T, E>;
-
-/// Reason why the body of an answer could not be received.
-#[derive(Debug, Error)]
-pub(crate) enum AnswerError {
-    #[error("the answer's body exceeds the limit of {0} on all buffered answers")]
-    TooLarge(ByteCount),
-    #[error("reading the answer's body: {0}")]
-    Read(#[from] hyper::Error),
-}
-
 /// A caller's complete request, buffered so that it can be sent more than once.
 #[derive(Debug, Clone)]
 pub(crate) struct Outgoing {
@@ -39,6 +27,8 @@
     pub(crate) body: Bytes,
     pub(crate) id: String,
     pub(crate) fingerprint: Fingerprint,
+    /// Room for the answer.
+    pub(crate) room: AnswerRoom,
 }
 
 /// Result of an attempt.
@@ -64,33 +54,6 @@
     }
 }
 
-/// Buffers the complete body of an answer. While memory is full, the server's connection is not read on.
-pub(crate) async fn buffer_answer(core: &Rc<Core>, mut body: Incoming) -> Result<AnswerBody> {
-    let too_large = || AnswerError::TooLarge(core.settings.body_memory);
-    let (mut memory, mut collected) = (Reservation::new(&core.answer_memory), BytesMut::new());
-    // Answers that each held a part of the memory could wait for each other, so a stated length is reserved as a whole.
-    let mut reserved = body.size_hint().lower();
-    if !memory.reserve_in_turn(reserved).await {
-        return Err(too_large());
-    }
-    while let Some(frame) = body.frame().await {
-        // Trailers are not forwarded.
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        let length = data.len() as u64;
-        if !memory.reserve_in_turn(length.saturating_sub(reserved)).await {
-            return Err(too_large());
-        }
-        reserved = reserved.saturating_sub(length);
-        if collected.is_empty() && body.is_end_stream() {
-            return Ok(AnswerBody::reserved(data, memory));
-        }
-        collected.extend_from_slice(&data);
-    }
-    Ok(AnswerBody::reserved(collected.freeze(), memory))
-}
-
 /// Applies what a backend server states about itself in the head of an answer.
 fn apply_statements(core: &Core, backend: &BackendId, info: &AnswerInfo) {
     let (mut dispatcher, now) = (core.dispatcher.borrow_mut(), core.now());
@@ -185,7 +148,7 @@
                 "the answer belongs to another request",
             );
         }
-        let body = match buffer_answer(core, body).await {
+        let body = match self.room.buffer(&head.headers, body).await {
             Ok(body) => body,
             Err(error) => {
                 let lost = matches!(error, AnswerError::Read(_));
--- a/crates/th-gateway/src/pipeline/connection.rs
+++ b/crates/th-gateway/src/pipeline/connection.rs
@@ -9,13 +9,19 @@
 
 use bytes::{Buf, BytesMut};
 use http::{HeaderName, HeaderValue, Request, Response};
+use th_protocol::Bytes;
+use th_steer::held::HeldKind;
 use tokio::{
     io::ReadBuf,
     task::{JoinHandle, spawn_local},
 };
 
 use super::framing::{Framing, HeadStatus, MAX_HEADERS, RequestHead, parse_head};
-use crate::{body::AnswerBody, listen::HandlerFuture};
+use crate::{
+    body::AnswerBody,
+    listen::HandlerFuture,
+    memory::{MemoryPool, Reservation},
+};
 
 /// Starts a bodyless request ahead of its turn; `None` if it must wait for its turn.
 pub(crate) type StartAhead = Rc<dyn Fn(Request<()>) -> Option<HandlerFuture>>;
@@ -46,10 +52,19 @@
     /// Length of the heads at the front of the buffer whose requests run ahead of their turn.
     started: usize,
     ahead: VecDeque<Ahead>,
+    /// Memory of the buffer.
+    memory: Reservation,
     /// Wakes the connection once the next request may be handed over.
     waker: Option<Waker>,
 }
 
+impl State {
+    /// Brings the memory held for the buffer up to date.
+    fn count_buffer(&mut self) {
+        self.memory.set(Bytes(self.buffer.len() as u64));
+    }
+}
+
 /// The requests of one connection.
 pub(crate) struct Pipeline {
     state: RefCell<State>,
@@ -61,7 +76,12 @@
 }
 
 impl Pipeline {
-    pub(crate) fn new(start: Option<StartAhead>, depth: usize, max_head: usize) -> Pipeline {
+    pub(crate) fn new(
+        start: Option<StartAhead>,
+        depth: usize,
+        max_head: usize,
+        memory: &Rc<MemoryPool>,
+    ) -> Pipeline {
         let state = State {
             buffer: BytesMut::new(),
             framing: Framing::default(),
@@ -70,6 +90,7 @@
             answered: 0,
             started: 0,
             ahead: VecDeque::new(),
+            memory: Reservation::new(memory, HeldKind::Requests),
             waker: None,
         };
         Pipeline { state: RefCell::new(state), start, depth, max_head }
@@ -113,11 +134,17 @@
 
     /// Runs `read`, which adds bytes to the buffer.
     pub(super) fn fill<T>(&self, read: impl FnOnce(&mut BytesMut) -> Poll<T>) -> Poll<T> {
-        read(&mut self.state.borrow_mut().buffer)
+        let mut state = self.state.borrow_mut();
+        let result = read(&mut state.buffer);
+        state.count_buffer();
+        result
     }
 
-    pub(super) fn buffered(&self) -> usize {
-        self.state.borrow().buffer.len()
+    /// Whether more bytes may be read. What stands behind the current request waits in the socket beyond that many bytes,
+    /// or while memory is full.
+    pub(super) fn may_read(&self, most: usize) -> bool {
+        let state = self.state.borrow();
+        state.buffer.is_empty() || (state.buffer.len() < most && state.memory.may_grow())
     }
 
     pub(super) fn set_waker(&self, waker: &Waker) {
@@ -152,6 +179,7 @@
         let length = state.framing.advance(&state.buffer[..most]);
         out.put_slice(&state.buffer[..length]);
         state.buffer.advance(length);
+        state.count_buffer();
         if state.buffer.is_empty() {
             // Idle connections hold no buffer.
             state.buffer = BytesMut::new();
--- a/crates/th-gateway/src/pipeline/stream.rs
+++ b/crates/th-gateway/src/pipeline/stream.rs
@@ -80,7 +80,7 @@
             }
             pipeline.start_ahead();
             pipeline.set_waker(cx.waker());
-            if MAX_BUFFERED <= pipeline.buffered() {
+            if !pipeline.may_read(MAX_BUFFERED) {
                 return Poll::Pending;
             }
             let stream = Pin::new(&mut self.stream);
--- a/crates/th-gateway/src/relay.rs
+++ b/crates/th-gateway/src/relay.rs
@@ -237,7 +237,7 @@
     *request.uri_mut() = CHANGES_PATH.parse().map_err(|it| malformed(format!("{it}")))?;
     let mut connection = match kept.filter(|it| it.sender.is_ready()) {
         Some(connection) => connection,
-        None => Connection::open(address, core.settings.connect_timeout).await?,
+        None => Connection::open(address, core.settings.connect_timeout, &core.memory).await?,
     };
     let answer = connection.sender.send_request(request).await;
     let answer = answer.map_err(|it| RelayError::Http(address, it))?;
--- a/crates/th-gateway/src/request_body.rs
+++ b/crates/th-gateway/src/request_body.rs
@@ -10,11 +10,15 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Frame};
 use th_protocol::{Bytes, Millis, header::remove_hop_by_hop_headers};
-use th_steer::dispatch::{Fingerprint, RouteTable};
+use th_steer::{
+    dispatch::{Fingerprint, RouteTable},
+    held::HeldKind,
+};
 use tokio::time::timeout;
 
 use crate::{
     answer::{Answer, closing, reject, reply},
+    answer_room::{AnswerRoom, head_size},
     core::Core,
     dialect::RequestInfo,
     listen::CallerAddress,
@@ -95,7 +99,9 @@
     closing(reply(StatusCode::PAYLOAD_TOO_LARGE, &format!("The body is larger than {limit}.")))
 }
 
-fn no_memory() -> Answer {
+fn no_memory(core: &Core) -> Answer {
+    core.memory.count_refusal();
+    core.metrics.count_refused("request");
     reject("This VM holds too many bodies.", BODIES_RETRY_AFTER)
 }
 
@@ -113,11 +119,12 @@
     if routes.limits().body.0 < stated {
         return Err(too_large(routes.limits().body));
     }
-    if awaits_continue(&head) && !core.request_memory.fits(stated) {
-        return Err(no_memory());
+    if awaits_continue(&head) && !core.memory.fits(HeldKind::Requests, Bytes(stated)) {
+        return Err(no_memory(core));
     }
     let mut body = Limited::new(body, limit);
-    let (mut collected, mut fits) = (BytesMut::new(), true);
+    let mut collected = BytesMut::new();
+    let mut fits = memory.reserve(head_size(&head.headers).0);
     while let Some(frame) = body.frame().await {
         match frame.map(Frame::into_data) {
             Ok(Ok(data)) => {
@@ -127,7 +134,7 @@
                     collected.extend_from_slice(&data);
                 } else {
                     collected = BytesMut::new();
-                    memory.release();
+                    memory.clear();
                 }
             }
             // Trailers are not forwarded.
@@ -141,7 +148,7 @@
         }
     }
     if !fits {
-        return Err(no_memory());
+        return Err(no_memory(core));
     }
     let body = collected.freeze();
     let mut headers = head.headers;
@@ -153,7 +160,9 @@
     let Ok(uri) = path.parse() else {
         return Err(reply(StatusCode::BAD_REQUEST, "The path is not valid."));
     };
-    Ok(Outgoing { method: head.method, uri, headers, body, id: info.id.clone(), fingerprint })
+    let (method, id) = (head.method, info.id.clone());
+    let room = AnswerRoom::none(&core.memory);
+    Ok(Outgoing { method, uri, headers, body, id, fingerprint, room })
 }
 
 /// Computes the fingerprint of a request. The caller is known by its cookies and credentials, without any by its address.
--- a/crates/th-gateway/src/settings.rs
+++ b/crates/th-gateway/src/settings.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use th_protocol::{Bytes, Millis};
-use th_steer::dispatch::DispatchSettings;
+use th_protocol::Millis;
+use th_steer::{dispatch::DispatchSettings, held::HeldSettings};
 
 use crate::logging::LineCounts;
 
@@ -45,8 +45,8 @@
     pub linger: Millis,
     /// Maximum duration of a stop.
     pub grace: Millis,
-    /// Maximum total size of the buffered request bodies, and of the buffered answer bodies.
-    pub body_memory: Bytes,
+    /// Settings of the memory held for messages and connections.
+    pub held: HeldSettings,
     /// Maximum number of a connection's requests that run while an earlier one is unanswered.
     pub pipeline_depth: usize,
     /// Settings of dispatch.
@@ -68,7 +68,7 @@
             tick: Millis(50),
             linger: Millis(2_500),
             grace: Millis(6_000),
-            body_memory: Bytes(64 << 20),
+            held: HeldSettings::default(),
             pipeline_depth: 8,
             dispatch: DispatchSettings::default(),
             line_counts: Arc::default(),
--- a/crates/th-steer/tests/held_sizes.rs
+++ b/crates/th-steer/tests/held_sizes.rs
@@ -33,7 +33,10 @@
     (0..50).for_each(|_| known.add("r", Bytes(before)));
     (0..50).for_each(|_| known.add("r", Bytes(after)));
     let expected = known.expected("r").0;
-    assert!(after / 2 <= expected && expected <= 2 * after, "{expected} B for answers of {after} B");
+    assert!(
+        after / 2 <= expected && expected <= 2 * after,
+        "{expected} B for answers of {after} B"
+    );
 }
 
 #[test]
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -29,6 +29,14 @@
         request.header("cookie", "Affinity-Key=17").body("body").send().await.unwrap()
     }
 
+    /// Returns the sum of the metrics whose lines begin with that text; the settings must name their listener.
+    pub(crate) async fn metric(&self, metrics: SocketAddr, prefix: &str) -> u64 {
+        let url = format!("http://{metrics}/metrics");
+        let text = self.client.get(url).send().await.unwrap().text().await.unwrap();
+        let lines = text.lines().filter(|it| it.starts_with(prefix));
+        lines.map(|it| it.rsplit(' ').next().unwrap().parse::<u64>().unwrap()).sum()
+    }
+
     /// Sends requests, each as a new attempt, until the answer has that status.
     pub(crate) async fn wait_for_status(&self, path: &str, status: u16) {
         for attempt in 0..3_000 {
--- a/tests/entry/mod.rs
+++ b/tests/entry/mod.rs
@@ -25,7 +25,7 @@
 }
 
 /// Returns an address that nothing else listens on or sends from: each has its own loopback host.
-fn free() -> SocketAddr {
+pub(crate) fn free() -> SocketAddr {
     static COUNT: AtomicU8 = AtomicU8::new(1);
     let [.., high, low] = std::process::id().to_be_bytes();
     let host = Ipv4Addr::new(127, high | 1, low, COUNT.fetch_add(1, Ordering::Relaxed));
