Bound a loop of the test of slow callers

With the variant that releases an answer's memory when it is handed to the HTTP library (as on the code before), the loop never ended.

--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -152,6 +152,7 @@
     assert_eq!(learnt.bytes().await.unwrap().len(), LARGE);
     let mut slow = Vec::new();
     let refused = loop {
+        assert!(slow.len() as u64 * LARGE as u64 <= vm.limit().await, "nothing is turned away");
         let id = format!("slow-{}", slow.len());
         let before = vm.metric("th_gateway_refused_total").await;
         let probe = vm.download(&format!("probe-{id}"), LARGE).await;
