--- a/crates/th-gateway/src/answer_room.rs
+++ b/crates/th-gateway/src/answer_room.rs
@@ -11,14 +11,19 @@
 use thiserror::Error;
 
 use crate::{
+    answer::{Answer, reject},
     body::AnswerBody,
     core::Core,
+    forward::decline,
     memory::{MemoryPool, Reservation},
     outgoing::AttemptResult,
 };
 
 pub(crate) type Result<T, E = AnswerError> = std::result::Result<T, E>;
 
+/// Name of a lack of memory for the answer in the request log.
+pub(crate) const NO_MEMORY: &str = "NoMemory";
+
 /// Reason why the body of an answer could not be received.
 #[derive(Debug, Error)]
 pub(crate) enum AnswerError {
@@ -33,6 +38,14 @@
     Bytes(headers.iter().map(|(name, value)| (name.as_str().len() + value.len()) as u64).sum())
 }
 
+/// Rejects a request whose answer could not be held; another VM may take one that was passed on.
+pub(crate) fn reject_unheld(forwarded: bool, retry_after: Millis) -> Answer {
+    if forwarded {
+        return decline();
+    }
+    reject("This VM holds too many answers; the request was not run.", retry_after)
+}
+
 /// Learns the size of a successful answer to a request of a route.
 pub(crate) fn learn_size(core: &Core, route: &str, result: &AttemptResult) {
     let Some((head, body)) = result.answer.as_ref().filter(|it| it.0.status.is_success()) else {
@@ -60,7 +73,7 @@
         AnswerRoom { pool: Rc::clone(pool), expected }
     }
 
-    /// Reserves room for an answer to a request of a route. If there is none, returns the time after which the caller may
+    /// Reserves room for the answer to a request of a route. If there is none, returns the time after which the caller may
     /// retry.
     pub(crate) fn reserve(core: &Core, route: &str) -> Result<AnswerRoom, Millis> {
         let expected = core.answer_sizes.borrow().expected(route);
--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     answer::{Answer, reject, reply},
-    answer_room::{AnswerRoom, learn_size},
+    answer_room::{AnswerRoom, NO_MEMORY, learn_size, reject_unheld},
     core::{Core, Slot},
     crash::{check_crash, reject_crashing, report},
     dialect::RequestInfo,
@@ -37,9 +37,6 @@
 /// Time until the deadline of a request that states none.
 const DEFAULT_TIME_LEFT: Millis = Millis(30_000);
 
-/// Name of a lack of memory for the answer in the request log.
-const NO_MEMORY: &str = "NoMemory";
-
 /// Counts a request as in flight until this is dropped.
 struct InFlight(Rc<Core>);
 
@@ -202,14 +199,6 @@
     answer
 }
 
-/// Rejects a request whose answer could not be held; another VM may take one that was passed on.
-fn reject_unheld(forwarded: bool, retry_after: Millis) -> Answer {
-    if forwarded {
-        return decline();
-    }
-    reject("This VM holds too many answers; the request was not run.", retry_after)
-}
-
 /// Places a request; waits if no slot is free.
 async fn place(core: &Rc<Core>, job: &Job) -> Placement {
     let (placement, waiter) = core.dispatcher.borrow_mut().place(job.clone(), core.now());
