Let the soak read slowly; copy buffered answers

Three more callers of the soak take answers of 6 MiB in 1.5 s each. A buffered answer was a part of the HTTP library's read buffer, all of which it kept alive, or lay in a buffer up to twice its size; it is copied to a buffer of its own size, so that what is counted is what is held.

--- a/crates/th-gateway/src/answer_room.rs
+++ b/crates/th-gateway/src/answer_room.rs
@@ -2,7 +2,6 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use bytes::BytesMut;
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -102,11 +101,13 @@
         let too_large = || AnswerError::TooLarge(self.pool.largest_message());
         let mut memory = Reservation::new(&self.pool, HeldKind::Answers);
         // Answers that each held a part of the memory could wait for each other, so a stated length is reserved as a whole.
-        let mut reserved = body.size_hint().lower();
+        let stated = body.size_hint().lower();
+        let mut reserved = stated;
         if !self.grow(&mut memory, head_size(headers).0.saturating_add(reserved)).await {
             return Err(too_large());
         }
-        let mut collected = BytesMut::new();
+        // Copied, since a part of the HTTP library's buffer would keep all of it.
+        let mut collected = Vec::new();
         while let Some(frame) = body.frame().await {
             // Trailers are not forwarded.
             let Ok(data) = frame?.into_data() else {
@@ -117,11 +118,12 @@
                 return Err(too_large());
             }
             reserved = reserved.saturating_sub(length);
-            if collected.is_empty() && body.is_end_stream() {
-                return Ok(AnswerBody::reserved(data, memory));
+            if collected.is_empty() {
+                collected.reserve_exact(data.len().max(stated as usize));
             }
             collected.extend_from_slice(&data);
         }
-        Ok(AnswerBody::reserved(collected.freeze(), memory))
+        collected.shrink_to_fit();
+        Ok(AnswerBody::reserved(collected.into(), memory))
     }
 }
--- a/crates/th-gateway/src/request_body.rs
+++ b/crates/th-gateway/src/request_body.rs
@@ -131,6 +131,9 @@
                 // Beyond the limit on body memory, the rest is read and discarded, for the reason given at `discard`.
                 fits &= memory.reserve(data.len() as u64);
                 if fits {
+                    if collected.is_empty() {
+                        collected.reserve(data.len().max(stated as usize));
+                    }
                     collected.extend_from_slice(&data);
                 } else {
                     collected = BytesMut::new();
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -13,11 +13,14 @@
     ChaCha8Rng,
     rand_core::{RngCore, SeedableRng},
 };
-use reqwest::{Client, Method};
+use reqwest::{Client, Method, Response};
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
-use crate::fleet::{Fleet, VMS};
+use crate::{
+    fleet::{Fleet, VMS},
+    stand_in::SIZE_MARK,
+};
 
 /// Number of concurrent callers.
 const CALLERS: u64 = 16;
@@ -26,6 +29,12 @@
 /// Interval of a caller's look-ups.
 const LOOKUP_PERIOD: Duration = Duration::from_millis(1_000);
 const CALL_PAUSE: Duration = Duration::from_millis(15);
+/// Number of further callers, which take large answers, and take them slowly.
+const SLOW_CALLERS: u64 = 3;
+/// Size of an answer to a slow caller, in bytes: more than sockets take.
+const LARGE: usize = 6 << 20;
+/// Time that a slow caller takes for an answer.
+const READING_TIME: Duration = Duration::from_millis(1_500);
 
 /// Outcome of a request as its caller observed it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -49,6 +58,7 @@
     /// Configuration version whose own route it uses.
     pub(crate) version: Option<u64>,
     pub(crate) at: Instant,
+    /// When it ended; for a slow caller, when the head of a complete answer arrived.
     pub(crate) end: Instant,
     pub(crate) outcome: CallOutcome,
 }
@@ -73,6 +83,7 @@
     log: Arc<CallLog>,
     client: Client,
     rng: ChaCha8Rng,
+    slow: bool,
     addresses: Vec<SocketAddr>,
     looked_up: Option<Instant>,
 }
@@ -111,6 +122,7 @@
         let (id, length) = (format!("soak-{number}"), self.below(3_000) as usize);
         let version = self.fleet.configs.lock().unwrap().keys().next_back().copied();
         let (safe, version, path) = match self.below(10) {
+            _ if self.slow => (true, None, format!("/load/{number}{SIZE_MARK}{LARGE}")),
             0..5 => (false, None, format!("/book/{number}")),
             5..9 => (true, None, format!("/look/{number}")),
             _ => (true, version, format!("/v{}/{number}", version.unwrap_or_default())),
@@ -122,13 +134,15 @@
         let request = request.header("attempt-id", &id).header("request-deadline", "4000");
         let request = request.header("cookie", format!("Affinity-Key={object}"));
         let at = Instant::now();
+        let mut end = at;
         let answer = request.body("x".repeat(length)).timeout(ANSWER_TIMEOUT).send().await;
         let outcome = match answer {
             Ok(answer) => {
                 let status = answer.status().as_u16();
                 let echoed = answer.headers().get("attempt-id");
                 let echoed = echoed.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned();
-                match answer.text().await {
+                end = Instant::now();
+                match read_body(answer, self.slow).await {
                     Ok(body) => CallOutcome::Answer(status, echoed, body),
                     Err(error) => CallOutcome::Cut(format!("{error:?}")),
                 }
@@ -136,21 +150,36 @@
             Err(error) if error.is_connect() => CallOutcome::Refused,
             Err(error) => CallOutcome::Cut(format!("{error:?}")),
         };
-        let end = Instant::now();
+        if !self.slow || !matches!(outcome, CallOutcome::Answer(..)) {
+            end = Instant::now();
+        }
         let sent = SentRequest { id, vm, path, length, safe, version, at, end, outcome };
         self.log.sent.lock().unwrap().push(sent);
     }
 }
 
+/// Reads a body; a slow caller pauses after each part.
+async fn read_body(mut answer: Response, slow: bool) -> reqwest::Result<String> {
+    let mut body = Vec::new();
+    while let Some(part) = answer.chunk().await? {
+        body.extend_from_slice(&part);
+        if slow {
+            sleep(READING_TIME.mul_f64(part.len() as f64 / LARGE as f64)).await;
+        }
+    }
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
 /// Runs the callers until the log is ended.
 pub(crate) async fn run_callers(fleet: &Arc<Fleet>, log: &Arc<CallLog>, seed: u64) {
     let mut tasks = Vec::new();
-    for number in 0..CALLERS {
+    for number in 0..CALLERS + SLOW_CALLERS {
         let mut caller = Caller {
             fleet: Arc::clone(fleet),
             log: Arc::clone(log),
             client: Client::builder().no_proxy().build().unwrap(),
             rng: ChaCha8Rng::seed_from_u64(seed * 1_000 + number),
+            slow: CALLERS <= number,
             addresses: Vec::new(),
             looked_up: None,
         };
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -103,7 +103,8 @@
     };
     let own = format!("/v{version}/");
     json!({"version": format!("{version:08x}"),
-        "routes": [route("look", "/look/", "safe"), route("book", "/book/", "unsafe"), route("own", &own, "safe")],
+        "routes": [route("look", "/look/", "safe"), route("book", "/book/", "unsafe"), route("load", "/load/", "download"),
+            route("own", &own, "safe")],
         "services": [{"name": "desk", "cold_per_s": 4.1}], "limits": {}})
 }
 
--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -7,7 +7,7 @@
 use crate::{
     callers::{CallOutcome, SentRequest},
     fleet::Fleet,
-    stand_in::Run,
+    stand_in::{Run, answer_text},
 };
 
 /// Time without disturbance after which the time limits hold for a VM (the settle window of the platform's pages).
@@ -79,8 +79,13 @@
             match status {
                 200 => {
                     let runs = self.runs.get(&sent.id);
-                    let is_complete =
-                        |id: &String| *body == format!("{id} {} {}", sent.path, sent.length);
+                    let is_complete = |id: &String| {
+                        *body
+                            == answer_text(
+                                &format!("{id} {} {}", sent.path, sent.length),
+                                &sent.path,
+                            )
+                    };
                     let own = runs.is_some_and(|it| it.iter().any(|(id, _)| is_complete(id)));
                     if *echoed != sent.id || !own {
                         self.fail("mixed", sent, "not the complete answer to this request");
