Turn away downloads that the VM's link cannot carry in time

Links carry 10 to 200 Mbit/s; beyond that, each download that runs makes all others later, until none arrives in time. The account counts what the link has yet to carry and turns a request away, with the time to return, if its answer would miss its deadline. Connections share the link, so small answers are not turned away with large ones. Where the settings name no link, nothing changes.

--- a/crates/th-gateway/src/answer_room.rs
+++ b/crates/th-gateway/src/answer_room.rs
@@ -5,8 +5,8 @@
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use th_protocol::{Bytes, Millis};
-use th_steer::held::{Admission, HeldKind};
+use th_protocol::{Bytes, Millis, Time};
+use th_steer::held::{Admission, HeldKind, Lack};
 use thiserror::Error;
 
 use crate::{
@@ -20,9 +20,6 @@
 
 pub(crate) type Result<T, E = AnswerError> = std::result::Result<T, E>;
 
-/// Name of a lack of memory for the answer in the request log.
-pub(crate) const NO_MEMORY: &str = "NoMemory";
-
 /// Reason why the body of an answer could not be received.
 #[derive(Debug, Error)]
 pub(crate) enum AnswerError {
@@ -37,7 +34,7 @@
     Bytes(headers.iter().map(|(name, value)| (name.as_str().len() + value.len()) as u64).sum())
 }
 
-/// Rejects a request whose answer could not be held; another VM may take one that was passed on.
+/// Rejects a request whose answer could not be held or carried; another VM may take one that was passed on.
 pub(crate) fn reject_unheld(forwarded: bool, retry_after: Millis) -> Answer {
     if forwarded {
         return decline();
@@ -72,15 +69,22 @@
         AnswerRoom { pool: Rc::clone(pool), expected }
     }
 
-    /// Reserves room for the answer to a request of a route. If there is none, returns the time after which the caller may
-    /// retry.
-    pub(crate) fn reserve(core: &Core, route: &str) -> Result<AnswerRoom, Millis> {
+    /// Reserves room for the answer to a request of a route, which is due at that time. If there is none, returns what there is
+    /// too little of, and the time after which the caller may retry.
+    pub(crate) fn reserve(
+        core: &Core,
+        route: &str,
+        deadline: Time,
+    ) -> Result<AnswerRoom, (Lack, Millis)> {
         let expected = core.answer_sizes.borrow().expected(route);
-        match core.memory.admit(expected, core.now()) {
+        match core.memory.admit(expected, deadline, core.now()) {
             Admission::Reserved(reserved) => Ok(AnswerRoom::with(&core.memory, reserved)),
-            Admission::Refused(retry_after) => {
-                core.metrics.count_refused("answer");
-                Err(retry_after)
+            Admission::Refused(lack, retry_after) => {
+                core.metrics.count_refused(match lack {
+                    Lack::Memory => "answer",
+                    Lack::Link => "link",
+                });
+                Err((lack, retry_after))
             }
         }
     }
--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     answer::{Answer, reject, reply},
-    answer_room::{AnswerRoom, NO_MEMORY, learn_size, reject_unheld},
+    answer_room::{AnswerRoom, learn_size, reject_unheld},
     core::{Core, Slot},
     crash::{check_crash, reject_crashing, report},
     dialect::RequestInfo,
@@ -181,10 +181,10 @@
         Some(it) => limit_attempts(route, it.attempts),
         None => route,
     };
-    outgoing.room = match AnswerRoom::reserve(core, &route.name) {
+    outgoing.room = match AnswerRoom::reserve(core, &route.name, deadline) {
         Ok(room) => room,
-        Err(retry_after) => {
-            record.attempts.push(NO_MEMORY.to_owned());
+        Err((lack, retry_after)) => {
+            record.attempts.push(format!("No{lack:?}"));
             return reject_unheld(forwarded.is_some(), retry_after);
         }
     };
--- a/crates/th-gateway/src/memory.rs
+++ b/crates/th-gateway/src/memory.rs
@@ -49,9 +49,9 @@
     }
 
     /// Reserves memory for an answer of the expected size, or turns its request away.
-    pub(crate) fn admit(&self, expected: Bytes, now: Time) -> Admission {
-        let admission = self.held.borrow_mut().admit(expected, now);
-        if matches!(admission, Admission::Refused(_)) {
+    pub(crate) fn admit(&self, expected: Bytes, deadline: Time, now: Time) -> Admission {
+        let admission = self.held.borrow_mut().admit(expected, deadline, now);
+        if matches!(admission, Admission::Refused(..)) {
             self.count_refusal();
         }
         admission
@@ -68,7 +68,7 @@
         let refused = self.refused.take();
         if 0 < refused {
             let (held, limit) = (self.held.borrow().total(), self.limit());
-            log::warn!(target: "entry", "refused={refused} held={held} limit={limit} Turned requests away for lack of memory.");
+            log::warn!(target: "entry", "refused={refused} held={held} limit={limit} Turned requests away for lack of memory or of link capacity.");
         }
     }
 }
@@ -100,7 +100,11 @@
 
     /// Reserves more bytes. Returns false if all together would exceed the limit.
     pub(crate) fn reserve(&mut self, bytes: u64) -> bool {
-        let fits = self.pool.held.borrow_mut().try_hold(self.kind, Bytes(bytes));
+        let mut held = self.pool.held.borrow_mut();
+        let fits = match self.kind {
+            HeldKind::Answers => held.try_hold_unexpected(Bytes(bytes)),
+            kind => held.try_hold(kind, Bytes(bytes)),
+        };
         if fits {
             self.bytes += bytes;
         }
--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -62,7 +62,7 @@
             ),
             refused: counters(
                 "th_gateway_refused_total",
-                "Requests turned away for lack of memory.",
+                "Requests turned away for lack of memory or link capacity.",
                 &["for"],
             ),
             held: add(
@@ -138,9 +138,9 @@
         self.attempts.with_label_values(&[service.as_str(), outcome.as_str()]).inc();
     }
 
-    /// Counts a request turned away because its own body, or its answer, could not be held.
-    pub(crate) fn count_refused(&self, message: &str) {
-        self.refused.with_label_values(&[message]).inc();
+    /// Counts a request turned away because its own body, or its answer, could not be held or carried.
+    pub(crate) fn count_refused(&self, cause: &str) {
+        self.refused.with_label_values(&[cause]).inc();
     }
 
     pub(crate) fn set_state(&self, core: &Core) {
--- a/crates/th-steer/src/held/account.rs
+++ b/crates/th-steer/src/held/account.rs
@@ -6,7 +6,7 @@
 
 use th_protocol::{Bytes, Millis, Time};
 
-use super::{drain::DrainRate, settings::HeldSettings};
+use super::{drain::DrainRate, link::LinkBacklog, returns::Returns, settings::HeldSettings};
 
 /// Divisor of the limit for what all requests together, or one answer, may take. Requests that could take everything
 /// would leave no room for their answers.
@@ -14,9 +14,6 @@
 /// Multiple of an expected answer that must be free for its request to be sent. What a large answer leaves is room for
 /// many small ones.
 const SPARE: u64 = 4;
-/// Least number of different times among which rejected callers are spread.
-const MIN_TURNS: u64 = 16;
-
 /// What memory is held for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum HeldKind {
@@ -46,13 +43,22 @@
     }
 }
 
+/// What there is too little of for an answer. The variant names are written to the request log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// Memory to hold it in.
+    Memory,
+    /// Capacity of the VM's network link before the answer is due.
+    Link,
+}
+
 /// Whether a request may be sent, by the size of the answer that is expected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
     /// It may; this much has been reserved for its answer.
     Reserved(Bytes),
-    /// Its answer could not be held; the caller may retry after the given time.
-    Refused(Millis),
+    /// Its answer could not be held or carried; the caller may retry after the given time.
+    Refused(Lack, Millis),
 }
 
 /// The account of the memory that a VM holds, bounded by one limit.
@@ -61,8 +67,9 @@
     settings: HeldSettings,
     used: [u64; HeldKind::ALL.len()],
     drain: DrainRate,
-    /// Time until which the room that becomes free is left to callers that were told to retry.
-    promised: Time,
+    backlog: LinkBacklog,
+    memory_returns: Returns,
+    link_returns: Returns,
 }
 
 impl HeldMemory {
@@ -119,12 +126,23 @@
         self.used[kind as usize] += bytes.0;
     }
 
+    /// Holds that much more of an answer than was expected, if it fits.
+    pub fn try_hold_unexpected(&mut self, bytes: Bytes) -> bool {
+        let fits = self.try_hold(HeldKind::Answers, bytes);
+        if fits {
+            self.backlog.add(bytes);
+        }
+        fits
+    }
+
     /// Releases what was held.
     pub fn release(&mut self, kind: HeldKind, bytes: Bytes) {
         let used = &mut self.used[kind as usize];
         *used = used.saturating_sub(bytes.0);
-        if kind == HeldKind::Answers {
-            self.drain.add(bytes.0);
+        match kind {
+            HeldKind::Answers => self.drain.add(bytes.0),
+            HeldKind::Expected => self.backlog.take_back(bytes),
+            HeldKind::Connections | HeldKind::Requests => {}
         }
     }
 
@@ -135,34 +153,31 @@
         self.hold(HeldKind::Answers, bytes);
     }
 
-    /// Decides whether a request may be sent whose answer is expected to have that size, and reserves the memory for it.
-    pub fn admit(&mut self, expected: Bytes, now: Time) -> Admission {
+    /// Decides whether a request may be sent whose answer is expected to have that size and is due at that time, and
+    /// reserves the memory for it.
+    pub fn admit(&mut self, expected: Bytes, deadline: Time, now: Time) -> Admission {
         let largest = self.largest_message();
         let reserved = expected.min(largest);
         let needed = reserved.0.saturating_mul(SPARE).min(largest.0);
-        let free = self.free();
-        if free < needed {
-            return Admission::Refused(self.retry_after(needed - free, reserved.0, now));
+        let missing = needed.saturating_sub(self.free());
+        if 0 < missing {
+            let (missing, step) = (self.drain.time_of(missing), self.drain.time_of(reserved.0));
+            let after = self.memory_returns.next(&self.settings, missing, step, now);
+            return Admission::Refused(Lack::Memory, after);
+        }
+        if let Some(link) = self.settings.link {
+            let late = self.backlog.lateness(link, reserved, deadline, now);
+            if Millis::ZERO < late {
+                let step = Millis(reserved.0 / link.bytes_per_ms().max(1));
+                let after = self.link_returns.next(&self.settings, late, step, now);
+                return Admission::Refused(Lack::Link, after);
+            }
+            self.backlog.add(reserved);
         }
         self.hold(HeldKind::Expected, reserved);
         Admission::Reserved(reserved)
     }
 
-    /// The time after which a rejected caller finds room. Each gets the time that the one before leaves, so that they do
-    /// not return together; beyond the longest time it starts anew.
-    fn retry_after(&mut self, missing: u64, expected: u64, now: Time) -> Millis {
-        let (least, most) = (self.settings.backoff_min, self.settings.backoff_max);
-        let latest = Millis(most.0 / 2).max(least);
-        let first = now.after(self.drain.time_of(missing).clamp(least, latest));
-        let last = now.after(most.max(latest));
-        let at = self.promised.max(first);
-        let at = if last < at { first } else { at };
-        let longest_step = last.since(first).0 / MIN_TURNS;
-        let step = self.drain.time_of(expected).0.min(longest_step).max(1);
-        self.promised = at.after(Millis(step));
-        at.since(now)
-    }
-
     /// Updates the rate at which callers take their answers.
     pub fn tick(&mut self, now: Time) {
         self.drain.tick(now);
--- a/crates/th-steer/tests/held_memory.rs
+++ b/crates/th-steer/tests/held_memory.rs
@@ -5,12 +5,15 @@
 
 use rstest::rstest;
 use th_protocol::{Bytes, Millis, Time};
-use th_steer::held::{Admission, HeldKind, HeldMemory, HeldSettings};
+use th_steer::held::{Admission, HeldKind, HeldMemory, HeldSettings, Lack};
 
 const LIMIT: Bytes = Bytes(8_000_000);
 const DOWNLOAD: Bytes = Bytes(90_000);
 const SMALL: Bytes = Bytes(500);
 
+/// A time by which any answer is carried.
+const NO_DEADLINE: Time = Time(u64::MAX);
+
 fn settings() -> HeldSettings {
     HeldSettings { limit: LIMIT, ..HeldSettings::default() }
 }
@@ -51,7 +54,7 @@
 #[case::more_than_all(Bytes(LIMIT.0 * 2))]
 fn an_idle_vm_admits_any_answer(#[case] expected: Bytes) {
     let mut memory = memory();
-    let Admission::Reserved(reserved) = memory.admit(expected, Time(1)) else {
+    let Admission::Reserved(reserved) = memory.admit(expected, NO_DEADLINE, Time(1)) else {
         panic!("refused at an idle VM");
     };
     assert_eq!(reserved, expected.min(memory.largest_message()));
@@ -62,11 +65,11 @@
 #[test]
 fn large_answers_are_refused_before_small_ones() {
     let mut memory = memory();
-    while let Admission::Reserved(_) = memory.admit(DOWNLOAD, Time(1)) {}
+    while let Admission::Reserved(_) = memory.admit(DOWNLOAD, NO_DEADLINE, Time(1)) {}
     let left = LIMIT.0 - memory.total().0;
     assert!(DOWNLOAD.0 <= left, "{left} B are left for small answers");
     for _ in 0..100 {
-        assert_eq!(memory.admit(SMALL, Time(1)), Admission::Reserved(SMALL));
+        assert_eq!(memory.admit(SMALL, NO_DEADLINE, Time(1)), Admission::Reserved(SMALL));
     }
 }
 
@@ -85,7 +88,9 @@
     memory.hold(HeldKind::Answers, LIMIT);
     let mut returns: BTreeMap<Millis, u32> = BTreeMap::new();
     for _ in 0..160 {
-        let Admission::Refused(after) = memory.admit(DOWNLOAD, Time(10_000)) else {
+        let Admission::Refused(Lack::Memory, after) =
+            memory.admit(DOWNLOAD, NO_DEADLINE, Time(10_000))
+        else {
             panic!("admitted without room");
         };
         let HeldSettings { backoff_min, backoff_max, .. } = settings();
@@ -119,7 +124,7 @@
 
     /// Sends a request; its answer comes at once and whole.
     fn send(&mut self, size: Bytes, rate: u64) -> bool {
-        let Admission::Reserved(reserved) = self.memory.admit(size, self.now) else {
+        let Admission::Reserved(reserved) = self.memory.admit(size, NO_DEADLINE, self.now) else {
             return false;
         };
         assert_eq!(reserved, size);
@@ -174,7 +179,7 @@
 #[test]
 fn an_answer_takes_what_was_reserved_for_it() {
     let mut memory = memory();
-    assert_eq!(memory.admit(DOWNLOAD, Time(1)), Admission::Reserved(DOWNLOAD));
+    assert_eq!(memory.admit(DOWNLOAD, NO_DEADLINE, Time(1)), Admission::Reserved(DOWNLOAD));
     memory.answer(SMALL);
     assert_eq!(memory.total(), DOWNLOAD);
     memory.release(HeldKind::Expected, Bytes(DOWNLOAD.0 - SMALL.0));
--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -36,8 +36,9 @@
     metrics: SocketAddr,
 }
 
-/// A deployment with an entry VM of that many MB, whose route `/load/` is one of downloads.
-async fn start(memory: u64) -> (StandInStore, Vec<StandInServer>, Vm) {
+/// A deployment with an entry VM of that many MB and a link of that many Mbit/s, zero for no bound. Its route `/load/` is one
+/// of downloads.
+async fn start(memory: u64, link: u64) -> (StandInStore, Vec<StandInServer>, Vm) {
     let (store, servers, _entry) = deployment(2).await;
     let mut config = config(8, "/look/");
     let mut route = config["routes"][0].clone();
@@ -50,6 +51,7 @@
     let (listen, metrics) = (ListenAddresses::free(), free());
     let mut settings = settings("vm-2", "north-a", listen, store.address);
     (settings["memory"], settings["metrics"]) = (json!(memory), json!(metrics.to_string()));
+    settings["link"] = json!(link);
     let entry = EntryProcess::start(listen, &settings, Stdio::null());
     entry.wait_until_ready().await;
     entry.wait_for_status("/load/first", 200).await;
@@ -112,7 +114,7 @@
 async fn a_hundred_slow_callers_do_not_hold_up_others() {
     // More than the socket of a caller that reads nothing takes.
     const SIZE: usize = 3_000_000;
-    let (_store, _servers, vm) = start(1_000).await;
+    let (_store, _servers, vm) = start(1_000, 0).await;
     let mut slow = Vec::new();
     for number in 0..100 {
         slow.push(open_slow(vm.entry.listen.callers, &format!("slow-{number}"), SIZE).await);
@@ -146,7 +148,7 @@
 /// before they run, small requests are served, and what is ready is delivered.
 #[tokio::test]
 async fn large_answers_are_turned_away_before_they_run() {
-    let (_store, servers, vm) = start(100).await;
+    let (_store, servers, vm) = start(100, 0).await;
     // The first answer tells how large they are.
     let learnt = vm.download("learnt", LARGE).await;
     assert_eq!(learnt.bytes().await.unwrap().len(), LARGE);
@@ -187,11 +189,42 @@
     assert_eq!(vm.download("after", LARGE).await.status(), 200);
 }
 
+/// Guards against downloads that run although the VM's link can't carry their answers in time: twenty at once, of 0.7 s of the
+/// link each, due in 3 s.
+#[tokio::test]
+async fn downloads_beyond_the_link_are_turned_away_before_they_run() {
+    let (_store, servers, vm) = start(384, 1).await;
+    let learnt = vm.download("learnt", DOWNLOAD).await;
+    assert_eq!(learnt.bytes().await.unwrap().len(), DOWNLOAD);
+    let url = format!("http://{}/load{SIZE_MARK}{DOWNLOAD}", vm.entry.listen.callers);
+    let send = |number: usize| {
+        let request = vm.entry.client.get(&url).header("host", "desk.example");
+        let request = request.header("attempt-id", format!("load-{number}"));
+        request.header("request-deadline", "3000").send()
+    };
+    let mut refused = 0;
+    for (number, answer) in join_all((0..20).map(send)).await.into_iter().enumerate() {
+        let answer = answer.unwrap();
+        let id = format!("load-{number}");
+        if answer.status() == 503 {
+            assert!(answer.headers().contains_key("retry-after"));
+            assert_eq!(servers.iter().map(|it| it.runs(&id)).sum::<u32>(), 0);
+            refused += 1;
+            continue;
+        }
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.bytes().await.unwrap().len(), DOWNLOAD);
+    }
+    assert!((1..20).contains(&refused), "{refused} of 20 are turned away");
+    assert_eq!(vm.metric("th_gateway_refused_total{for=\"link\"}").await, refused);
+    assert_eq!(vm.entry.send(Method::POST, "/book/x", "small").await.status(), 200);
+}
+
 /// Guards against a caller that sends request after request and reads no answer: only a bounded part of them runs.
 #[tokio::test]
 async fn a_caller_that_reads_nothing_is_held_a_bounded_amount() {
     const SIZE: usize = 500_000;
-    let (_store, servers, vm) = start(384).await;
+    let (_store, servers, vm) = start(384, 0).await;
     let mut stream = TcpStream::connect(vm.entry.listen.callers).await.unwrap();
     let mut heads = String::new();
     for number in 0..200 {
