Do not cut off callers that read slowly

A caller that accepted no byte of an answer for twice the idle and head time-outs was cut off. The kernel reports a socket as writable only once a third of its send buffer is free, so a caller that read 20 KB a second was cut off after 4 s (limits of 1 s) in the middle of its answer. Now a write is tried first.

A caller that takes nothing still loses its connection, and its memory is released.

--- a/crates/th-gateway/src/pipeline/stream.rs
+++ b/crates/th-gateway/src/pipeline/stream.rs
@@ -1,7 +1,8 @@
 //! The stream between a caller's socket and the HTTP library.
 
 use std::{
-    io::{Error, ErrorKind, Result},
+    io::{Error, ErrorKind, Result, Write},
+    os::fd::AsFd,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
@@ -50,11 +51,12 @@
     }
 
     /// Passes on the result of a write, unless the caller has accepted nothing for too long.
-    fn check_stall<T>(
+    fn check_stall(
         &mut self,
-        written: Poll<Result<T>>,
+        written: Poll<Result<usize>>,
+        bytes: &[u8],
         cx: &mut Context<'_>,
-    ) -> Poll<Result<T>> {
+    ) -> Poll<Result<usize>> {
         if written.is_ready() {
             self.stalled = None;
             return written;
@@ -62,8 +64,22 @@
         let limit = self.write_timeout;
         let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(limit)));
         ready!(stalled.as_mut().poll(cx));
-        let text = format!("the caller accepted no bytes of an answer for {limit:?}");
-        Poll::Ready(Err(Error::new(ErrorKind::TimedOut, text)))
+        self.stalled = None;
+        // The kernel reports a socket as writable only once a third of its buffer is free. A slow caller that reads on has made
+        // less room by now.
+        match self.write_unreported(bytes) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                let text = format!("the caller accepted no bytes of an answer for {limit:?}");
+                Poll::Ready(Err(Error::new(ErrorKind::TimedOut, text)))
+            }
+            written => Poll::Ready(written),
+        }
+    }
+
+    /// Writes to the socket whether or not it is reported as writable.
+    fn write_unreported(&self, bytes: &[u8]) -> Result<usize> {
+        let socket = self.stream.as_fd().try_clone_to_owned()?;
+        std::net::TcpStream::from(socket).write(bytes)
     }
 }
 
@@ -97,7 +113,7 @@
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        self.check_stall(written, cx)
+        self.check_stall(written, bytes, cx)
     }
 
     fn poll_write_vectored(
@@ -106,7 +122,8 @@
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
-        self.check_stall(written, cx)
+        let first = parts.iter().find(|it| !it.is_empty());
+        self.check_stall(written, first.map_or(&[], |it| it), cx)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -11,13 +11,13 @@
 use entry::{EntryProcess, ListenAddresses, free, settings};
 use futures_util::future::join_all;
 use reqwest::Method;
-use serde_json::json;
+use serde_json::{Value, json};
 use stand_in::{SIZE_MARK, StandInServer, StandInStore};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
     task::JoinHandle,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// Bound on every wait of these tests.
@@ -36,9 +36,8 @@
     metrics: SocketAddr,
 }
 
-/// A deployment with an entry VM of that many MB and a link of that many Mbit/s, zero for no bound. Its route `/load/` is one
-/// of downloads.
-async fn start(memory: u64, link: u64) -> (StandInStore, Vec<StandInServer>, Vm) {
+/// A deployment with an entry VM of those settings and limits on callers. Its route `/load/` is one of downloads.
+async fn start(machine: Value, limits: Value) -> (StandInStore, Vec<StandInServer>, Vm) {
     let (store, servers, _entry) = deployment(2).await;
     let mut config = config(8, "/look/");
     let mut route = config["routes"][0].clone();
@@ -46,12 +45,13 @@
         (json!("load"), json!("/load/"), json!("download"));
     // Not a test of time: a busy machine takes long for the largest answers.
     route["timeout_ms"] = json!(20_000);
+    config["limits"] = limits;
     config["routes"].as_array_mut().unwrap().push(route);
     store.put("op/config", &config);
     let (listen, metrics) = (ListenAddresses::free(), free());
     let mut settings = settings("vm-2", "north-a", listen, store.address);
-    (settings["memory"], settings["metrics"]) = (json!(memory), json!(metrics.to_string()));
-    settings["link"] = json!(link);
+    settings["metrics"] = json!(metrics.to_string());
+    settings.as_object_mut().unwrap().extend(machine.as_object().unwrap().clone());
     let entry = EntryProcess::start(listen, &settings, Stdio::null());
     entry.wait_until_ready().await;
     entry.wait_for_status("/load/first", 200).await;
@@ -114,7 +114,7 @@
 async fn a_hundred_slow_callers_do_not_hold_up_others() {
     // More than the socket of a caller that reads nothing takes.
     const SIZE: usize = 3_000_000;
-    let (_store, _servers, vm) = start(1_000, 0).await;
+    let (_store, _servers, vm) = start(json!({"memory": 1_000}), json!({})).await;
     let mut slow = Vec::new();
     for number in 0..100 {
         slow.push(open_slow(vm.entry.listen.callers, &format!("slow-{number}"), SIZE).await);
@@ -148,7 +148,7 @@
 /// before they run, small requests are served, and what is ready is delivered.
 #[tokio::test]
 async fn large_answers_are_turned_away_before_they_run() {
-    let (_store, servers, vm) = start(100, 0).await;
+    let (_store, servers, vm) = start(json!({"memory": 100}), json!({})).await;
     // The first answer tells how large they are.
     let learnt = vm.download("learnt", LARGE).await;
     assert_eq!(learnt.bytes().await.unwrap().len(), LARGE);
@@ -193,7 +193,7 @@
 /// link each, due in 3 s.
 #[tokio::test]
 async fn downloads_beyond_the_link_are_turned_away_before_they_run() {
-    let (_store, servers, vm) = start(384, 1).await;
+    let (_store, servers, vm) = start(json!({"memory": 384, "link": 1}), json!({})).await;
     let learnt = vm.download("learnt", DOWNLOAD).await;
     assert_eq!(learnt.bytes().await.unwrap().len(), DOWNLOAD);
     let url = format!("http://{}/load{SIZE_MARK}{DOWNLOAD}", vm.entry.listen.callers);
@@ -220,11 +220,37 @@
     assert_eq!(vm.entry.send(Method::POST, "/book/x", "small").await.status(), 200);
 }
 
+/// Guards against answers that are held for ever for callers that take nothing, and against callers that are cut off though
+/// they read: a socket that is full tells of new room only when much of it is free.
+#[tokio::test]
+async fn only_callers_that_take_nothing_are_cut_off() {
+    // Twice the time-outs of the configuration, and a margin.
+    const TIME: Duration = Duration::from_millis(6_000);
+    let limits = json!({"header_timeout_ms": 1_000, "idle_timeout_ms": 1_000});
+    let (_store, _servers, vm) = start(json!({"memory": 100}), limits).await;
+    let deaf = open_slow(vm.entry.listen.callers, "deaf", LARGE).await;
+    let mut slow = open_slow(vm.entry.listen.callers, "slow", LARGE).await;
+    let (start, mut part, mut taken) = (Instant::now(), [0; 1_000], 0);
+    while start.elapsed() < 2 * TIME {
+        let read = timeout(PATIENCE, slow.read(&mut part)).await.unwrap().unwrap();
+        assert!(0 < read, "cut off after {taken} B and {:?}", start.elapsed());
+        taken += read;
+        sleep(Duration::from_millis(50)).await;
+    }
+    vm.wait_for_metric(HELD_ANSWERS, |it| it < 2 * LARGE as u64).await;
+    drop(deaf);
+    while taken < LARGE {
+        let read = timeout(PATIENCE, slow.read(&mut part)).await.unwrap().unwrap();
+        assert!(0 < read, "cut off after {taken} B");
+        taken += read;
+    }
+}
+
 /// Guards against a caller that sends request after request and reads no answer: only a bounded part of them runs.
 #[tokio::test]
 async fn a_caller_that_reads_nothing_is_held_a_bounded_amount() {
     const SIZE: usize = 500_000;
-    let (_store, servers, vm) = start(384, 0).await;
+    let (_store, servers, vm) = start(json!({"memory": 384}), json!({})).await;
     let mut stream = TcpStream::connect(vm.entry.listen.callers).await.unwrap();
     let mut heads = String::new();
     for number in 0..200 {
