Leave half of the memory to messages however many connections there are

A small VM with all of its descriptors in use would have counted nearly its whole account for idle connections, and turned every request away.

--- a/crates/th-steer/src/held/account.rs
+++ b/crates/th-steer/src/held/account.rs
@@ -93,8 +93,12 @@
         Bytes(self.used.iter().sum())
     }
 
+    /// What is free for messages. Connections are there whether or not they fit, and idle ones must not keep all messages
+    /// out, so no more than half of the limit counts as theirs.
     fn free(&self) -> u64 {
-        self.settings.limit.0.saturating_sub(self.total().0)
+        let connections = self.used(HeldKind::Connections);
+        let excess = connections.0.saturating_sub(self.largest_message().0);
+        self.settings.limit.0.saturating_sub(self.total().0 - excess)
     }
 
     /// The most that one message may take.
--- a/crates/th-steer/tests/held_memory.rs
+++ b/crates/th-steer/tests/held_memory.rs
@@ -46,6 +46,18 @@
     assert!(memory.try_hold(HeldKind::Answers, Bytes(LIMIT.0 / 2)));
 }
 
+/// Many idle connections, which cannot be turned away for lack of memory. Guards against a VM that serves nothing because
+/// of them.
+#[test]
+fn connections_leave_half_to_messages() {
+    let mut memory = memory();
+    memory.hold(HeldKind::Connections, LIMIT);
+    let reserved = memory.admit(DOWNLOAD, NO_DEADLINE, Time(1));
+    assert_eq!(reserved, Admission::Reserved(DOWNLOAD));
+    assert!(memory.try_hold(HeldKind::Requests, Bytes(LIMIT.0 / 2 - DOWNLOAD.0)));
+    assert!(!memory.try_hold(HeldKind::Answers, Bytes(1)));
+}
+
 /// Guards against a request that is refused for ever, since the answers of its route are very large.
 #[rstest]
 #[case::small(SMALL)]
