--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -8,6 +8,7 @@
 use th_protocol::{Bytes, Millis, Time, Version};
 use th_steer::{
     dispatch::{AttemptOutcome, CallerLimits, Job, Placement, Rejection, Route},
+    held::HeldKind,
     organisation::Denial,
     route::hash_name,
 };
@@ -15,6 +16,7 @@
 
 use crate::{
     answer::{Answer, reject, reply},
+    answer_room::{AnswerRoom, learn_size, reject_unheld},
     authorise::{Caller, authorise, check_again, deny},
     charge::Charge,
     core::{Core, Slot},
@@ -154,7 +156,7 @@
     };
     let time_left = info.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived.after(time_left.min(route.timeout));
-    let mut memory = Reservation::new(&core.request_memory);
+    let mut memory = Reservation::new(&core.memory, HeldKind::Requests);
     let reading = buffer_request(core, &routes, head, body, &info, &mut memory);
     let mut outgoing =
         match timeout(Duration::from_millis(deadline.since(arrived).0), reading).await {
@@ -176,6 +178,13 @@
         Some(it) => limit_attempts(route, it.attempts),
         None => route,
     };
+    outgoing.room = match AnswerRoom::reserve(core, &route.name, deadline) {
+        Ok(room) => room,
+        Err((lack, retry_after)) => {
+            record.attempts.push(format!("No{lack:?}"));
+            return reject_unheld(forwarded.is_some(), retry_after);
+        }
+    };
     let object = info.object.as_deref().map(|it| hash_name(&format!("{}/{it}", route.prefix)));
     let size = outgoing.body.len() as u64;
     record.object = object;
@@ -254,9 +263,11 @@
     let detail = &result.detail;
     let summary = format!("{backend} {warm} expected={expected} took={took}: {detail}");
     core.metrics.count_attempt(&slot.job().service, result.outcome);
+    let route = Arc::clone(&slot.job().route);
     slot.finish(result.outcome);
     let served = result.outcome == AttemptOutcome::Answered;
     if served {
+        learn_size(&core, &route.name, &result);
         let cleared = core.dispatcher.borrow_mut().on_served(outgoing.fingerprint);
         report(&core, cleared);
     } else if result.lost {
@@ -290,6 +301,7 @@
     let started = core.now();
     core.metrics.forwards.inc();
     let result = forward(core, job, outgoing, Version(version), attempts).await;
+    learn_size(core, &job.route.name, &result);
     let took = core.now().since(started);
     let summary = format!("forwarded took={took}: {}", result.detail);
     FinishedAttempt { result, summary }
--- a/crates/th-gateway/src/request_body.rs
+++ b/crates/th-gateway/src/request_body.rs
@@ -10,11 +10,15 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Frame};
 use th_protocol::{Bytes, Millis, header::remove_hop_by_hop_headers};
-use th_steer::dispatch::{Fingerprint, RouteTable};
+use th_steer::{
+    dispatch::{Fingerprint, RouteTable},
+    held::HeldKind,
+};
 use tokio::time::timeout;
 
 use crate::{
     answer::{Answer, closing, reject, reply},
+    answer_room::{AnswerRoom, head_size},
     authorise::Caller,
     core::Core,
     dialect::RequestInfo,
@@ -96,7 +100,9 @@
     closing(reply(StatusCode::PAYLOAD_TOO_LARGE, &format!("The body is larger than {limit}.")))
 }
 
-fn no_memory() -> Answer {
+fn no_memory(core: &Core) -> Answer {
+    core.memory.count_refusal();
+    core.metrics.count_refused("request");
     reject("This VM holds too many bodies.", BODIES_RETRY_AFTER)
 }
 
@@ -114,21 +120,25 @@
     if routes.limits().body.0 < stated {
         return Err(too_large(routes.limits().body));
     }
-    if awaits_continue(&head) && !core.request_memory.fits(stated) {
-        return Err(no_memory());
+    if awaits_continue(&head) && !core.memory.fits(HeldKind::Requests, Bytes(stated)) {
+        return Err(no_memory(core));
     }
     let mut body = Limited::new(body, limit);
-    let (mut collected, mut fits) = (BytesMut::new(), true);
+    let mut collected = BytesMut::new();
+    let mut fits = memory.reserve(head_size(&head.headers).0);
     while let Some(frame) = body.frame().await {
         match frame.map(Frame::into_data) {
             Ok(Ok(data)) => {
                 // Beyond the limit on body memory, the rest is read and discarded, for the reason given at `discard`.
                 fits &= memory.reserve(data.len() as u64);
                 if fits {
+                    if collected.is_empty() {
+                        collected.reserve(data.len().max(stated as usize));
+                    }
                     collected.extend_from_slice(&data);
                 } else {
                     collected = BytesMut::new();
-                    memory.release();
+                    memory.clear();
                 }
             }
             // Trailers are not forwarded.
@@ -142,7 +152,7 @@
         }
     }
     if !fits {
-        return Err(no_memory());
+        return Err(no_memory(core));
     }
     let body = collected.freeze();
     let mut headers = head.headers;
@@ -155,7 +165,8 @@
         return Err(reply(StatusCode::BAD_REQUEST, "The path is not valid."));
     };
     let (method, id, caller) = (head.method, info.id.clone(), Caller::default());
-    Ok(Outgoing { method, uri, headers, body, id, fingerprint, caller })
+    let room = AnswerRoom::none(&core.memory);
+    Ok(Outgoing { method, uri, headers, body, id, fingerprint, caller, room })
 }
 
 /// Computes the fingerprint of a request. The caller is known by its cookies and credentials, without any by its address.
