--- a/crates/th-steer/src/quota/message.rs
+++ b/crates/th-steer/src/quota/message.rs
@@ -9,19 +9,24 @@
     /// The organisation.
     pub id: OrganisationId,
     /// Number of requests that the VM admitted in the last window.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub used: u32,
     /// Number of tokens that it holds.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub tokens: u32,
     /// Number of requests that found no token since the last report.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub wanted: u32,
     /// Requests a second that it is asked for, admitted or not.
     #[serde(default)]
     pub asked: f32,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
 fn yes() -> bool {
     true
 }
