--- a/crates/th-gateway/src/relay.rs
+++ b/crates/th-gateway/src/relay.rs
@@ -318,7 +318,7 @@
 ) -> Result<(response::Parts, Bytes, Connection)> {
     let mut connection = match kept.filter(|it| it.sender.is_ready()) {
         Some(connection) => connection,
-        None => Connection::open(address, core.settings.connect_timeout).await?,
+        None => Connection::open(address, core.settings.connect_timeout, &core.memory).await?,
     };
     let answer = connection.sender.send_request(request).await;
     let answer = answer.map_err(|it| RelayError::Http(address, it))?;
