--- a/crates/th-steer/src/organisation/fair.rs
+++ b/crates/th-steer/src/organisation/fair.rs
@@ -3,7 +3,7 @@
 //! Handles an organisation that asks much more than usual while there are too few slots: the others keep theirs. Start-time
 //! fair queueing, as in [`crate::queue`], weighted by the quotas.
 
-use std::{cmp::Ordering, collections::BTreeMap};
+use std::collections::BTreeMap;
 
 use th_protocol::{Millis, OrganisationId, ServiceId};
 
@@ -68,7 +68,7 @@
     pub(crate) fn forget_idle(&mut self) {
         for entry in self.services.values_mut() {
             let now = entry.now;
-            entry.turns.retain(|_, it| it.start.cmp(&now) == Ordering::Greater);
+            entry.turns.retain(|_, it| now < it.start);
         }
         self.services.retain(|_, it| !it.turns.is_empty());
     }
