Let requests that can no longer be in time wait behind those that can

Cause: a waiting request counted as late only once its objective had ended. One whose work no longer fitted before that was sent ahead of newer ones, was answered late, and made those behind it late too: in a burst of 1.7 times what the slots serve, 8 of 60 possible answers were in time.

Change: dispatch/admission, a folder of its own, with the order of service. A request is late once 1.3 times the expected warm work no longer fits before the end of its objective.

Three tests, which fail on the code before.

--- /dev/null
+++ b/crates/th-steer/src/dispatch/admission/mod.rs
@@ -0,0 +1,6 @@
+//! Admission: the order in which requests wait for slots.
+
+mod urgency;
+mod waiting;
+
+pub(crate) use waiting::Waiting;
--- a/crates/th-steer/src/dispatch/waiting.rs
+++ b/crates/th-steer/src/dispatch/admission/waiting.rs
@@ -4,7 +4,10 @@
 
 use th_protocol::{OrganisationId, ServiceId, Time};
 
-use super::{job::Job, place::millis, work::WorkTimes};
+use super::{
+    super::{job::Job, place::millis, work::WorkTimes},
+    urgency::Urgency,
+};
 use crate::organisation::FairShares;
 
 /// Requests that wait, by the number that identifies each to its owner.
@@ -31,23 +34,23 @@
     pub(crate) fn order(&self, shares: &FairShares, work: &WorkTimes, now: Time) -> Vec<u64> {
         let mut order = Vec::with_capacity(self.jobs.len());
         for (number, job) in &self.jobs {
-            order.push((job.objective_deadline() <= now, job.rank(), 0, job.arrived, *number));
+            order.push((Urgency::new(job, work, now), 0, job.arrived, *number));
         }
         order.sort_unstable();
         let mut ahead: BTreeMap<(&ServiceId, &OrganisationId), u64> = BTreeMap::new();
         for entry in &mut order {
-            let job = &self.jobs[&entry.4];
+            let job = &self.jobs[&entry.3];
             let Some(organisation) = &job.organisation else {
                 continue;
             };
             let count = ahead.entry((&job.service, &organisation.id)).or_default();
             let work = work.expected(&job.route.name, false, job.route.objective);
-            entry.2 = shares.start(&job.service, organisation, *count, millis(work));
+            entry.1 = shares.start(&job.service, organisation, *count, millis(work));
             *count += 1;
         }
         if !ahead.is_empty() {
             order.sort_unstable();
         }
-        order.into_iter().map(|it| it.4).collect()
+        order.into_iter().map(|it| it.3).collect()
     }
 }
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -10,6 +10,7 @@
 
 use super::{
     addresses::{HOST_COUNT_DECAY, HostCounts},
+    admission::Waiting,
     backend::{Attempt, AttemptOutcome},
     crashes::CrashTable,
     job::{Job, Placement},
@@ -27,7 +28,6 @@
     spill::SpillWindow,
     statements::RememberedStatements,
     table::BackendTable,
-    waiting::Waiting,
     work::WorkTimes,
 };
 use crate::organisation::{Denial, FairShares, KeyDigest, Organisation, admit};
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! Each entry VM enforces its own part of a shared budget, so that the sum over all VMs stays within the limit.
 
 mod addresses;
+mod admission;
 mod backend;
 mod crashes;
 mod decide;
@@ -28,7 +29,6 @@
 mod spill;
 mod statements;
 mod table;
-mod waiting;
 mod warm;
 mod work;
 
--- /dev/null
+++ b/crates/th-steer/tests/dispatch_admission.rs
@@ -0,0 +1,130 @@
+//! Who waits for a slot and who gets it, under loads that slots cannot serve in time.
+
+mod dispatch_world;
+
+use std::collections::BTreeMap;
+
+use dispatch_world::{World, route};
+use th_protocol::{Millis, Time};
+use th_steer::dispatch::{Attempt, AttemptOutcome, Job, Placement, Route};
+
+/// The one server of the tests has two slots, so it serves 20 of these requests a second.
+const WORK: Millis = Millis(100);
+const SERVED_A_SECOND: u64 = 20;
+const OBJECT: u64 = 7;
+const STEP: Millis = Millis(5);
+
+/// A request that must be answered within 250 ms and is given up after 2 s.
+fn quick_route() -> Route {
+    Route { objective: Millis(250), timeout: Millis(2_000), attempts: 1, ..route("look") }
+}
+
+/// A world with one server that has the object warm, and takes [`WORK`] for a request.
+fn warm_world() -> World {
+    let mut world = World::new(&[("b-1", "north-a")]);
+    for _ in 0..30 {
+        let job = world.job_of(quick_route(), OBJECT);
+        let attempt = world.send(&job);
+        world.end(&job, &attempt, AttemptOutcome::Answered, WORK);
+    }
+    world
+}
+
+/// Counts of the answers of a run.
+#[derive(Debug, Default)]
+struct Answers {
+    in_time: u64,
+    late: u64,
+}
+
+/// Sends `rate` requests a second for a while, with the routes in turn, and runs what gets a slot. Returns the answers by
+/// route.
+fn run(world: &mut World, routes: &[Route], rate: u64, time: Millis) -> BTreeMap<String, Answers> {
+    let mut answers: BTreeMap<String, Answers> = BTreeMap::new();
+    let mut waiting: BTreeMap<u64, Job> = BTreeMap::new();
+    let mut runs: Vec<(Time, Job, Attempt)> = Vec::new();
+    let (start, end) = (world.now, world.now.after(time));
+    let mut sent = 0;
+    while world.now < end || !runs.is_empty() || !waiting.is_empty() {
+        world.now = world.now.after(STEP);
+        let (due, left) = runs.into_iter().partition(|it| it.0 <= world.now);
+        runs = left;
+        let due: Vec<_> = due;
+        for (_, job, attempt) in due {
+            world.dispatcher.on_attempt_end(&job, &attempt, AttemptOutcome::Answered, world.now);
+            let counts = answers.entry(job.route.name.clone()).or_default();
+            if world.now <= job.objective_deadline() {
+                counts.in_time += 1;
+            } else {
+                counts.late += 1;
+            }
+        }
+        for (number, placement) in world.dispatcher.place_waiting(usize::MAX, world.now) {
+            let job = waiting.remove(&number).unwrap();
+            if let Placement::Send { attempt, .. } = placement {
+                runs.push((world.now.after(WORK), job, attempt));
+            }
+        }
+        while world.now < end && sent * 1_000 < rate * world.now.since(start).0 {
+            let job = world.job_of(routes[sent as usize % routes.len()].clone(), OBJECT);
+            sent += 1;
+            match world.place(&job) {
+                (Placement::Send { attempt, .. }, _) => {
+                    runs.push((world.now.after(WORK), job, attempt));
+                }
+                (_, Some(number)) => {
+                    waiting.insert(number, job);
+                }
+                (_, None) => {}
+            }
+        }
+    }
+    answers
+}
+
+/// Handles a burst of 1.7 times what the slots can serve: the slots must go to requests that are answered in time, as
+/// long as there are any.
+#[test]
+fn a_burst_leaves_the_slots_to_requests_that_can_be_in_time() {
+    let mut world = warm_world();
+    let time = Millis(3_000);
+    let rate = SERVED_A_SECOND * 17 / 10;
+    let answers = run(&mut world, &[quick_route()], rate, time);
+    let answers = &answers["look"];
+    let possible = SERVED_A_SECOND * time.0 / 1_000;
+    assert!(possible * 9 / 10 <= answers.in_time, "{answers:?} of {possible} that can be in time");
+}
+
+/// Handles a kind of request at 2.4 times its usual rate, beside a more urgent one that alone would fit: the urgent one
+/// must be served in time.
+#[test]
+fn an_urgent_kind_stays_in_time_beside_a_kind_that_is_asked_for_too_often() {
+    let mut world = warm_world();
+    let urgent = Route { rank: 0, name: "book".to_owned(), ..quick_route() };
+    let usual = quick_route();
+    let routes = [urgent, usual.clone(), usual.clone(), usual];
+    let time = Millis(3_000);
+    let rate = SERVED_A_SECOND * 24 / 10;
+    let answers = run(&mut world, &routes, rate, time);
+    let urgent = &answers["book"];
+    let asked = rate * time.0 / 1_000 / routes.len() as u64;
+    assert!(asked * 9 / 10 <= urgent.in_time, "{answers:?} of {asked} urgent ones");
+    assert!(answers["look"].in_time >= SERVED_A_SECOND * 3 / 10, "{answers:?}");
+}
+
+/// Handles a queue in which the oldest request can no longer be in time although its objective has not ended.
+#[test]
+fn a_request_whose_work_no_longer_fits_gives_way() {
+    let mut world = warm_world();
+    let blocking = [world.job_of(quick_route(), OBJECT), world.job_of(quick_route(), OBJECT)];
+    let running = blocking.each_ref().map(|it| world.send(it));
+    let old = world.job_of(quick_route(), OBJECT);
+    let (_, old) = world.place(&old);
+    world.now = world.now.after(Millis(180));
+    let new = world.job_of(quick_route(), OBJECT);
+    let (_, new) = world.place(&new);
+    world.end(&blocking[0], &running[0], AttemptOutcome::Answered, Millis(10));
+    let placed = world.dispatcher.place_waiting(usize::MAX, world.now);
+    let first = placed.first().map(|it| it.0);
+    assert_eq!(first, new, "the older request {old:?} cannot be in time any more");
+}
