Tell callers of requests that servers turned away when a slot is free

Cause: while servers turn away a part of their requests, the retry budget ends, and callers were told to come back after 150 ms whatever the load. With 250 ms for an answer and 108 ms of work, none of these could be in time, though slots were free.

Two tests; the first fails with the fixed 150 ms.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -408,7 +408,7 @@
             last = Some(done.result);
             continue;
         }
-        let retry_after = core.settings.dispatch.backoff_min;
+        let retry_after = core.dispatcher.borrow().comeback(&job, core.now());
         // This VM's own links may be broken.
         if allowed && unreachable && reached < job.route.attempts {
             if forwarded && not_executed {
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -3,9 +3,10 @@
 
 use std::collections::BTreeMap;
 
-use th_protocol::{RegionId, Time, ZoneId};
+use th_protocol::{Millis, RegionId, Time, ZoneId};
 
 use super::{
+    admission::comeback_time,
     backend::{Attempt, drag_time},
     dispatcher::Dispatcher,
     job::{Job, Placement, Rejection},
@@ -141,6 +142,17 @@
         self.start_attempt(job, &best, now)
     }
 
+    /// Returns the time after which the caller of a request that servers turned away may come back.
+    pub fn comeback(&self, job: &Job, now: Time) -> Millis {
+        let settings = &self.settings;
+        let route = &job.route;
+        let work = self.work.expected(&route.name, true, route.objective);
+        let usable = self.usable(job, now);
+        let rows = usable.values().flatten().filter_map(|it| self.backends.get(*it));
+        let waits = rows.map(|it| it.estimate_slot(0, work, settings, now).wait);
+        comeback_time(waits, settings.backoff_max).unwrap_or(settings.backoff_min)
+    }
+
     /// Chooses the cheapest backend server of the first pool that has a usable one; other pools serve only as a
     /// fallback for this VM's own.
     fn choose(
--- a/crates/th-steer/tests/dispatch_admission.rs
+++ b/crates/th-steer/tests/dispatch_admission.rs
@@ -128,3 +128,30 @@
     let first = placed.first().map(|it| it.0);
     assert_eq!(first, new, "the older request {old:?} cannot be in time any more");
 }
+
+/// Handles servers that turn away requests at random: callers must be able to come back while they can still be in time.
+#[test]
+fn callers_come_back_at_once_while_slots_are_free() {
+    let mut world = World::new(&[("b-1", "north-a"), ("b-2", "north-a")]);
+    let mut job = world.job_of(quick_route(), OBJECT);
+    let attempt = world.send(&job);
+    world.end(&job, &attempt, AttemptOutcome::Shed, Millis(2));
+    job.tried.push(attempt.backend);
+    let comeback = world.dispatcher.comeback(&job, world.now);
+    let left = job.objective_deadline().since(world.now.after(comeback));
+    assert!(WORK.plus(WORK) <= left, "{comeback} leaves {left} of the objective");
+}
+
+/// Handles servers that are full: callers who came back at once would only be turned away again.
+#[test]
+fn callers_stay_away_while_all_slots_are_taken() {
+    let mut world = warm_world();
+    for _ in 0..2 {
+        let job = world.job_of(quick_route(), OBJECT);
+        world.send(&job);
+    }
+    let job = world.job_of(quick_route(), OBJECT);
+    let comeback = world.dispatcher.comeback(&job, world.now);
+    let half = Millis(WORK.0 / 2);
+    assert!(half <= comeback, "{comeback} is before the first slot is free");
+}
