Name a second entry VM in each look-up answer

Cause: where a data centre has one entry VM, its callers were told of no other one.

Change: dispatch/lookups, a folder of its own. If all 24 addresses of an answer are the same, the last becomes another VM of the region, in turns. One address is the least that can be said; another region's VM is never named for this.

--- a/crates/th-steer/src/dispatch/addresses.rs
+++ b/crates/th-steer/src/dispatch/addresses.rs
@@ -11,8 +11,10 @@
     dispatcher::Dispatcher,
     links::{cap_shares, vm_shares},
     lookup::{lookup_shares, usable_slots},
+    lookups::{Alternative, add_alternative},
     record::EntryRecord,
 };
+use crate::route::{hash_name, mix};
 
 /// Number of addresses in a look-up answer, where an address is repeated in proportion to its share; callers use no
 /// more than this many.
@@ -61,7 +63,25 @@
         let parts: Vec<f64> = shares.iter().map(|it| it.1 / total).collect();
         let offset = (f64::from(self.lookups) * GOLDEN_FRACTION).fract();
         let picks = sample(&parts, LOOKUP_ADDRESSES, offset);
-        picks.into_iter().map(|index| shares[index].0).collect()
+        let mut addresses: Vec<SocketAddr> =
+            picks.into_iter().map(|index| shares[index].0).collect();
+        add_alternative(&mut addresses, self.alternatives(zone));
+        addresses
+    }
+
+    /// The entry VMs of a caller's region, to which callers of all hosts may be sent.
+    fn alternatives(&self, zone: &ZoneId) -> Vec<Alternative> {
+        let region = self.region_of(zone);
+        let mut alternatives = Vec::new();
+        for entry in self.entries.values() {
+            if self.region_of(&entry.zone) != region {
+                continue;
+            }
+            let turn = mix(hash_name(entry.vm.as_str()) ^ u64::from(self.lookups));
+            let remote = entry.zone != *zone;
+            alternatives.push(Alternative { remote, turn, address: entry.callers });
+        }
+        alternatives
     }
 
     /// The entry VM addresses that may be returned to callers of a data centre, with their shares; `host` restricts
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod limited;
 mod links;
 mod lookup;
+mod lookups;
 mod objects;
 mod pace;
 mod place;
