Count only slots that this VM would use when callers may come back

Cause: free slots of other regions and at ejected servers made callers come back at once although all slots that this VM sends to were taken. Now servers of the region count while it has any, without ejected and dragging ones. The test that callers stay away has a free server in another region and failed before.

--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -147,7 +147,12 @@
         let settings = &self.settings;
         let route = &job.route;
         let work = self.work.expected(&route.name, true, route.objective);
-        let usable = self.usable(job, now);
+        let mut usable = self.eligible(self.usable(job, now), now);
+        let region = self.region_of(&self.zone);
+        if usable.keys().any(|it| self.region_of(it) == region) {
+            // Slots of other regions are no reason to come back here.
+            usable.retain(|it, _| self.region_of(it) == region);
+        }
         let rows = usable.values().flatten().filter_map(|it| self.backends.get(*it));
         let waits = rows.map(|it| it.estimate_slot(0, work, settings, now).wait);
         comeback_time(waits, settings.backoff_max).unwrap_or(settings.backoff_min)
--- a/crates/th-steer/tests/dispatch_admission.rs
+++ b/crates/th-steer/tests/dispatch_admission.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use dispatch_world::{World, route};
+use dispatch_world::{World, backend, route};
 use th_protocol::{Millis, Time};
 use th_steer::dispatch::{Attempt, AttemptOutcome, Job, Placement, Route};
 
@@ -150,6 +150,7 @@
         let job = world.job_of(quick_route(), OBJECT);
         world.send(&job);
     }
+    world.dispatcher.on_backend(backend("b-far", "south-a"), world.now);
     let job = world.job_of(quick_route(), OBJECT);
     let comeback = world.dispatcher.comeback(&job, world.now);
     let half = Millis(WORK.0 / 2);
