--- a/crates/th-steer/src/dispatch/addresses.rs
+++ b/crates/th-steer/src/dispatch/addresses.rs
@@ -65,7 +65,7 @@
         let picks = sample(&parts, LOOKUP_ADDRESSES, offset);
         let mut addresses: Vec<SocketAddr> =
             picks.into_iter().map(|index| shares[index].0).collect();
-        add_alternative(&mut addresses, self.alternatives(zone));
+        add_alternative(&mut addresses, || self.alternatives(zone));
         addresses
     }
 
--- a/crates/th-steer/src/dispatch/lookups/alternative.rs
+++ b/crates/th-steer/src/dispatch/lookups/alternative.rs
@@ -20,12 +20,15 @@
 
 /// Puts the first of `others` in the place of the last address if all are the same. That is the smallest share of
 /// callers that an answer can direct elsewhere.
-pub(crate) fn add_alternative(addresses: &mut [SocketAddr], others: Vec<Alternative>) {
+pub(crate) fn add_alternative(
+    addresses: &mut [SocketAddr],
+    others: impl FnOnce() -> Vec<Alternative>,
+) {
     let named: BTreeSet<SocketAddr> = addresses.iter().copied().collect();
     if MIN_VMS <= named.len() || addresses.len() < MIN_VMS {
         return;
     }
-    let others = others.into_iter().filter(|it| !named.contains(&it.address));
+    let others = others().into_iter().filter(|it| !named.contains(&it.address));
     if let (Some(last), Some(other)) = (addresses.last_mut(), others.min()) {
         *last = other.address;
     }
