Add failing tests of large configurations over narrow links

Callers saw requests run outside their home regions (HOME), and handled by old configurations (CONFIG).

On this code all four tests fail: with one VM, three, and five of which one has a wide link, the configuration is not in force after 6 s in any of 4 phases of a watch (limit 3 s), and the first request after the limit runs at a server outside its new home.

--- a/tests/late_changes.rs
+++ b/tests/late_changes.rs
@@ -4,24 +4,23 @@
 mod entry;
 #[path = "../platform/tests/stand_in/mod.rs"]
 mod stand_in;
+mod watchers;
 
 use std::{process::Stdio, rc::Rc, time::Duration};
 
 use desk::config;
-use entry::{EntryProcess, ListenAddresses, settings};
+use entry::{EntryProcess, ListenAddresses};
 use futures_util::future::join_all;
-use platform::{PlatformDialect, PlatformSettings, StoreWatcher};
 use reqwest::Method;
 use rstest::rstest;
-use serde_json::{Value, json};
+use serde_json::json;
 use stand_in::{StandInStore, wait_until};
-use th_gateway::{Core, Gateway};
-use th_protocol::{BackendId, Version};
-use th_steer::dispatch::EntryRecord;
+use th_protocol::BackendId;
 use tokio::{
-    task::{LocalSet, spawn_local},
+    task::LocalSet,
     time::{Instant, sleep},
 };
+use watchers::{in_force, limited, register, start_vm, write_config};
 
 /// Limit of the settings on configurations and drains.
 const LIMIT: Duration = Duration::from_millis(2_500);
@@ -30,63 +29,17 @@
 /// Number of phases: more than the longest time from one watch to the next.
 const PHASES: u32 = 18;
 
-fn limited(number: usize, listen: ListenAddresses, store: &StandInStore) -> Value {
-    let mut settings = settings(&format!("vm-{number}"), "north-a", listen, store.address);
-    settings["config_limit"] = json!(LIMIT.as_millis());
-    settings["drain_limit"] = json!(LIMIT.as_millis());
-    settings
-}
-
-fn start_vm(number: usize, store: &StandInStore) -> (Gateway, EntryRecord) {
-    let settings = limited(number, ListenAddresses::free(), store);
-    let settings = PlatformSettings::read(&settings.to_string()).unwrap();
-    let record = settings.record();
-    let gateway = Gateway::start(
-        settings.vm.clone(),
-        settings.zone.clone(),
-        settings.topology(),
-        settings.listeners(),
-        settings.gateway(),
-        Rc::new(PlatformDialect),
-    );
-    let gateway = gateway.unwrap();
-    let watcher =
-        StoreWatcher::new(Rc::clone(gateway.core()), settings.store, settings.watch_pace());
-    spawn_local(watcher.run());
-    (gateway, record)
-}
-
-fn write_config(store: &StandInStore, version: u64) {
-    let config =
-        json!({"version": format!("{version:08x}"), "routes": [], "services": [], "limits": {}});
-    store.put("op/config", &config);
-}
-
-/// Waits until a version is in force at all VMs, or until twice the limit has passed. Returns the time that it took.
-async fn in_force(cores: &[Rc<Core>], version: u64) -> Duration {
-    let started = Instant::now();
-    let has = |core: &Rc<Core>| {
-        let dispatcher = core.dispatcher.borrow();
-        dispatcher.routes().is_some_and(|it| it.version() == Version(version))
-    };
-    while !cores.iter().all(has) && started.elapsed() < 2 * LIMIT {
-        sleep(Duration::from_millis(10)).await;
-    }
-    started.elapsed()
-}
-
 /// The time after which a configuration, written at the end of the last silence, is in force at all VMs of a data centre. Each
 /// silence has a length and a time before it, in milliseconds; the first one begins a phase after all is known.
 async fn latest_after_silences(vms: usize, phase: Duration, silences: &[(u64, u64)]) -> Duration {
     let store = StandInStore::start().await;
     write_config(&store, 1);
-    let started: Vec<_> = (1..=vms).map(|it| start_vm(it, &store)).collect();
+    let started: Vec<_> = (1..=vms).map(|it| start_vm(it, store.address, LIMIT)).collect();
     for (_, record) in &started {
-        let value = platform::write_entry(record).unwrap();
-        store.put_bytes(&format!("th/vm/{}", record.vm), &value);
+        register(&store, record);
     }
     let cores: Vec<_> = started.iter().map(|it| Rc::clone(it.0.core())).collect();
-    in_force(&cores, 1).await;
+    in_force(&cores, 1, LIMIT).await;
     sleep(LIMIT + phase).await;
     for (away, back) in silences {
         sleep(Duration::from_millis(*back)).await;
@@ -95,7 +48,7 @@
         store.set_silent(false);
     }
     write_config(&store, 2);
-    in_force(&cores, 2).await
+    in_force(&cores, 2, LIMIT).await
 }
 
 /// Guards against configurations that come into force too late after the store was silent, whatever was under way when it
@@ -131,9 +84,9 @@
     let entry = json!({"service": "desk", "address": "127.0.0.1:9", "zone": "north-a", "version": "v1", "slots": 4,
         "state": "ready", "cold_remaining_ms": 0, "sequence": 4});
     store.put("servers/i-1", &entry);
-    let (gateway, _) = start_vm(1, &store);
+    let (gateway, _) = start_vm(1, store.address, LIMIT);
     let cores = [Rc::clone(gateway.core())];
-    in_force(&cores, 1).await;
+    in_force(&cores, 1, LIMIT).await;
     sleep(LIMIT + phase).await;
     store.set_silent(true);
     store.remove("servers/i-1");
@@ -182,7 +135,8 @@
     let store = StandInStore::start().await;
     store.put("op/config", &config(1, "/v1/"));
     let listen = ListenAddresses::free();
-    let entry = EntryProcess::start(listen, &limited(1, listen, &store), Stdio::null());
+    let entry =
+        EntryProcess::start(listen, &limited(1, listen, store.address, LIMIT), Stdio::null());
     entry.wait_until_ready().await;
     wait_until("it is registered", || store.keys("th/vm/").len() == 1).await;
     sleep(LIMIT + phase).await;
--- /dev/null
+++ b/tests/narrow_links.rs
@@ -0,0 +1,120 @@
+//! Configurations that take a narrow link most of the allowed time.
+
+mod desk;
+mod entry;
+#[path = "../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+mod watchers;
+
+use std::{process::Stdio, rc::Rc, time::Duration};
+
+use desk::RUN_TIME;
+use entry::{EntryProcess, ListenAddresses};
+use futures_util::future::join_all;
+use reqwest::Method;
+use rstest::rstest;
+use serde_json::{Value, json};
+use stand_in::{NarrowLink, StandInServer, StandInStore};
+use th_protocol::Mbit;
+use th_steer::dispatch::EntryRecord;
+use tokio::{
+    task::LocalSet,
+    time::{Instant, sleep, sleep_until},
+};
+use watchers::{in_force, limited, register, start_vm, write_config};
+
+/// Limit of the settings on configurations and drains.
+const LIMIT: Duration = Duration::from_millis(3_000);
+/// Link of a small VM.
+const NARROW: Mbit = Mbit(10);
+/// Link of a large VM.
+const WIDE: Mbit = Mbit(200);
+/// Number of routes of a large configuration: 0.9 MB, 1.2 MB in the store's encoding.
+const ROUTES: usize = 4_200;
+/// Time from one phase of a watch to the next.
+const STEP: Duration = Duration::from_millis(350);
+/// Number of phases: the interval of watches.
+const PHASES: u32 = 4;
+
+fn bytes_per_second(link: Mbit) -> f64 {
+    link.bytes_per_ms() as f64 * 1e3
+}
+
+/// A configuration with many routes. Requests to `/look/` may run only in the home regions, or anywhere if there are none.
+fn large_config(version: u64, homes: &[&str]) -> Value {
+    let route = |name: String, prefix: String, homes: &[&str]| {
+        json!({"name": name, "host": "desk.example", "prefix": prefix, "kind": "safe", "timeout_ms": 1500,
+            "target_latency_ms": 600, "priority": 1, "service": "desk", "max_attempts": 2, "sticky": true,
+            "home_regions": homes})
+    };
+    let mut routes = vec![route("look".to_owned(), "/look/".to_owned(), homes)];
+    for number in 1..ROUTES {
+        routes.push(route(format!("r-{number:08}"), format!("/added/{number:08}/"), &[]));
+    }
+    json!({"version": format!("{version:08x}"), "routes": routes,
+        "services": [{"name": "desk", "cold_per_s": 4.1}], "limits": {}})
+}
+
+/// The time after which a large configuration is in force at the VMs of a data centre, which have those links for all that they
+/// receive of the store and for all that they send to other VMs.
+async fn latest_of(links: &[Mbit], phase: Duration, config: &[u8]) -> Duration {
+    let store = StandInStore::start().await;
+    write_config(&store, 1);
+    let mut vms = Vec::new();
+    for (index, link) in links.iter().enumerate() {
+        let rate = bytes_per_second(*link);
+        let from_store = NarrowLink::start(store.address, rate).await;
+        let (gateway, record) = start_vm(index + 1, from_store.address, LIMIT);
+        let to_peers = NarrowLink::start(record.peers.unwrap(), rate).await;
+        let (peers, link) = (Some(to_peers.address), Some(*link));
+        register(&store, &EntryRecord { peers, link, ..record });
+        vms.push(gateway);
+    }
+    let cores: Vec<_> = vms.iter().map(|it| Rc::clone(it.core())).collect();
+    in_force(&cores, 1, LIMIT).await;
+    sleep(LIMIT + phase).await;
+    store.put_bytes("op/config", config);
+    in_force(&cores, 2, LIMIT).await
+}
+
+/// Guards against requests that are handled by an old configuration, outside their home regions too, because the new one is
+/// so large that its transfer over a narrow link is given up and begun again without end.
+#[rstest]
+#[case::alone(&[NARROW])]
+#[case::narrow(&[NARROW, NARROW, NARROW])]
+#[case::mixed(&[NARROW, NARROW, WIDE, NARROW, NARROW])]
+#[tokio::test]
+async fn a_large_configuration_is_in_force_in_time_over_narrow_links(#[case] links: &[Mbit]) {
+    let config = large_config(2, &[]).to_string();
+    let plays = (0..PHASES).map(|it| latest_of(links, it * STEP, config.as_bytes()));
+    let took = LocalSet::new().run_until(join_all(plays)).await;
+    let late: Vec<_> = took.iter().enumerate().filter(|(_, it)| LIMIT < **it).collect();
+    assert!(
+        late.is_empty(),
+        "{} of {PHASES} phases are late, by phase: {late:?}; of {took:?}",
+        late.len()
+    );
+}
+
+/// Guards against requests that run outside the home regions of a configuration that a VM was too slow to receive.
+#[tokio::test]
+async fn requests_stay_in_home_regions_that_a_large_configuration_sets() {
+    let store = StandInStore::start().await;
+    let server = StandInServer::start("i-1", RUN_TIME).await;
+    store.put("servers/i-1", &server.entry("ready"));
+    store.put("op/config", &desk::config(1, "/look/"));
+    let link = NarrowLink::start(store.address, bytes_per_second(NARROW)).await;
+    let listen = ListenAddresses::free();
+    let settings = limited(1, listen, link.address, LIMIT);
+    let entry = EntryProcess::start(listen, &settings, Stdio::null());
+    entry.wait_until_ready().await;
+    entry.wait_for_status("/look/first", 200).await;
+    store.put("op/config", &large_config(2, &["south"]));
+    sleep_until(Instant::now() + LIMIT).await;
+    for attempt in 0..50 {
+        let id = format!("late-{attempt}");
+        let answer = entry.send(Method::GET, "/look/x", &id).await;
+        assert_eq!((answer.status().as_u16(), server.runs(&id)), (503, 0), "attempt {attempt}");
+        sleep(Duration::from_millis(40)).await;
+    }
+}
