Do not give up or repeat a call to the store while its answer is arriving

Callers saw requests run outside their home regions (HOME), and handled by a configuration that had been replaced more than 3 s before (CONFIG).

Cause: the time-out of a call, and the time after which it is repeated beside itself, counted from its start, whatever its answer's size. A configuration of 0.9 MB takes a link of 10 Mbit/s a second. The call was repeated after 0.63 s and given up after 1.65 s, other VMs were asked for the same bytes in between, and up to four transfers shared the link, so that none ended: two VMs of 26 received 1.0 to 1.3 MB every second for 20 s and had the old configuration at the end. The class of fault: a time-out on a whole transfer, whose retries start from nothing and add to the load that made it late.

Now the time without any of the answer is limited, by the same values as before, and a call is repeated only while nothing arrives.

--- a/crates/th-steer/src/relay/pace.rs
+++ b/crates/th-steer/src/relay/pace.rs
@@ -10,7 +10,7 @@
 const INTERVAL_SHARE: Permille = Permille(400);
 /// Time beyond its wait after which a call without an answer is repeated beside it, as a share of the limit.
 const REPEAT_SHARE: Permille = Permille(160);
-/// Time-out of a call beyond its wait, as a share of the limit.
+/// Time without any of an answer after which a call is given up, beyond its wait, as a share of the limit.
 const TIMEOUT_SHARE: Permille = Permille(500);
 /// Delay after the first of several calls that fail at once, as a share of the limit.
 const DELAY_SHARE: Permille = Permille(100);
@@ -55,7 +55,7 @@
     /// Time beyond its wait after which a call without an answer is repeated beside it: most often only its connection has
     /// fallen silent. Also the longest time to open a connection.
     pub repeat: Millis,
-    /// Time-out of a call beyond its wait.
+    /// Time without any of an answer after which a call is given up, beyond its wait.
     pub timeout: Millis,
     /// Delay after the first of several calls that fail at once; doubled with the next ones.
     pub delay: Millis,
