Let the VM with the widest link watch the store for its data centre

The common order of VMs now begins with the widest link; all know the links from the VMs' entries. VMs of builds with different orders may ask each other; the age of what they know ends that, as before. The models of the relay pass.

--- a/crates/th-model/src/relay.rs
+++ b/crates/th-model/src/relay.rs
@@ -5,7 +5,9 @@
 //! connection. A VM that was never frozen or cut off must know a configuration within its limit, counted from the write or
 //! the store's last return.
 
-use th_protocol::{Millis, Time, VmId};
+use std::collections::BTreeMap;
+
+use th_protocol::{Mbit, Millis, Time, VmId};
 use th_steer::relay::{Source, Upstream, WatchPace};
 
 use crate::Model;
@@ -148,15 +150,19 @@
     (0..VMS).map(id).collect()
 }
 
+fn links() -> BTreeMap<VmId, Option<Mbit>> {
+    (0..VMS).map(|it| (id(it), None)).collect()
+}
+
 fn choose(vm: &Vm, index: usize) -> Option<usize> {
-    match upstream(vm, index).choose(&all_vms(), START) {
+    match upstream(vm, index).choose(&links(), START) {
         Source::Store => None,
         Source::Peer(peer) => all_vms().iter().position(|it| *it == peer),
     }
 }
 
 fn choose_other(vm: &Vm, index: usize) -> Option<usize> {
-    let peer = upstream(vm, index).choose_other(&all_vms(), START)?;
+    let peer = upstream(vm, index).choose_other(&links(), START)?;
     all_vms().iter().position(|it| *it == peer)
 }
 
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -376,6 +376,12 @@
         near.filter_map(|it| Some((it.vm.clone(), it.peers?))).collect()
     }
 
+    /// The VMs of [`Dispatcher::peers`], with the capacities of their links as far as known.
+    pub fn peer_links(&self) -> BTreeMap<VmId, Option<Mbit>> {
+        let near = self.entries.values().filter(|it| it.zone == self.zone && it.peers.is_some());
+        near.map(|it| (it.vm.clone(), it.link)).collect()
+    }
+
     /// Applies the load that a backend server reported with an answer.
     pub fn on_load(&mut self, backend: &BackendId, busy: Slots, now: Time) {
         if let Some(row) = self.backends.by_id_mut(backend) {
--- a/crates/th-steer/src/relay/upstream.rs
+++ b/crates/th-steer/src/relay/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
-use th_protocol::{Millis, Time, VmId};
+use th_protocol::{Mbit, Millis, Time, VmId};
 
 use crate::route::{hash_name, mix};
 
@@ -32,9 +32,10 @@
         Upstream { own, failures: BTreeMap::new() }
     }
 
-    /// Chooses among the registered VMs of the data centre: the first one in the common order that has not failed
-    /// lately. The first VM of all, and one that finds all before it failed, ask the store.
-    pub fn choose(&mut self, vms: &[VmId], now: Time) -> Source {
+    /// Chooses among the registered VMs of the data centre, with the capacities of their links as far as known: the first
+    /// one in the common order that has not failed lately. The first VM of all, and one that finds all before it failed,
+    /// ask the store.
+    pub fn choose(&mut self, vms: &BTreeMap<VmId, Option<Mbit>>, now: Time) -> Source {
         let order = self.order(vms, now);
         let before = order.into_iter().take_while(|it| **it != self.own);
         match self.first_sound(before) {
@@ -44,7 +45,7 @@
     }
 
     /// Chooses whom to ask for what the store has while this VM cannot reach it: any other VM that has not failed lately.
-    pub fn choose_other(&mut self, vms: &[VmId], now: Time) -> Option<VmId> {
+    pub fn choose_other(&mut self, vms: &BTreeMap<VmId, Option<Mbit>>, now: Time) -> Option<VmId> {
         let order = self.order(vms, now);
         self.first_sound(order.into_iter().filter(|it| **it != self.own))
     }
@@ -53,12 +54,13 @@
         vms.find(|it| !self.failures.contains_key(*it)).cloned()
     }
 
-    /// The common order of VMs. Also forgets failures of long ago.
-    fn order<'a>(&mut self, vms: &'a [VmId], now: Time) -> Vec<&'a VmId> {
+    /// The common order of VMs: a large change reaches the others soonest by the one with the widest link. Also forgets
+    /// failures of long ago.
+    fn order<'a>(&mut self, vms: &'a BTreeMap<VmId, Option<Mbit>>, now: Time) -> Vec<&'a VmId> {
         self.failures.retain(|_, at| now < at.after(RETRY_INTERVAL));
-        let mut order: Vec<&VmId> = vms.iter().collect();
-        order.sort_unstable_by_key(|vm| (Reverse(mix(hash_name(vm.as_str()))), *vm));
-        order
+        let mut order: Vec<_> = vms.iter().collect();
+        order.sort_by_key(|(vm, link)| (Reverse(**link), Reverse(mix(hash_name(vm.as_str())))));
+        order.into_iter().map(|(vm, _)| vm).collect()
     }
 
     /// Handles a VM that did not answer in time, or whose changes were not current.
--- a/crates/th-steer/tests/relay.rs
+++ b/crates/th-steer/tests/relay.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use rstest::rstest;
-use th_protocol::{Era, Millis, Revision, StoreMoment, Time, VmId};
+use th_protocol::{Era, Mbit, Millis, Revision, StoreMoment, Time, VmId};
 use th_steer::relay::{ChangeLog, ItemChange, Source, Upstream};
 
 const START: Time = Time(100_000);
@@ -26,6 +26,11 @@
     (1..=count).map(|it| format!("vm-{it}").parse().unwrap()).collect()
 }
 
+/// VMs whose links are not known.
+fn unknown_links(vms: &[VmId]) -> BTreeMap<VmId, Option<Mbit>> {
+    vms.iter().map(|it| (it.clone(), None)).collect()
+}
+
 /// Applies changes to a copy of the items.
 fn apply(items: &mut BTreeMap<String, Vec<u8>>, changes: Vec<ItemChange>) {
     for change in changes {
@@ -97,7 +102,7 @@
     let mut asked = BTreeSet::new();
     let mut watchers = Vec::new();
     for vm in &vms {
-        match Upstream::new(vm.clone()).choose(&vms, START) {
+        match Upstream::new(vm.clone()).choose(&unknown_links(&vms), START) {
             Source::Store => watchers.push(vm.clone()),
             Source::Peer(peer) => {
                 asked.insert(peer);
@@ -108,6 +113,23 @@
     assert!(asked.iter().eq(watchers.iter().filter(|_| 1 < count)));
 }
 
+/// Guards against large changes that reach a data centre over the link of its smallest VM.
+#[test]
+fn the_vm_with_the_widest_link_watches_the_store() {
+    let vms = vms(8);
+    for wide in &vms {
+        let mut links = unknown_links(&vms);
+        for (vm, link) in links.iter_mut().take(6) {
+            *link = Some(Mbit(if vm == wide { 200 } else { 10 }));
+        }
+        links.insert(wide.clone(), Some(Mbit(200)));
+        for vm in &vms {
+            let expected = if vm == wide { Source::Store } else { Source::Peer(wide.clone()) };
+            assert_eq!(Upstream::new(vm.clone()).choose(&links, START), expected);
+        }
+    }
+}
+
 /// A VM whose sources fail one after the other ends at the store, and none is asked again at once.
 #[test]
 fn sources_that_fail_are_passed_over_for_a_while() {
@@ -115,13 +137,13 @@
     for vm in &vms {
         let mut upstream = Upstream::new(vm.clone());
         let mut asked = Vec::new();
-        while let Source::Peer(peer) = upstream.choose(&vms, START) {
+        while let Source::Peer(peer) = upstream.choose(&unknown_links(&vms), START) {
             assert!(!asked.contains(&peer) && peer != *vm);
             upstream.on_failure(peer.clone(), START);
             asked.push(peer);
         }
         let later = START.after(Millis(10_000));
-        match upstream.choose(&vms, later) {
+        match upstream.choose(&unknown_links(&vms), later) {
             Source::Peer(peer) => assert_eq!(Some(&peer), asked.first()),
             Source::Store => assert!(asked.is_empty()),
         }
@@ -132,7 +154,7 @@
 #[test]
 fn without_others_the_store_is_asked() {
     let own: VmId = "vm-9".parse().unwrap();
-    assert_eq!(Upstream::new(own).choose(&[], START), Source::Store);
+    assert_eq!(Upstream::new(own).choose(&BTreeMap::new(), START), Source::Store);
 }
 
 /// A VM that cannot reach the store, and may be the one that the others ask, finds another one that has not failed it.
@@ -142,13 +164,13 @@
     for vm in &vms {
         let mut upstream = Upstream::new(vm.clone());
         let mut asked = BTreeSet::new();
-        while let Some(other) = upstream.choose_other(&vms, START) {
+        while let Some(other) = upstream.choose_other(&unknown_links(&vms), START) {
             assert!(other != *vm && asked.insert(other.clone()));
             upstream.on_failure(other, START);
         }
         assert_eq!(asked.len(), vms.len() - 1);
-        assert!(upstream.choose_other(&vms, START.after(Millis(10_000))).is_some());
+        assert!(upstream.choose_other(&unknown_links(&vms), START.after(Millis(10_000))).is_some());
     }
     let own = vms[0].clone();
-    assert_eq!(Upstream::new(own.clone()).choose_other(&[own], START), None);
+    assert_eq!(Upstream::new(own.clone()).choose_other(&unknown_links(&[own]), START), None);
 }
