--- a/tests/narrow_links.rs
+++ b/tests/narrow_links.rs
@@ -55,16 +55,22 @@
         "services": [{"name": "desk", "cold_per_s": 4.1}], "limits": {}})
 }
 
-/// The time after which a large configuration is in force at the VMs of a data centre, which have those links for all that they
-/// receive of the store and for all that they send to other VMs.
+/// What the link of a VM and those of the others together carry from it to them.
+fn rate_to_others(links: &[Mbit], sender: usize) -> f64 {
+    let others = links.iter().enumerate().filter(|(it, _)| *it != sender);
+    let received: f64 = others.map(|(_, it)| bytes_per_second(*it)).sum();
+    bytes_per_second(links[sender]).min(received.max(1.0))
+}
+
+/// The time after which a large configuration is in force at the VMs of a data centre with those links.
 async fn latest_of(links: &[Mbit], phase: Duration, config: &[u8]) -> Duration {
     let store = StandInStore::start().await;
     write_config(&store, 1);
     let mut vms = Vec::new();
     for (index, link) in links.iter().enumerate() {
-        let rate = bytes_per_second(*link);
-        let from_store = NarrowLink::start(store.address, rate).await;
+        let from_store = NarrowLink::start(store.address, bytes_per_second(*link)).await;
         let (gateway, record) = start_vm(index + 1, from_store.address, LIMIT);
+        let rate = rate_to_others(links, index);
         let to_peers = NarrowLink::start(record.peers.unwrap(), rate).await;
         let (peers, link) = (Some(to_peers.address), Some(*link));
         register(&store, &EntryRecord { peers, link, ..record });
@@ -83,6 +89,7 @@
 #[case::alone(&[NARROW])]
 #[case::narrow(&[NARROW, NARROW, NARROW])]
 #[case::mixed(&[NARROW, NARROW, WIDE, NARROW, NARROW])]
+#[case::pair(&[WIDE, NARROW])]
 #[tokio::test]
 async fn a_large_configuration_is_in_force_in_time_over_narrow_links(#[case] links: &[Mbit]) {
     let config = large_config(2, &[]).to_string();
