Do not give up another VM in the middle of its answer

Cause: one time-out for the whole answer of the VM that passes changes on. A VM with a narrow link gave it up after 1.9 to 2.0 s in the middle of a configuration, and began again at the store; all small changes waited behind both transfers (age=3193ms).

Now the answer must begin in the same time, and from there only the time without any of it is limited. The calls by which VMs talk have a file of their own.

--- a/crates/th-gateway/src/relay.rs
+++ b/crates/th-gateway/src/relay.rs
@@ -3,19 +3,14 @@
 use std::{cell::RefCell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, response,
-};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use th_protocol::{Era, Millis, Revision, StoreMoment, Time, VmId};
 use th_steer::relay::{ChangeLog, ItemChange, News};
 use thiserror::Error;
-use tokio::{
-    sync::Notify,
-    time::{timeout, timeout_at},
-};
+use tokio::{sync::Notify, time::timeout_at};
 
 use crate::{
     answer::{Answer, reply},
@@ -24,6 +19,7 @@
     connection::{ConnectError, Connection},
     core::Core,
     forward::is_forwarded,
+    peer_call::{AnswerLimits, PeerAnswer, message, post},
     usage::{QUOTAS_PATH, USAGE_PATH, answer_report, list_quotas},
 };
 
@@ -74,6 +70,16 @@
     /// It did not answer in time.
     #[error("{0}: no answer after {1}")]
     Timeout(SocketAddr, Millis),
+    /// Nothing more of its answer arrived.
+    #[error("{address}: no more of the answer after {after}; received={received}")]
+    Stalled {
+        /// Its address.
+        address: SocketAddr,
+        /// Time after which the answer was given up.
+        after: Millis,
+        /// What had arrived of it.
+        received: th_protocol::Bytes,
+    },
 }
 
 /// Form of [`ItemChange`] on the wire. The revision is of the answer's era; 0 if the change was made in an earlier one and is
@@ -265,7 +271,7 @@
     pub after: StoreMoment,
     /// Time for which the VM may wait for some.
     pub wait: Millis,
-    /// Time after that until it must have answered.
+    /// Time after that until its answer must have begun, and longest time without any of it from there.
     pub slack: Millis,
     /// Whether some changes are taken where not all are known.
     pub takes_part: bool,
@@ -285,49 +291,13 @@
         address: SocketAddr,
         question: Question,
     ) -> Result<Changes> {
-        let limit = question.wait.plus(question.slack);
         let kept = self.connection.take().filter(|it| it.address == address);
-        let asked = ask(core, kept, address, question);
-        match timeout(Duration::from_millis(limit.0), asked).await {
-            Ok(Ok((changes, connection))) => {
-                self.connection = Some(connection);
-                Ok(changes)
-            }
-            Ok(Err(error)) => Err(error),
-            Err(_) => Err(RelayError::Timeout(address, limit)),
-        }
+        let (changes, connection) = ask(core, kept, address, question).await?;
+        self.connection = Some(connection);
+        Ok(changes)
     }
 }
 
-/// A message to another VM.
-pub(crate) fn message(path: &'static str, body: Vec<u8>) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(Bytes::from(body)));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = Uri::from_static(path);
-    request
-}
-
-/// Sends a message to another VM over a kept connection, or over a new one if it has closed. Returns the head and body of the
-/// answer, which has up to `limit` bytes.
-pub(crate) async fn post(
-    core: &Core,
-    kept: Option<Connection>,
-    address: SocketAddr,
-    request: Request<Full<Bytes>>,
-    limit: usize,
-) -> Result<(response::Parts, Bytes, Connection)> {
-    let mut connection = match kept.filter(|it| it.sender.is_ready()) {
-        Some(connection) => connection,
-        None => Connection::open(address, core.settings.connect_timeout, &core.memory).await?,
-    };
-    let answer = connection.sender.send_request(request).await;
-    let answer = answer.map_err(|it| RelayError::Http(address, it))?;
-    let (head, body) = answer.into_parts();
-    let body = Limited::new(body, limit).collect().await;
-    let body = body.map_err(|it| RelayError::Malformed(address, it.to_string()))?.to_bytes();
-    Ok((head, body, connection))
-}
-
 async fn ask(
     core: &Core,
     kept: Option<Connection>,
@@ -345,7 +315,9 @@
     if question.takes_part {
         request.headers_mut().insert(PARTIAL, HeaderValue::from_static("1"));
     }
-    let (head, body, connection) = post(core, kept, address, request, MAX_ANSWER).await?;
+    let start = question.wait.plus(question.slack);
+    let limits = AnswerLimits { start, stall: question.slack, size: MAX_ANSWER };
+    let PeerAnswer { head, body, connection } = post(core, kept, address, request, limits).await?;
     if head.status == StatusCode::GONE {
         return Err(RelayError::Unknown(address, after));
     }
--- a/crates/th-gateway/src/usage.rs
+++ b/crates/th-gateway/src/usage.rs
@@ -8,14 +8,15 @@
 use hyper::body::Incoming;
 use th_protocol::{Millis, OrganisationId, VmId};
 use th_steer::quota::{Quota, REPORT_TIMEOUT, UsageAnswer, UsageReport};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
     answer::{Answer, reply},
     body::AnswerBody,
     connection::Connection,
     core::Core,
-    relay::{BoxError, RelayError, Result, message, post},
+    peer_call::{AnswerLimits, PeerAnswer, message, post},
+    relay::{BoxError, RelayError, Result},
 };
 
 /// Path of reports to the VM that gives out tokens.
@@ -141,10 +142,9 @@
     let malformed = |cause: String| RelayError::Malformed(address, cause);
     let body = rmp_serde::to_vec_named(report).map_err(|it| malformed(it.to_string()))?;
     let kept = connection.take().filter(|it: &Connection| it.address == address);
-    let sent = post(core, kept, address, message(USAGE_PATH, body), MAX_MESSAGE);
-    let limit = Duration::from_millis(REPORT_TIMEOUT.0);
-    let (head, body, open) =
-        timeout(limit, sent).await.map_err(|_| RelayError::Timeout(address, REPORT_TIMEOUT))??;
+    let limits = AnswerLimits { start: REPORT_TIMEOUT, stall: REPORT_TIMEOUT, size: MAX_MESSAGE };
+    let answer = post(core, kept, address, message(USAGE_PATH, body), limits).await?;
+    let PeerAnswer { head, body, connection: open } = answer;
     if !head.status.is_success() {
         return Err(RelayError::Status(address, head.status));
     }
