Pack large changes between VMs

Cause: the same bytes go over the same narrow link once for each VM. Text of routes packs to less than a tenth, so answers of 32 KB or more are packed for VMs that say that they take them so; VMs of earlier builds ask and are answered as before. A packed answer is kept for the others that ask for the same changes; its age is in a header.

--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod memory;
 mod metrics;
 mod outgoing;
+mod packing;
 mod peer_call;
 mod pipeline;
 mod relay;
--- a/crates/th-gateway/src/relay.rs
+++ b/crates/th-gateway/src/relay.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -19,6 +19,7 @@
     connection::{ConnectError, Connection},
     core::Core,
     forward::is_forwarded,
+    packing::{ENCODING, MIN_PACKED, pack, unpack},
     peer_call::{AnswerLimits, PeerAnswer, message, post},
     usage::{QUOTAS_PATH, USAGE_PATH, answer_report, list_quotas},
 };
@@ -34,6 +35,9 @@
 const ERA: HeaderName = HeaderName::from_static("th-era");
 /// Time in milliseconds from the arrival of a request for changes to its answer. Earlier builds send none, and ignore it.
 const HELD: HeaderName = HeaderName::from_static("th-held-ms");
+/// Age of the knowledge in milliseconds, on an answer whose body is packed. It goes before the age in the body, which is kept
+/// for several VMs.
+const AGE: HeaderName = HeaderName::from_static("th-age-ms");
 /// Present on a request whose sender cannot reach the store, and takes some changes where not all are known; and on an answer
 /// that holds only some. Earlier builds ignore it.
 const PARTIAL: HeaderName = HeaderName::from_static("th-partial");
@@ -132,10 +136,18 @@
     }
 }
 
+/// A packed answer, kept for the other VMs that ask for the same changes.
+struct PackedChanges {
+    after: StoreMoment,
+    at: StoreMoment,
+    body: Bytes,
+}
+
 /// What this VM passes on to others.
 #[derive(Default)]
 pub struct Relay {
     log: RefCell<ChangeLog>,
+    packed: RefCell<Option<PackedChanges>>,
     /// Wakes requests that wait for changes.
     advanced: Notify,
 }
@@ -163,6 +175,30 @@
         self.log.borrow().at().era
     }
 
+    /// The packed changes between two moments, if they are kept.
+    fn packed(&self, after: StoreMoment, at: StoreMoment) -> Option<Bytes> {
+        let packed = self.packed.borrow();
+        packed.as_ref().filter(|it| it.after == after && it.at == at).map(|it| it.body.clone())
+    }
+
+    /// Packs changes, if they are large, and keeps them.
+    fn pack(&self, after: StoreMoment, at: StoreMoment, body: &[u8]) -> Option<Bytes> {
+        if body.len() < MIN_PACKED {
+            return None;
+        }
+        match pack(body) {
+            Ok(packed) => {
+                let body = Bytes::from(packed);
+                *self.packed.borrow_mut() = Some(PackedChanges { after, at, body: body.clone() });
+                Some(body)
+            }
+            Err(error) => {
+                log::error!(target: "store", "after={after} at={at} Packing changes for another VM failed; sending them as they are: {error}");
+                None
+            }
+        }
+    }
+
     /// Ends the waits of other VMs, since this VM's own source failed.
     pub fn interrupt(&self) {
         self.advanced.notify_waiters();
@@ -206,6 +242,7 @@
 ) -> std::result::Result<Answer, BoxError> {
     let (arrived, relay) = (core.now(), &core.relay);
     let takes_part = request.headers().contains_key(&PARTIAL);
+    let takes_packed = takes_packed(request.headers());
     let era = read_number(request.headers(), &ERA).map_or_else(|| relay.era(), Era);
     let body = Limited::new(request.into_body(), MAX_REQUEST).collect().await?.to_bytes();
     let asked: ChangesRequest = rmp_serde::from_slice(&body)?;
@@ -218,6 +255,16 @@
         let _ = timeout_at(end, relay.advanced.notified()).await;
     }
     let (log, now) = (relay.log.borrow(), core.now());
+    let (at, age) = (log.at(), now.since(log.current()));
+    let mut answer = Response::new(AnswerBody::default());
+    let headers = answer.headers_mut();
+    if at.era != Era::ZERO {
+        headers.insert(ERA, at.era.0.into());
+    }
+    headers.insert(HELD, now.since(arrived).0.into());
+    if let Some(packed) = relay.packed(after, at).filter(|_| takes_packed) {
+        return Ok(with_packed(answer, packed, age));
+    }
     let (changes, is_partial) = match log.since(after) {
         Some(changes) => (changes, false),
         None if takes_part => (log.kept(after), true),
@@ -225,33 +272,40 @@
             return Ok(reply(StatusCode::GONE, "The changes after the revision are not known."));
         }
     };
-    let at = log.at();
     let part = |it: ItemChange| {
         let revision = if it.moment.era == at.era { it.moment.revision.0 } else { 0 };
         ChangePart { key: it.key, value: it.value, revision }
     };
-    let answer = ChangesAnswer {
-        changes: changes.into_iter().map(part).collect(),
-        at: at.revision.0,
-        age_ms: now.since(log.current()).0,
-    };
-    Ok(match rmp_serde::to_vec(&answer) {
-        Ok(body) => {
-            let mut answer = Response::new(AnswerBody::new(Bytes::from(body)));
-            if at.era != Era::ZERO {
-                answer.headers_mut().insert(ERA, at.era.0.into());
-            }
-            answer.headers_mut().insert(HELD, now.since(arrived).0.into());
-            if is_partial {
-                answer.headers_mut().insert(PARTIAL, HeaderValue::from_static("1"));
-            }
-            answer
-        }
+    let changes = changes.into_iter().map(part).collect();
+    let body = ChangesAnswer { changes, at: at.revision.0, age_ms: age.0 };
+    let body = match rmp_serde::to_vec(&body) {
+        Ok(body) => body,
         Err(error) => {
             log::error!(target: "store", "Encoding changes for another VM failed: {error}");
-            reply(StatusCode::INTERNAL_SERVER_ERROR, "The changes could not be encoded.")
+            let text = "The changes could not be encoded.";
+            return Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, text));
         }
-    })
+    };
+    if is_partial {
+        answer.headers_mut().insert(PARTIAL, HeaderValue::from_static("1"));
+    } else if takes_packed && let Some(packed) = relay.pack(after, at, &body) {
+        return Ok(with_packed(answer, packed, age));
+    }
+    *answer.body_mut() = AnswerBody::new(Bytes::from(body));
+    Ok(answer)
+}
+
+fn with_packed(mut answer: Answer, packed: Bytes, age: Millis) -> Answer {
+    let headers = answer.headers_mut();
+    headers.insert(header::CONTENT_ENCODING, HeaderValue::from_static(ENCODING));
+    headers.insert(AGE, age.0.into());
+    *answer.body_mut() = AnswerBody::new(packed);
+    answer
+}
+
+/// Whether the sender of a request takes packed answers; earlier builds do not.
+fn takes_packed(headers: &HeaderMap) -> bool {
+    headers.get(header::ACCEPT_ENCODING).is_some_and(|it| it == ENCODING)
 }
 
 /// Reads a header of this module; `None` if it is absent or no number, as from a build that sends none.
@@ -309,6 +363,7 @@
     let asked = ChangesRequest { after: after.revision.0, wait_ms: question.wait.0 };
     let body = rmp_serde::to_vec(&asked).map_err(|it| malformed(it.to_string()))?;
     let mut request = message(CHANGES_PATH, body);
+    request.headers_mut().insert(header::ACCEPT_ENCODING, HeaderValue::from_static(ENCODING));
     if after.era != Era::ZERO {
         request.headers_mut().insert(ERA, HeaderValue::from(after.era.0));
     }
@@ -328,6 +383,14 @@
     let era = stated.unwrap_or(after.era);
     let is_partial = head.headers.contains_key(&PARTIAL);
     let held = read_number(&head.headers, &HELD).map_or(Millis::ZERO, Millis);
+    let body = if head.headers.contains_key(header::CONTENT_ENCODING) {
+        let unpacked = unpack(&body, MAX_ANSWER);
+        Bytes::from(
+            unpacked.map_err(|it| malformed(format!("unpacking {} bytes: {it}", body.len())))?,
+        )
+    } else {
+        body
+    };
     let answer: ChangesAnswer =
         rmp_serde::from_slice(&body).map_err(|it| malformed(it.to_string()))?;
     let mut changes = Vec::with_capacity(answer.changes.len());
@@ -336,6 +399,7 @@
         let moment = StoreMoment::new(era, Revision(revision));
         changes.push(ItemChange { key, value, moment });
     }
-    let (at, age) = (StoreMoment::new(era, Revision(answer.at)), Millis(answer.age_ms));
+    let age = Millis(read_number(&head.headers, &AGE).unwrap_or(answer.age_ms));
+    let at = StoreMoment::new(era, Revision(answer.at));
     Ok((Changes { changes, at, age, held, is_partial, stated }, connection))
 }
