Give the exchange of changes between VMs a folder

Its parts (messages, errors, the log that is passed on, listener, client, calls, packing) are files of their own; no change of behaviour. The tests of relay, packed changes and recorded messages pass.

--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -22,8 +22,6 @@
 mod memory;
 mod metrics;
 mod outgoing;
-mod packing;
-mod peer_call;
 mod pipeline;
 mod relay;
 mod request_body;
--- a/crates/th-gateway/src/peer_call.rs
+++ b/crates/th-gateway/src/relay/peer_call.rs
@@ -9,11 +9,8 @@
 use th_protocol::Millis;
 use tokio::time::timeout;
 
-use crate::{
-    connection::Connection,
-    core::Core,
-    relay::{RelayError, Result},
-};
+use super::error::{RelayError, Result};
+use crate::{connection::Connection, core::Core};
 
 /// Limits on the answer to a message.
 #[derive(Debug, Clone, Copy)]
--- a/crates/th-gateway/src/usage.rs
+++ b/crates/th-gateway/src/usage.rs
@@ -15,8 +15,7 @@
     body::AnswerBody,
     connection::Connection,
     core::Core,
-    peer_call::{AnswerLimits, PeerAnswer, message, post},
-    relay::{BoxError, RelayError, Result},
+    relay::{AnswerLimits, BoxError, PeerAnswer, RelayError, Result, message, post},
 };
 
 /// Path of reports to the VM that gives out tokens.
