Place a waiting request again if its organisation's homes have changed meanwhile

Cause: a request that has waited is judged again when a slot is free. Its organisation was replaced by the one of the newest configuration, but the server had been chosen by the old one, and its region was not looked at again. A hedged attempt was placed by the old organisation's homes.

Evidence: a_request_that_waited_runs_in_the_homes_of_its_organisation.

--- a/crates/th-gateway/src/authorise.rs
+++ b/crates/th-gateway/src/authorise.rs
@@ -74,11 +74,17 @@
     Ok(())
 }
 
-/// Whether a request may be sent once more on behalf of the organisation for which it was sent first.
-pub(crate) fn is_still_allowed(core: &Core, job: &Job, outgoing: &Outgoing) -> bool {
-    let admitted = admit(core, &job.route, outgoing.caller.key.as_ref());
+/// Whether a request may be sent once more on behalf of the organisation for which it was sent first; its home regions may
+/// have changed meanwhile.
+pub(crate) fn check_hedge(core: &Core, job: &mut Job, outgoing: &Outgoing) -> bool {
     let id = |it: &Option<Arc<Organisation>>| it.as_ref().map(|it| it.id.clone());
-    admitted.is_ok_and(|it| id(&it) == id(&job.organisation))
+    match admit(core, &job.route, outgoing.caller.key.as_ref()) {
+        Ok(admitted) if id(&admitted) == id(&job.organisation) => {
+            job.organisation = admitted;
+            true
+        }
+        _ => false,
+    }
 }
 
 /// Whether callers identify their organisations by keys, which backend servers must not see.
--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -371,6 +371,11 @@
                     }
                     return fail(last, false, job.deadline <= now, Millis::ZERO);
                 }
+                if !core.dispatcher.borrow().may_run_at(&job, &attempt.backend) {
+                    // Its organisation got other home regions while it waited.
+                    drop(Slot::new(Rc::clone(core), job.clone(), attempt));
+                    continue;
+                }
                 (attempt, address)
             }
             Placement::Reject(Rejection::Isolated, _) if forwarded && not_executed => {
--- a/crates/th-gateway/src/hedge.rs
+++ b/crates/th-gateway/src/hedge.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    authorise::is_still_allowed,
+    authorise::check_hedge,
     call::{FinishedAttempt, is_crashing, pass_on, run_attempt},
     core::{Core, Slot},
     outgoing::Outgoing,
@@ -65,7 +65,7 @@
     outgoing: &'a Outgoing,
     record: &LogRecord,
 ) -> Option<LocalBoxFuture<'a, FinishedAttempt>> {
-    if is_crashing(core, outgoing) || !is_still_allowed(core, job, outgoing) {
+    if is_crashing(core, outgoing) || !check_hedge(core, job, outgoing) {
         return None;
     }
     let mut dispatcher = core.dispatcher.borrow_mut();
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use th_protocol::{Millis, RegionId, Time, ZoneId};
+use th_protocol::{BackendId, Millis, RegionId, Time, ZoneId};
 
 use super::{
     admission::comeback_time,
@@ -74,6 +74,11 @@
         self.topology.zones.get(zone)
     }
 
+    /// Whether a request may run at a backend server, by the server's region.
+    pub fn may_run_at(&self, job: &Job, backend: &BackendId) -> bool {
+        self.backend(backend).is_some_and(|it| job.allows(self.region_of(&it.zone)))
+    }
+
     /// Returns the pools, this VM's own one first: its data centre, or its whole region if the data centre cannot keep
     /// all objects warm. Each remaining data centre is a pool of its own; these follow in the order of their ids.
     fn pools(&self, mut usable: Usable, objects: usize) -> Vec<Pool> {
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -9,6 +9,7 @@
 
 use desk::{RUN_TIME, config};
 use entry::{EntryProcess, ListenAddresses, settings};
+use futures_util::future::{join, join_all};
 use reqwest::{Method, Response};
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -59,6 +60,19 @@
     request.body("body").send().await.unwrap()
 }
 
+/// Sends requests with a key until the answer has that status.
+async fn wait_until_status(entry: &EntryProcess, path: &str, key: &str, status: u16) {
+    for number in 0..1_500 {
+        let headers = [("credential", key)];
+        let answer = send(entry, path, &format!("until-{number}"), &headers).await;
+        if answer.status() == status {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{path} does not reach status {status}");
+}
+
 #[rstest]
 #[case::known("/book/x", &[("credential", "k-port")], 200, Some("port"))]
 #[case::claims_another("/book/x", &[("credential", "k-port"), ("tenant", "quay")], 200, Some("port"))]
@@ -131,6 +145,34 @@
     }
 }
 
+/// Guards against requests that run outside the home regions that their organisation got while they waited for a slot.
+#[tokio::test]
+async fn a_request_that_waited_runs_in_the_homes_of_its_organisation() {
+    let (store, server, entry) = deployment().await;
+    let key = [("credential", "k-port")];
+    let config = |version: u64, homes: &[&str]| {
+        let mut config = config_of(version, &json!(["k-port"]));
+        config["routes"][1]["timeout_ms"] = json!(4_000);
+        config["tenants"][0]["home_regions"] = json!(homes);
+        config
+    };
+    store.put("op/config", &config(8, &["north"]));
+    wait_until_status(&entry, "/book/x", "k-old", 401).await;
+    server.set_work(Duration::from_millis(1_200));
+    let before = server.total_runs();
+    let running = join_all(
+        ["a", "b", "c", "d"].map(|id| async { send(&entry, "/book/x", id, &key).await.status() }),
+    );
+    let waiting = async {
+        wait_until("the slots are taken", || server.total_runs() == before + 4).await;
+        store.put("op/config", &config(9, &["south"]));
+        send(&entry, "/book/x", "waited", &key).await.status()
+    };
+    let (running, waited) = join(running, waiting).await;
+    assert!(running.iter().all(|it| *it == 200), "{running:?}");
+    assert_eq!((waited.as_u16(), server.runs("waited")), (503, 0));
+}
+
 /// Guards against a withdrawn key that is in use again after a restart of the process.
 #[tokio::test]
 async fn a_restarted_process_takes_no_withdrawn_key_back() {
