State the length of an answer to callers once

A backend server's answer with "Content-Length: 18, 18" was passed on with that field, which callers may reject, or read to the end of the connection. An answer to a HEAD request with two Content-Length fields, equal or not, ended the caller's connection without any answer: the HTTP library refuses to write them, though it reads them.

Cause: fields that describe the framing on the server's connection were passed on to another connection. Now they are removed there, also on answers of other VMs; the HTTP library states the length of the body that it writes, and an answer to a HEAD request states its length once, if it is clear.

Looked for the same cause: th-entry removes the field of a complete body (io/send.rs); request_body.rs removes it from requests.

--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -5,7 +5,7 @@
 use futures_util::future::join_all;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, request};
 use hyper::body::Incoming;
-use th_protocol::{Millis, Version, VmId, header::remove_hop_by_hop_headers};
+use th_protocol::{Millis, Version, VmId};
 use th_steer::{
     dispatch::{AttemptOutcome, Fingerprint, Job},
     organisation::KeyDigest,
@@ -14,6 +14,7 @@
 
 use crate::{
     answer::{Answer, reject},
+    answer_head::detach,
     connection::{Connection, SendError, send_pooled},
     core::Core,
     outgoing::{AttemptResult, Outgoing},
@@ -195,7 +196,7 @@
     if is_unknown || head.headers.contains_key(DECLINED) {
         return Ok(AttemptResult::without_answer(AttemptOutcome::Shed, true, detail));
     }
-    remove_hop_by_hop_headers(&mut head.headers);
+    detach(&mut head, &outgoing.method);
     let not_executed = !info.signed && NOT_EXECUTED.contains(&head.status);
     let outcome = if not_executed { AttemptOutcome::Shed } else { AttemptOutcome::Answered };
     let answer = Some((head, body));
--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions of [`th_steer::dispatch`]. A [`Dialect`] defines the headers and paths of the messages.
 
 mod answer;
+mod answer_head;
 mod answer_room;
 mod authorise;
 mod body;
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -6,11 +6,12 @@
 use http::{HeaderMap, Method, Request, Response, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use th_protocol::{BackendId, Millis, header::remove_hop_by_hop_headers};
+use th_protocol::{BackendId, Millis};
 use th_steer::dispatch::{AttemptOutcome, Fingerprint};
 use tokio::time::timeout;
 
 use crate::{
+    answer_head::detach,
     answer_room::{AnswerError, AnswerRoom},
     authorise::Caller,
     body::AnswerBody,
@@ -190,7 +191,7 @@
                 "successful answer without the server's signature or the request's id",
             );
         }
-        remove_hop_by_hop_headers(&mut head.headers);
+        detach(&mut head, &self.method);
         let failed = head.status.is_server_error();
         let outcome = if failed { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
         let detail = format!("status {}", head.status.as_u16());
--- a/tests/cut_answers/shapes.rs
+++ b/tests/cut_answers/shapes.rs
@@ -93,6 +93,23 @@
 );
 pub(crate) const TWO_LENGTHS: Shape =
     shape(signed!("Content-Length: 18\r\nContent-Length: 18\r\n\r\nbody of ID"), End::Framed);
+pub(crate) const LISTED_LENGTHS: Shape =
+    shape(signed!("Content-Length: 18, 18\r\n\r\nbody of ID"), End::Framed);
+pub(crate) const HEAD_TWO_LENGTHS: Shape = Shape {
+    method: &Method::HEAD,
+    body: "",
+    ..shape(signed!("Content-Length: 18\r\nContent-Length: 18\r\n\r\n"), End::Framed)
+};
+pub(crate) const HEAD_LISTED_LENGTHS: Shape = Shape {
+    method: &Method::HEAD,
+    body: "",
+    ..shape(signed!("Content-Length: 18, 18\r\n\r\n"), End::Framed)
+};
+pub(crate) const HEAD_DIFFERENT_LENGTHS: Shape = Shape {
+    method: &Method::HEAD,
+    body: "",
+    ..shape(signed!("Content-Length: 18\r\nContent-Length: 5\r\n\r\n"), End::Framed)
+};
 pub(crate) const LENGTH_AND_CHUNKS: Shape = shape(
     signed!("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n12\r\nbody of ID\r\n0\r\n\r\n"),
     End::Framed,
