Answer callers in HTTP/1.1 whatever version the server spoke

A backend server's answer in HTTP/1.0 reached the caller as "HTTP/1.0 200 OK" on a connection that the VM kept open. Such an answer ends its connection, unless it says otherwise: the caller closes it or reads to its end, and the requests that it had pipelined behind may be lost.

Cause: the version is one of the server's connection, and was passed on with the head.

tests/cut_answers, before: http_1_0 and head_http_1_0 fail (2 of 78: "not HTTP/1.1: HTTP/1.0 200 OK"). After: all 24 cases of an_answer_that_is_broken_off_is_never_taken_for_whole pass. Looked for the same cause: th-entry builds its answers from status and headers, without the version (io/reply.rs).

--- a/crates/th-gateway/src/answer_head.rs
+++ b/crates/th-gateway/src/answer_head.rs
@@ -1,6 +1,6 @@
 //! Heads of answers on their way to another connection.
 
-use http::{HeaderMap, Method, header, response};
+use http::{HeaderMap, Method, Version, header, response};
 use th_protocol::header::remove_hop_by_hop_headers;
 
 /// Returns the length that a head states; `None` if it states none or is not clear.
@@ -22,6 +22,7 @@
 /// the length of a body itself; without one, only the answer to a HEAD request has a length to state.
 pub(crate) fn detach(head: &mut response::Parts, method: &Method) {
     let length = stated_length(&head.headers).filter(|_| *method == Method::HEAD);
+    head.version = Version::HTTP_11;
     remove_hop_by_hop_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     if let Some(length) = length {
--- a/tests/cut_answers/caller.rs
+++ b/tests/cut_answers/caller.rs
@@ -73,7 +73,10 @@
         let fields = |name: &str| -> Vec<&str> {
             lines.iter().filter(|it| it.0 == name).map(|it| it.1).collect()
         };
-        let status: u16 = head.strip_prefix("HTTP/1.1 ").unwrap()[..3].parse().unwrap();
+        let status: u16 =
+            head.strip_prefix("HTTP/1.1 ").unwrap_or_else(|| panic!("not HTTP/1.1: {head}"))[..3]
+                .parse()
+                .unwrap();
         assert!(fields("transfer-encoding").is_empty(), "{head}");
         let is_bodyless = *method == Method::HEAD || matches!(status, 204 | 304);
         let length = match fields("content-length")[..] {
--- a/tests/cut_answers/main.rs
+++ b/tests/cut_answers/main.rs
@@ -28,6 +28,8 @@
 #[case::chunked(CHUNKED)]
 #[case::trailers(TRAILERS)]
 #[case::without_length(UNSIZED)]
+#[case::http_1_0(HTTP_1_0)]
+#[case::head_http_1_0(HEAD_HTTP_1_0)]
 #[case::no_content(EMPTY)]
 #[case::not_modified(UNCHANGED)]
 #[case::head(HEAD)]
--- a/tests/cut_answers/shapes.rs
+++ b/tests/cut_answers/shapes.rs
@@ -52,6 +52,15 @@
     End::Framed,
 );
 pub(crate) const UNSIZED: Shape = shape(signed!("Note: 1\r\n\r\nbody of ID"), End::Closed);
+pub(crate) const HTTP_1_0: Shape = shape(
+    "HTTP/1.0 200 OK\r\nAttempt-Id: ID\r\nServer-Signature: 3e1b.07\r\n\r\nbody of ID",
+    End::Closed,
+);
+pub(crate) const HEAD_HTTP_1_0: Shape = Shape {
+    method: &Method::HEAD,
+    body: "",
+    ..shape("HTTP/1.0 200 OK\r\nAttempt-Id: ID\r\nServer-Signature: 3e1b.07\r\n\r\n", End::Framed)
+};
 pub(crate) const EMPTY: Shape = Shape {
     body: "",
     status: 204,
