Take a switch to another protocol for a lost answer

A backend server's "101 Switching Protocols" was passed on to the caller as the final answer, and the caller's connection was closed behind it: no answer in the protocol that callers speak. A request that may be repeated was not sent to another server.

Cause: the HTTP library skips interim answers other than 101, which it gives out as final. No request asks for another protocol, since the Upgrade field concerns one connection and is not passed on. Such an answer, from a server or another VM, now counts as broken, with an unknown outcome.

tests/cut_answers, before: switched fails, directly and behind another VM (5 of 87: "HTTP/1.1 101 Switching Protocols").

--- a/crates/th-gateway/src/answer_head.rs
+++ b/crates/th-gateway/src/answer_head.rs
@@ -3,6 +3,10 @@
 use http::{HeaderMap, Method, Version, header, response};
 use th_protocol::header::remove_hop_by_hop_headers;
 
+/// Detail of an attempt whose connection goes on in another protocol; callers' requests for one are not passed on.
+pub(crate) const SWITCHED: &str =
+    "the answer switches to another protocol, which was not asked for";
+
 /// Returns the length that a head states; `None` if it states none or is not clear.
 fn stated_length(headers: &HeaderMap) -> Option<u64> {
     let mut stated = None;
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, Uri, response};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use th_protocol::{BackendId, Millis};
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    answer_head::detach,
+    answer_head::{SWITCHED, detach},
     answer_room::{AnswerError, AnswerRoom},
     authorise::Caller,
     body::AnswerBody,
@@ -154,6 +154,9 @@
                 "the answer belongs to another request",
             );
         }
+        if head.status == StatusCode::SWITCHING_PROTOCOLS {
+            return AttemptResult::without_answer(AttemptOutcome::Broken, false, SWITCHED);
+        }
         let body = match self.room.buffer(&head.headers, body).await {
             Ok(body) => body,
             Err(error) => {
