Check answers of other VMs as those of servers

A success without the server's signature, or an answer with the id of another request, was passed on to the caller if it came from the address of another VM. Answers that come from servers directly are checked for both. Seen only with a stand-in in the place of another VM, which does not send such answers; the check is for what takes over its address or stands between.

Such an answer now counts as broken, its connection is closed, and a request that may be repeated goes to the next VM.

tests/cut_answers, before: signed_in_interim_answer and foreign behind another VM that is a stand-in fail (4 of 37 run: a 200 that is not signed). After: 92 of 92 pass (54 s with 4 threads).

--- a/crates/th-gateway/src/answer_head.rs
+++ b/crates/th-gateway/src/answer_head.rs
@@ -3,10 +3,26 @@
 use http::{HeaderMap, Method, Version, header, response};
 use th_protocol::header::remove_hop_by_hop_headers;
 
+use crate::dialect::AnswerInfo;
+
 /// Detail of an attempt whose connection goes on in another protocol; callers' requests for one are not passed on.
 pub(crate) const SWITCHED: &str =
     "the answer switches to another protocol, which was not asked for";
 
+/// Returns why an answer is not the one of a backend server to the request with that id; `None` if it may be.
+pub(crate) fn find_foreign(
+    head: &response::Parts,
+    info: &AnswerInfo,
+    id: &str,
+) -> Option<&'static str> {
+    if info.id.as_ref().is_some_and(|it| it != id) {
+        return Some("the answer belongs to another request");
+    }
+    let is_proven = info.signed && info.id.is_some();
+    (head.status.is_success() && !is_proven)
+        .then_some("successful answer without the server's signature or the request's id")
+}
+
 /// Returns the length that a head states; `None` if it states none or is not clear.
 fn stated_length(headers: &HeaderMap) -> Option<u64> {
     let mut stated = None;
--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     answer::{Answer, reject},
-    answer_head::{SWITCHED, detach},
+    answer_head::{SWITCHED, detach, find_foreign},
     connection::{Connection, SendError, send_pooled},
     core::Core,
     outgoing::{AttemptResult, Outgoing},
@@ -181,6 +181,9 @@
         send_pooled(core, &core.vm_pool, vm, address, request, opened).await?;
     let (mut head, body) = response.into_parts();
     let info = core.dialect.read_answer(&head);
+    if let Some(detail) = find_foreign(&head, &info, &outgoing.id) {
+        return Ok(AttemptResult::without_answer(AttemptOutcome::Broken, false, detail));
+    }
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return Ok(AttemptResult::without_answer(AttemptOutcome::Broken, false, SWITCHED));
     }
--- a/tests/cut_answers/main.rs
+++ b/tests/cut_answers/main.rs
@@ -48,6 +48,7 @@
 #[case::folded_length(FOLDED_LENGTH)]
 #[case::signed_in_interim_answer(INTERIM_SIGNED)]
 #[case::signed_in_trailers(TRAILERS_SIGNED)]
+#[case::foreign(FOREIGN)]
 #[case::switched(SWITCHED)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_answer_that_is_broken_off_is_never_taken_for_whole(#[case] shape: Shape) {
@@ -63,7 +64,8 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_answer_that_is_broken_off_behind_another_vm_is_never_taken_for_whole(
-    #[values(PLAIN, CHUNKED, UNSIZED, EMPTY, HEAD, INTERIM, SWITCHED)] shape: Shape,
+    #[values(PLAIN, CHUNKED, UNSIZED, EMPTY, HEAD, INTERIM, INTERIM_SIGNED, FOREIGN, SWITCHED)]
+    shape: Shape,
     #[values(Way::Passed, Way::Peer)] way: Way,
     #[values(Ending::Fin, Ending::Reset)] ending: Ending,
 ) {
--- a/tests/cut_answers/shapes.rs
+++ b/tests/cut_answers/shapes.rs
@@ -139,6 +139,11 @@
     "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n12\r\nbody of ID\r\n0\r\nServer-Signature: 3e1b.07\r\n\r\n",
     End::Never,
 );
+/// Belongs to another request.
+pub(crate) const FOREIGN: Shape = shape(
+    "HTTP/1.1 200 OK\r\nAttempt-Id: not-ID\r\nServer-Signature: 3e1b.07\r\nContent-Length: 18\r\n\r\nbody of ID",
+    End::Never,
+);
 /// Goes on in another protocol, for which no one asked, with bytes that look like an answer.
 pub(crate) const SWITCHED: Shape = shape(
     concat!(
