Take a switch to another protocol for a lost answer of an operation

An operation's server that answers "101 Switching Protocols" had that passed on as its answer. It now counts as cut: the outcome is unknown, and a request that may be repeated is repeated.

--- a/crates/th-entry/src/io/send.rs
+++ b/crates/th-entry/src/io/send.rs
@@ -85,6 +85,10 @@
         // The answer belongs to another request and must not reach this caller.
         return SendOutcome::Failed(Outcome::Cut, report);
     }
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        // No request asks for another protocol.
+        return SendOutcome::Failed(Outcome::Cut, report);
+    }
     receive(response, report, settings.max_buffered).await
 }
 
