Show that a second copy of a good answer reaches no other request

Another operator reports that a server sent a second copy of an answer, late, on a connection that was in use again, and that the next caller got an answer that was not its own.

The raw stand-in now sends whole answers (with a length, in chunks, 204, to HEAD) twice: at once, or when the next request on the connection has arrived, in front of that request's own answer. 1,000 requests per case, half of which may run once, straight to the servers, over another VM, and to stand-ins in the place of other VMs. Each must get its own answer; one whose every connection carried a late copy in front of it gets 502, without an id, and has reached one server if it may run once.

--- a/tests/cut_answers/main.rs
+++ b/tests/cut_answers/main.rs
@@ -21,6 +21,8 @@
 
 /// Number of good answers after which a VM knows how fast its servers are.
 const WARM_UP: u32 = 100;
+/// Number of requests, of which two in three get their answer a second time.
+const ROUNDS: usize = 1_000;
 
 /// Guards against an answer that is passed on as whole although its server broke it off, at any byte of its head or body.
 #[rstest]
@@ -201,3 +203,43 @@
         }
     }
 }
+
+/// Guards against an answer to an earlier request of its connection, which a server sends a second time: at once, or when
+/// the next answer is due.
+#[rstest]
+#[case::at_once(Ending::Double, Way::Direct)]
+#[case::late(Ending::Late, Way::Direct)]
+#[case::late_behind_another_vm(Ending::Late, Way::Passed)]
+#[case::late_from_another_vm(Ending::Late, Way::Peer)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_second_copy_of_an_answer_reaches_no_other_request(
+    #[case] ending: Ending,
+    #[case] way: Way,
+    #[values(PLAIN, CHUNKED, EMPTY, HEAD)] shape: Shape,
+) {
+    let world = World::start(way, [LONG; 2]).await;
+    let mut caller = world.caller().await;
+    let part = Part { shape, length: shape.length(), ending };
+    let mut disturbed = [0, 0];
+    for number in 0..ROUNDS {
+        let path = if number % 2 == 0 { "/look/x" } else { "/book/x" };
+        let id = format!("b{number:0>9}");
+        if number % 3 != 2 {
+            world.script.plan(&id, &[part]);
+        }
+        let answer = world.call(&mut caller, shape.method, path, &id).await;
+        let arrivals = world.script.arrivals(&id);
+        let seen = format!("{path} {id}: {answer:?} {arrivals:?}");
+        assert!(path == "/look/x" || arrivals.len() == 1, "{seen}");
+        disturbed[number % 2] += usize::from(arrivals[0].disturbed);
+        if arrivals.iter().all(|it| it.disturbed) {
+            assert!(answer.status == 502 && !answer.is_signed && answer.id.is_none(), "{seen}");
+            continue;
+        }
+        let is_own = answer.body.is_empty() || answer.body == format!("body of {id}");
+        let is_success = matches!(answer.status, 200 | 204) && answer.is_signed;
+        assert!(is_success && is_own && answer.id == Some(id), "{seen}");
+    }
+    // Bytes behind an answer that come with it are seen before the connection is used again.
+    assert!(ending == Ending::Double || disturbed.iter().all(|it| 0 < *it), "{disturbed:?}");
+}
--- a/tests/cut_answers/server.rs
+++ b/tests/cut_answers/server.rs
@@ -25,6 +25,10 @@
     Silent,
     /// It closes the connection without having read the request's body, which resets it.
     Unread,
+    /// It sends the answer a second time, at once.
+    Double,
+    /// It sends the answer a second time, once the next request on the connection has arrived.
+    Late,
 }
 
 /// What a server sends of an answer.
@@ -42,6 +46,8 @@
     pub(crate) server: u32,
     /// Whether its connection had carried a request before.
     pub(crate) kept: bool,
+    /// Whether an answer that was sent a second time came before its own.
+    pub(crate) disturbed: bool,
 }
 
 /// What the servers of a test answer, and what they received.
@@ -125,13 +131,16 @@
 }
 
 async fn serve_connection(script: Arc<Script>, mut stream: TcpStream, server: u32) -> Option<()> {
-    let (mut received, mut kept) = (Vec::new(), false);
+    let (mut received, mut kept, mut late) = (Vec::new(), false, None::<Vec<u8>>);
     loop {
         let head = read_head(&mut stream, &mut received).await?;
-        let part = script.receive(&head.id, Arrival { server, kept });
+        let part = script.receive(&head.id, Arrival { server, kept, disturbed: late.is_some() });
         if part.is_none_or(|it| it.ending != Ending::Unread) {
             read_body(&mut stream, &mut received, head.length).await?;
         }
+        if let Some(copy) = late.take() {
+            stream.write_all(&copy).await.ok()?;
+        }
         let Some(part) = part else {
             stream.write_all(&head.whole.answer(&head.id)).await.ok()?;
             kept = true;
@@ -140,6 +149,15 @@
         let answer = part.shape.answer(&head.id);
         stream.write_all(&answer[..part.length]).await.ok()?;
         match part.ending {
+            Ending::Double => {
+                stream.write_all(&answer).await.ok()?;
+                (kept, late) = (true, Some(Vec::new()));
+                continue;
+            }
+            Ending::Late => {
+                (kept, late) = (true, Some(answer));
+                continue;
+            }
             Ending::Silent if part.shape.body(&head.id, part).is_some() => {
                 kept = true;
                 continue;
