Let a backend server get work again after a slow answer

Callers of a service with two servers and little load used only one of them: the other had answered its first request slowly and got no further one, however long ago that was. The latency of a server is measured by its answers only, so a server that is not chosen for its latency never shows a better one. The same holds for a server that failed once by time-out, and for one that never answered while the others answer sooner than the 10 ms it is assumed to take.

A latency now counts half for each 2 s of its age (the time for which an own outcome outweighs other signs), while no request of this VM runs at the server. So the server gets a single request, the later the slower it was, and its answer replaces an average older than that. Weighed, not tried: to take an old latency for unknown, as the 10 ms assumed then are still more than 5 ms.

The same cause was looked for in th-steer's dispatch: slowness is forgotten with a time constant, ejections and drags end by a probe.

--- a/crates/th-steer/src/backend/health.rs
+++ b/crates/th-steer/src/backend/health.rs
@@ -22,7 +22,7 @@
     /// one.
     pub base_backoff: Millis,
     /// Own outcomes younger than this take precedence over load reports, stalls and failed probes;
-    /// load reports older than this are ignored.
+    /// load reports older than this are ignored, and latencies count half for each such time.
     pub outcome_validity: Millis,
 }
 
@@ -45,6 +45,8 @@
 pub struct Health {
     settings: HealthSettings,
     latency: Option<Millis>,
+    /// When `latency` was last measured, or the server was added.
+    measured: Time,
     last_outcome: Option<Time>,
     last_report: Option<(LoadReport, Time)>,
     failures: u32,
@@ -66,6 +68,7 @@
         Health {
             settings,
             latency: None,
+            measured: now,
             last_outcome: None,
             last_report: None,
             failures: 0,
@@ -93,7 +96,7 @@
             self.back_off(hint, now);
             return;
         }
-        self.update_latency(latency);
+        self.update_latency(latency, now);
         if outcome.is_failure() {
             self.record_failure(now);
             return;
@@ -163,6 +166,14 @@
         self.latency
     }
 
+    /// Returns how often the latency is halved for its age, so that a server without requests becomes
+    /// cheap enough to get one, the sooner the faster it was.
+    pub(crate) fn latency_halvings(&self, now: Time) -> u32 {
+        let age = now.since(self.measured);
+        let halvings = age.0 / self.settings.outcome_validity.0.max(1);
+        halvings.min(u64::from(u64::BITS - 1)) as u32
+    }
+
     /// Returns the share of its slots that may be used, which is lower during slow start.
     pub fn warm_share(&self, now: Time) -> Permille {
         let Some(start) = self.cold_since else { return Permille::WHOLE };
@@ -193,8 +204,10 @@
         self.outcome_age(now).is_some_and(|age| age <= self.settings.outcome_validity)
     }
 
-    fn update_latency(&mut self, latency: Millis) {
-        let Some(old) = self.latency else {
+    fn update_latency(&mut self, latency: Millis, now: Time) {
+        let is_stale = 0 < self.latency_halvings(now);
+        self.measured = now;
+        let Some(old) = self.latency.filter(|_| !is_stale) else {
             self.latency = Some(latency);
             return;
         };
--- a/crates/th-steer/src/backend/table.rs
+++ b/crates/th-steer/src/backend/table.rs
@@ -442,5 +442,8 @@
     let load = row.health.reported_load(now).unwrap_or(Permille::ZERO);
     let used = (u64::from(row.busy) + 1) * 1000 / warm;
     let cost = latency.saturating_mul(used).saturating_mul(1000 + u64::from(load.0));
+    // One request at a time finds out whether an old latency still holds.
+    let halvings = if row.busy == 0 { row.health.latency_halvings(now) } else { 0 };
+    let cost = cost >> halvings;
     Some(Candidate { id: id.clone(), free: Slots(free as u32), cost })
 }
