Decline passed-on requests at a VM that is cut off and knows no other

Callers of a VM that had lost its links to all servers waited 600 ms for a refusal, about once a second, while the VM that it passed requests to had lost its own too.

Cause: a VM looks for lost links only if it knows another VM that could take its requests. One that knows none, but is known, was passed requests and never took itself for cut off: each passed-on request waited for the connection time-outs of two servers (300 ms each) before it was declined. A VM knows none for example when the others' entries in the store have lapsed, and in this test, where only one VM knows the other. The VM that passed the request on then left the other alone for 1 s, so the old test, which sent requests for 1 s, failed or passed by the moment at which they began.

The log of the other VM, of a request that was refused after 629 ms: tries=[i-1 ... connecting: no answer in time, i-3 ... connecting: no answer in time] took=602ms; 2 s later the next one likewise; it never says that it lost its links.

A VM that has been passed a request now checks its links for the same signs as others, and declines passed-on requests while it reaches no server. Its own callers' requests it goes on trying, as they can go nowhere else. th_gateway_isolated now shows what its help says, lost links, also at such a VM; the log line says that no other VM is known.

By design a caller can still wait for two time-outs in a row at a VM that has not noticed yet: until two servers have failed it and a check has, 0.85 s from the first try by the timers. That is within the 3 s after which callers must be served or rejected, and unchanged.

The test keeps its bound of 500 ms and is stricter: 25 requests instead of 10, so that some are always passed on, and both cases. A unit test covers the decision.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -89,6 +89,7 @@
         let limits = core.dispatcher.borrow().routes().map(|it| it.limits()).unwrap_or_default();
         return Ok(reject_unread(decline(), &head, body, limits.body).await);
     }
+    core.dispatcher.borrow_mut().on_passed_on();
     Ok(serve_from(core, head, body, forwarded).await)
 }
 
@@ -200,8 +201,12 @@
     answer
 }
 
-/// Places a request; waits if no slot is free.
-async fn place(core: &Rc<Core>, job: &Job) -> Placement {
+/// Places a request; waits if no slot is free. One that another VM passed on, since it reaches no server, is not tried
+/// here either while this VM reaches none.
+async fn place(core: &Rc<Core>, job: &Job, forwarded: bool) -> Placement {
+    if forwarded && core.dispatcher.borrow().is_cut_off() {
+        return Placement::Reject(Rejection::Isolated, core.settings.dispatch.backoff_min);
+    }
     let (placement, waiter) = core.dispatcher.borrow_mut().place(job.clone(), core.now());
     let Some(number) = waiter else {
         return placement;
@@ -353,7 +358,7 @@
             return fail(last, false, job.deadline <= core.now(), Millis::ZERO);
         }
         let started = core.now();
-        let placement = place(core, &job).await;
+        let placement = place(core, &job, forwarded).await;
         let now = core.now();
         record.waited += now.since(started);
         let (attempt, address) = match placement {
--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -204,7 +204,7 @@
 
 /// Finds out, whenever there is reason to, whether this VM is cut off from all backend servers.
 pub(crate) async fn check_links(core: Rc<Core>) {
-    let mut isolated = false;
+    let mut state = LinkState::default();
     loop {
         sleep(CHECK_INTERVAL).await;
         let links = core.dispatcher.borrow_mut().links_to_check(core.now());
@@ -233,17 +233,30 @@
             }
             core.dispatcher.borrow_mut().on_links_checked(reached, core.now());
         }
-        let now = core.dispatcher.borrow().is_isolated();
-        if now == isolated {
-            continue;
-        }
-        isolated = now;
-        if isolated {
-            // They carry nothing any more.
-            core.pool.borrow_mut().clear();
-            log::warn!(target: "backend", "checked={} Lost the links to all backend servers; passing requests on to other VMs.", links.len());
-        } else {
-            log::info!(target: "backend", "Regained links to backend servers.");
-        }
+        state = apply_state(&core, state, links.len());
+    }
+}
+
+/// Whether this VM reaches no backend server, and whether it passes its requests on to other VMs for that.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct LinkState {
+    cut_off: bool,
+    passing_on: bool,
+}
+
+/// Closes connections to servers once requests are passed on, and logs what has changed. Returns the present state.
+fn apply_state(core: &Core, before: LinkState, checked: usize) -> LinkState {
+    let dispatcher = core.dispatcher.borrow();
+    let (cut_off, passing_on) = (dispatcher.is_cut_off(), dispatcher.is_isolated());
+    drop(dispatcher);
+    if passing_on && !before.passing_on {
+        // They carry nothing any more.
+        core.pool.borrow_mut().clear();
+        log::warn!(target: "backend", "checked={checked} Lost the links to all backend servers; passing requests on to other VMs.");
+    } else if cut_off && !before.cut_off {
+        log::warn!(target: "backend", "checked={checked} Lost the links to all backend servers; no other VM is known to pass requests on to.");
+    } else if before.cut_off && !cut_off {
+        log::info!(target: "backend", "Regained links to backend servers.");
     }
+    LinkState { cut_off, passing_on }
 }
--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -197,7 +197,7 @@
         self.in_flight.set(core.in_flight.get().into());
         self.waiting.set(dispatcher.waiting() as i64);
         self.dragging.set(dispatcher.dragging().len() as i64);
-        self.isolated.set(dispatcher.is_isolated().into());
+        self.isolated.set(dispatcher.is_cut_off().into());
         self.crashing.set(dispatcher.rejected_requests() as i64);
         let (quotas, now) = (core.quotas.borrow(), core.now());
         self.quotas.set(quotas.count() as i64);
--- a/crates/th-steer/src/dispatch/reach.rs
+++ b/crates/th-steer/src/dispatch/reach.rs
@@ -34,6 +34,8 @@
     /// Servers that have failed since the last sign of any server.
     failed: BTreeSet<BackendId>,
     isolated: bool,
+    /// Whether another VM has passed a request on to this one, which may not know any.
+    asked: bool,
     /// Number of checks, so that each takes other servers.
     checks: usize,
     /// Until when VMs are not asked.
@@ -70,11 +72,21 @@
         }
     }
 
+    /// Whether this VM reaches no backend server, so that it takes no requests of other VMs.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.isolated
+    }
+
     /// Whether this VM reaches no backend server, and other VMs may take its requests.
     pub fn is_isolated(&self) -> bool {
         self.reach.isolated && self.other_vms().next().is_some()
     }
 
+    /// Records that another VM passed a request on to this one.
+    pub fn on_passed_on(&mut self) {
+        self.reach.asked = true;
+    }
+
     /// The other entry VMs that requests can be passed on to.
     fn other_vms(&self) -> impl Iterator<Item = (&EntryRecord, SocketAddr)> {
         let others = self.entries.values().filter(|it| it.vm != self.vm);
@@ -82,10 +94,11 @@
     }
 
     /// The servers to open connections to, to find out whether this VM is cut off from them; none while there is no
-    /// reason, or no other VM to pass requests on to.
+    /// reason, or no other VM that requests are passed on to or by.
     pub fn links_to_check(&mut self, now: Time) -> Vec<(BackendId, SocketAddr)> {
         let is_due = self.reach.isolated || self.is_suspicious(now);
-        if !is_due || self.other_vms().next().is_none() {
+        let is_alone = !self.reach.asked && self.other_vms().next().is_none();
+        if !is_due || is_alone {
             return Vec::new();
         }
         self.reach.checked = now;
--- a/crates/th-steer/tests/dispatch_reach.rs
+++ b/crates/th-steer/tests/dispatch_reach.rs
@@ -131,6 +131,22 @@
     assert!(matches!(place(&mut world), Placement::Send { .. }));
 }
 
+/// Guards against a VM that is cut off and tries each request that another VM passes on to it, because it knows no other
+/// VM itself.
+#[test]
+fn a_vm_that_knows_no_other_finds_out_whether_it_is_cut_off_once_it_is_passed_requests() {
+    let mut world = World::new(&SERVERS);
+    world.dispatcher.on_passed_on();
+    isolate(&mut world);
+    assert!(world.dispatcher.is_cut_off());
+    // Its own requests can go nowhere else.
+    assert!(!world.dispatcher.is_isolated());
+    assert!(matches!(place(&mut world), Placement::Send { .. }));
+    assert!(!world.dispatcher.links_to_check(world.now).is_empty(), "checks go on");
+    world.dispatcher.on_links_checked(true, world.now);
+    assert!(!world.dispatcher.is_cut_off());
+}
+
 fn target(world: &mut World, route: &Route, tried: &[VmId]) -> Option<String> {
     let job = world.job_of(route.clone(), 1);
     let target = world.dispatcher.forward_target(&job, tried, world.now);
--- a/tests/cutoff.rs
+++ b/tests/cutoff.rs
@@ -179,6 +179,13 @@
         Deployment { servers, links, entry, _other: other, stores }
     }
 
+    /// Lets the other VM know the one that callers use.
+    fn introduce(&self) {
+        let near = self.entry.listen;
+        let record = json!({"zone": "north-a", "callers": near.callers, "ready": near.ready, "peers": near.peers});
+        self.stores[1].put("th/vm/vm-1", &record);
+    }
+
     fn set_links(&self, vms: std::ops::Range<usize>, cut: Cut) {
         for link in self.links[vms].iter().flatten() {
             link.cut.send_replace(cut);
@@ -255,15 +262,24 @@
     assert_eq!(deployment.run_twice(), Vec::<String>::new());
 }
 
-/// Guards against requests that VMs without links pass to each other in circles or hold until their deadline.
+/// Guards against requests that VMs without links pass to each other in circles or hold until their deadline, and against
+/// a VM that is passed requests and never notices that it is cut off, because it knows no other VM.
+#[rstest]
+#[case::strangers(false)]
+#[case::acquainted(true)]
 #[tokio::test]
-async fn callers_are_rejected_at_once_while_no_vm_reaches_a_server() {
+async fn callers_are_rejected_at_once_while_no_vm_reaches_a_server(#[case] acquainted: bool) {
     /// Time for the answers of the other VM and for a busy machine; the requests have 1,500 ms.
     const AT_ONCE: Duration = Duration::from_millis(500);
+    /// Number of requests, more than are sent while a VM that declined is not asked again.
+    const REQUESTS: usize = 25;
     let deployment = Deployment::start().await;
+    if acquainted {
+        deployment.introduce();
+    }
     deployment.set_links(0..2, Cut::Silent);
     deployment.call(SETTLE, "settling", CALLERS).await;
-    for number in 0..10 {
+    for number in 0..REQUESTS {
         let (sent, id) = (Instant::now(), format!("cut-{number}"));
         let answer = deployment.entry.send(Method::POST, "/book/x", &id).await;
         let took = sent.elapsed();
