Count a refusal only if it is certainly that of the attempt

A backend server may write an earlier refusal once more on a kept connection, where the answer to the next request is due. Callers were told that the next request had not run, while the server ran it, or it ran at a second server. Copies of other answers (404, 500) reached the next caller.

Cause: an answer that states the id of another attempt was dropped, but one without a readable id, or with the attempt's own id before another one, was taken for that of the attempt. A copy that is in the connection's buffer before the next request is sent was found already: the HTTP library closes an idle connection on which something arrives. One that comes between that check and the answer was not.

An answer is now that of the attempt only if all ids that it states are the attempt's. One without an id closes the connection and leaves the outcome unknown, unless it is a refusal and the first answer on its connection: nothing earlier can be repeated there. Such a connection is closed as well. That keeps the refusals that cannot state an id (400 to a request without one) and, of servers that never state one in refusals, all but those on a connection that had carried an answer before: these callers get 502 in place of 503, and a request that may run once is not tried elsewhere. Weighed against a false promise, which is worse; the users' pages say that servers state the id in their answers. A refusal that does counts at once as before, and its connection is kept.

--- a/crates/th-gateway/src/connection.rs
+++ b/crates/th-gateway/src/connection.rs
@@ -7,7 +7,10 @@
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
-    client::conn::http1::{SendRequest, handshake},
+    client::conn::{
+        TrySendError,
+        http1::{SendRequest, handshake},
+    },
 };
 use hyper_util::rt::TokioIo;
 use prometheus::IntCounter;
@@ -43,6 +46,8 @@
     pub(crate) address: SocketAddr,
     /// Time from which it is not used again, since the server may close it.
     pub(crate) expires: Time,
+    /// Number of requests sent.
+    requests: u64,
     driver: AbortHandle,
     _memory: Reservation,
 }
@@ -73,7 +78,27 @@
             }
         });
         let (driver, memory) = (task.abort_handle(), Reservation::connection(memory));
-        Ok(Connection { sender, address, expires: Time::ZERO, driver, _memory: memory })
+        Ok(Connection {
+            sender,
+            address,
+            expires: Time::ZERO,
+            requests: 0,
+            driver,
+            _memory: memory,
+        })
+    }
+
+    /// Whether only one request has been sent.
+    pub(crate) fn is_first(&self) -> bool {
+        self.requests == 1
+    }
+
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.requests += 1;
+        self.sender.try_send_request(request).await
     }
 }
 
@@ -156,7 +181,7 @@
 ) -> Result<(Response<Incoming>, Connection), SendError> {
     let pooled = pool.borrow_mut().take(key, address, core.now());
     if let Some(mut connection) = pooled {
-        match connection.sender.try_send_request(request).await {
+        match connection.send(request).await {
             Ok(response) => return Ok((response, connection)),
             Err(mut error) => match error.take_message() {
                 Some(unsent) => request = unsent,
@@ -167,7 +192,7 @@
     let mut connection =
         Connection::open(address, core.settings.connect_timeout, &core.memory).await?;
     opened.inc();
-    match connection.sender.try_send_request(request).await {
+    match connection.send(request).await {
         Ok(response) => Ok((response, connection)),
         Err(mut error) => Err(match error.take_message() {
             Some(_) => SendError::Unsent(error.into_error()),
--- a/crates/th-gateway/src/dialect.rs
+++ b/crates/th-gateway/src/dialect.rs
@@ -23,7 +23,7 @@
 /// Properties of a backend server's answer beside its status and body.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerInfo {
-    /// Id of the attempt that it answers, if it states one.
+    /// Id of the attempt that it answers, if it states one. One that is ambiguous equals that of no request.
     pub id: Option<String>,
     /// Whether the server did not run the request.
     pub not_executed: bool,
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -134,6 +134,17 @@
         }
     }
 
+    /// Checks that an answer belongs to this attempt; `is_first` tells whether it is the first one on its connection.
+    fn check_owner(&self, info: &AnswerInfo, is_first: bool) -> Result<(), &'static str> {
+        match &info.id {
+            Some(id) if *id == self.id => Ok(()),
+            Some(_) => Err("the answer belongs to another request"),
+            // No earlier answer can be repeated there, and servers reject malformed requests without an id.
+            None if is_first && (info.not_executed || info.moved) => Ok(()),
+            None => Err("the answer states no id and may belong to another request"),
+        }
+    }
+
     async fn receive(
         &self,
         core: &Rc<Core>,
@@ -146,12 +157,8 @@
         if !info.moved {
             apply_statements(core, backend, &info);
         }
-        if info.id.as_ref().is_some_and(|it| *it != self.id) {
-            return AttemptResult::without_answer(
-                AttemptOutcome::Broken,
-                false,
-                "the answer belongs to another request",
-            );
+        if let Err(detail) = self.check_owner(&info, connection.is_first()) {
+            return AttemptResult::without_answer(AttemptOutcome::Broken, false, detail);
         }
         let body = match self.room.buffer(&head.headers, body).await {
             Ok(body) => body,
@@ -165,11 +172,13 @@
         if let Some(busy) = info.busy {
             core.dispatcher.borrow_mut().on_load(backend, busy, now);
         }
-        let settings = &core.settings;
-        let idle =
-            info.idle_timeout.map_or(settings.idle_timeout, |it| it.minus(settings.retire_margin));
-        connection.expires = now.after(idle);
-        core.pool.borrow_mut().put(backend, connection);
+        // Nothing would tell a copy of an answer without an id from the next answer.
+        if info.id.is_some() {
+            let settings = &core.settings;
+            let idle = info.idle_timeout.map(|it| it.minus(settings.retire_margin));
+            connection.expires = now.after(idle.unwrap_or(settings.idle_timeout));
+            core.pool.borrow_mut().put(backend, connection);
+        }
         if info.moved {
             return AttemptResult::without_answer(
                 AttemptOutcome::Moved,
@@ -183,11 +192,11 @@
             let detail = format!("not run, status {}", head.status);
             return AttemptResult::without_answer(outcome, true, detail);
         }
-        if head.status.is_success() && (!info.signed || info.id.is_none()) {
+        if head.status.is_success() && !info.signed {
             return AttemptResult::without_answer(
                 AttemptOutcome::Broken,
                 false,
-                "successful answer without the server's signature or the request's id",
+                "successful answer without the server's signature",
             );
         }
         remove_hop_by_hop_headers(&mut head.headers);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -318,7 +318,6 @@
 /// Answers each request as soon as its head has arrived, then reads the bytes that follow where its body is due. Sends
 /// the stated length and these bytes to `bodies`.
 async fn answer_early(mut stream: TcpStream, bodies: mpsc::UnboundedSender<(usize, Vec<u8>)>) {
-    let answer = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     let mut bytes = Vec::new();
     loop {
         let end = bytes.windows(4).position(|it| it == b"\r\n\r\n");
@@ -330,10 +329,12 @@
             continue;
         };
         let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
-        let length = head
-            .split("content-length: ")
-            .nth(1)
-            .map_or(0, |it| it.lines().next().unwrap().parse().unwrap());
+        let field = |name: &str| head.split(name).nth(1).and_then(|it| it.lines().next());
+        let length = field("content-length: ").map_or(0, |it| it.parse().unwrap());
+        let id = field("attempt-id: ").unwrap();
+        let answer = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        );
         bytes.drain(..end + 4);
         if stream.write_all(answer.as_bytes()).await.is_err() {
             return;
