Pass a status on as a promise only if the server stated it

A server's 408, 429 or 503 that does not say that the request was not run reached the caller unchanged, and tells it that the request has not run and never will. The server had run it: only the statement in the answer, or 421, means that it has not. Between VMs such an answer without a signature also counted as "not run", so that the request went to another VM.

Such an answer now counts as a failure of the server, whose outcome is unknown: 502, or a second server for a request that may be repeated.

--- a/crates/th-gateway/src/answer.rs
+++ b/crates/th-gateway/src/answer.rs
@@ -9,6 +9,10 @@
 /// An answer to a caller.
 pub(crate) type Answer = Response<AnswerBody>;
 
+/// Statuses with which a VM says that no backend server has run the request or will.
+pub(crate) const NOT_EXECUTED: &[StatusCode] =
+    &[StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
+
 pub(crate) fn reply(status: StatusCode, text: &str) -> Answer {
     let mut answer = Response::new(AnswerBody::new(Bytes::from(text.to_owned())));
     *answer.status_mut() = status;
--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    answer::{Answer, reject},
+    answer::{Answer, NOT_EXECUTED, reject},
     connection::{Connection, SendError, send_pooled},
     core::Core,
     outgoing::{AttemptResult, Outgoing},
@@ -34,9 +34,6 @@
 const KEY: HeaderName = HeaderName::from_static("th-key");
 /// Present on the answer of a VM that did not take the request.
 const DECLINED: HeaderName = HeaderName::from_static("th-declined");
-/// Statuses with which a VM says that no server has run the request or will.
-const NOT_EXECUTED: &[StatusCode] =
-    &[StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
 /// Number of VMs that a request is passed to before it is rejected.
 const MAX_VMS: usize = 3;
 /// Time between two checks of links to backend servers.
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    answer::NOT_EXECUTED,
     answer_room::{AnswerError, AnswerRoom},
     authorise::Caller,
     body::AnswerBody,
@@ -192,6 +193,11 @@
             let detail = format!("not run, status {}", head.status);
             return AttemptResult::without_answer(outcome, true, detail);
         }
+        if NOT_EXECUTED.contains(&head.status) {
+            let detail =
+                format!("status {}, which does not say that the request was not run", head.status);
+            return AttemptResult::without_answer(AttemptOutcome::Failed, false, detail);
+        }
         if head.status.is_success() && !info.signed {
             return AttemptResult::without_answer(
                 AttemptOutcome::Broken,
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -13,7 +13,8 @@
 use rstest::rstest;
 use serde_json::json;
 use stand_in::{
-    BUSY, CopyId, Framing, Moment, REFUSAL_TEXT, REFUSED, RepeatingServer, Repeats, StandInStore,
+    BUSY, CopyId, Framing, Moment, REFUSAL_TEXT, REFUSED, RepeatingServer, Repeats, STATUS_MARK,
+    StandInStore,
 };
 
 /// Requests of each case.
@@ -216,3 +217,25 @@
     let deployment = Deployment::start(1, repeats).await;
     assert_eq!(deployment.refuse(4).await, [502, 503, 503, 503]);
 }
+
+/// Guards against a server's answer that reaches the caller as the promise that the request has not run, although it does
+/// not state that.
+#[rstest]
+#[case::timeout(408)]
+#[case::rate_limited(429)]
+#[case::busy(503)]
+#[tokio::test]
+async fn only_a_refusal_that_says_so_is_a_promise(#[case] stated: u16) {
+    let deployment =
+        Deployment::start(2, Repeats { moment: Moment::Never, ..Repeats::default() }).await;
+    let path = format!("/book{STATUS_MARK}{stated}");
+    for round in 0..ROUNDS {
+        let id = format!("ran-{round}");
+        let status = deployment.send(Method::POST, &path, &id).await.status().as_u16();
+        let runs = deployment.runs(&id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        let is_told = PROMISES.contains(&status);
+        assert!(runs == 0 || !is_told, "round {round}: {id} ran, and its caller was told {status}");
+    }
+    assert!(0 < deployment.runs("ran-0"));
+}
