Take only an answer that names no attempt for another VM's own

A request that may run once ran at two servers: a VM without links to servers passed it on, a server ran it and answered 404 without its signature, and the first VM took that for the answer of a VM that does not know the route, passed the request to the next VM, and told the caller that it had not run.

Cause: the answer of a server and that of the VM itself were told apart by the signature alone.

--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -187,13 +187,15 @@
     connection.expires = core.now().after(settings.idle_timeout.minus(settings.retire_margin));
     core.vm_pool.borrow_mut().put(vm, connection);
     let detail = format!("status {}", head.status.as_u16());
+    // A server's answer names the attempt.
+    let is_of_vm = info.id.is_none() && !info.signed;
     // A VM with another configuration may not know the route.
-    let is_unknown = head.status == StatusCode::NOT_FOUND && !info.signed;
-    if is_unknown || head.headers.contains_key(DECLINED) {
+    let is_unknown = head.status == StatusCode::NOT_FOUND;
+    if is_of_vm && (is_unknown || head.headers.contains_key(DECLINED)) {
         return Ok(AttemptResult::without_answer(AttemptOutcome::Shed, true, detail));
     }
     remove_hop_by_hop_headers(&mut head.headers);
-    let not_executed = !info.signed && NOT_EXECUTED.contains(&head.status);
+    let not_executed = is_of_vm && NOT_EXECUTED.contains(&head.status);
     let outcome = if not_executed { AttemptOutcome::Shed } else { AttemptOutcome::Answered };
     let answer = Some((head, body));
     Ok(AttemptResult { outcome, not_executed, lost: false, answer, detail })
