Check the attempt id of answers that come through another VM

A VM passes a server's answer on with the attempt's id, and the VM that asked did not compare it: an answer to another request, such as a late one on the kept connection between the two, would have reached the caller as a success. Not seen from a VM of this project: a request that is given up, or whose answer breaks off, closes its connection, and a VM compares the ids of its servers' answers.

An answer with another id now leaves the outcome unknown, and the connection is closed.

a_connection_to_a_vm_carries_no_late_answers, with a stand-in VM: the case of an answer to another request failed before (200) and passes now. The case of a request that is given up passed before and after: its connection is not used again. With a deliberate break that keeps the connection, 3 requests came on connections with an earlier fault (the bound is 0). tests/forwarded_answers.rs: 13 passed.

--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -177,6 +177,10 @@
         send_pooled(core, &core.vm_pool, vm, address, request, opened).await?;
     let (mut head, body) = response.into_parts();
     let info = core.dialect.read_answer(&head);
+    if info.id.as_ref().is_some_and(|it| *it != outgoing.id) {
+        let detail = "the answer belongs to another request";
+        return Ok(AttemptResult::without_answer(AttemptOutcome::Broken, false, detail));
+    }
     let body = match outgoing.room.buffer(&head.headers, body).await {
         Ok(body) => body,
         Err(error) => {
