Ignore the pause and limit of an answer that names another attempt

A late copy of a refusal with `Retry-After` began the server's pause once more, of up to 60 s, and the limit that a late answer states, or its lack, replaced the one in force. The server was then left out although it took requests, or sent more than it accepts.

Cause: statements were applied before the attempt's id was compared. Of a late answer, only that the server leaves is applied now, which stays true. An answer without an id still starts a pause: of servers that state none in refusals, it is the only word.

a_repeated_refusal_starts_no_pause failed 3 of 3 times before (503, not run) and passed 3 of 3 times after. The limit has no test of its own. tests/repeated_refusals.rs 39, tests/platform.rs 28, tests/forwarded_answers.rs 13, tests/operate_pages.rs 5 passed.

--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -57,12 +57,16 @@
     }
 }
 
-/// Applies what a backend server states about itself in the head of an answer.
-fn apply_statements(core: &Core, backend: &BackendId, info: &AnswerInfo) {
+/// Applies what a backend server states about itself in the head of an answer. A late answer, which names another attempt
+/// than `attempt`, may state what no longer holds.
+fn apply_statements(core: &Core, backend: &BackendId, info: &AnswerInfo, attempt: &str) {
     let (mut dispatcher, now) = (core.dispatcher.borrow_mut(), core.now());
     if info.leaving && dispatcher.on_leaving(backend) {
         log::info!(target: "backend", "backend={backend} The backend server leaves; it gets no more requests.");
     }
+    if info.id.as_ref().is_some_and(|it| it != attempt) {
+        return;
+    }
     if let Some(pause) = info.rest {
         dispatcher.on_rest(backend, pause, now);
         let limit = core.settings.dispatch.max_rest;
@@ -156,7 +160,7 @@
         let (mut head, body) = response.into_parts();
         let info = core.dialect.read_answer(&head);
         if !info.moved {
-            apply_statements(core, backend, &info);
+            apply_statements(core, backend, &info, &self.id);
         }
         if let Err(detail) = self.check_owner(&info, connection.is_first()) {
             return AttemptResult::without_answer(AttemptOutcome::Broken, false, detail);
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -5,7 +5,7 @@
 #[path = "../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 
-use std::process::Stdio;
+use std::{process::Stdio, time::Duration};
 
 use desk::config;
 use entry::{EntryProcess, ListenAddresses, settings};
@@ -16,11 +16,13 @@
     BUSY, CopyId, Framing, Moment, REFUSAL_TEXT, REFUSED, RepeatingServer, Repeats, STATUS_MARK,
     StandInStore,
 };
+use tokio::time::sleep;
 
 /// Requests of each case.
 const ROUNDS: u32 = 10;
 /// Statuses that tell a caller that its request has not run and never will.
 const PROMISES: &[u16] = &[408, 421, 429, 503];
+const RESTING: &str = "503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 2";
 const RATE_LIMITED: &str = "429 Too Many Requests\r\nNot-Executed: 1";
 const MALFORMED: &str = "400 Bad Request\r\nNot-Executed: 1";
 const MISDIRECTED: &str = "421 Misdirected Request";
@@ -218,6 +220,23 @@
     assert_eq!(deployment.refuse(4).await, [502, 503, 503, 503]);
 }
 
+/// Guards against a server that is left out since a late copy of a refusal asks for the pause once more.
+#[tokio::test]
+async fn a_repeated_refusal_starts_no_pause() {
+    let deployment = Deployment::start(1, Repeats { head: RESTING, ..Repeats::default() }).await;
+    assert_eq!(deployment.refuse(1).await, [503]);
+    for number in 0..500 {
+        if deployment.sum(RepeatingServer::copies) == 1 {
+            break;
+        }
+        deployment.send(Method::GET, "/look/x", &format!("next-{number}")).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(deployment.sum(RepeatingServer::copies), 1);
+    let answer = deployment.send(Method::GET, "/look/x", "after").await;
+    assert_eq!((answer.status().as_u16(), deployment.runs("after")), (200, 1));
+}
+
 /// Guards against a server's answer that reaches the caller as the promise that the request has not run, although it does
 /// not state that.
 #[rstest]
