--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    answer::{Answer, reject},
+    answer::{Answer, NOT_EXECUTED, reject},
     answer_head::{SWITCHED, detach, find_foreign},
     connection::{Connection, SendError, send_pooled},
     core::Core,
@@ -35,9 +35,6 @@
 const KEY: HeaderName = HeaderName::from_static("th-key");
 /// Present on the answer of a VM that did not take the request.
 const DECLINED: HeaderName = HeaderName::from_static("th-declined");
-/// Statuses with which a VM says that no server has run the request or will.
-const NOT_EXECUTED: &[StatusCode] =
-    &[StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
 /// Number of VMs that a request is passed to before it is rejected.
 const MAX_VMS: usize = 3;
 /// Time between two checks of links to backend servers.
@@ -197,13 +194,15 @@
     connection.expires = core.now().after(settings.idle_timeout.minus(settings.retire_margin));
     core.vm_pool.borrow_mut().put(vm, connection);
     let detail = format!("status {}", head.status.as_u16());
+    // A server's answer names the attempt.
+    let is_of_vm = info.id.is_none() && !info.signed;
     // A VM with another configuration may not know the route.
-    let is_unknown = head.status == StatusCode::NOT_FOUND && !info.signed;
-    if is_unknown || head.headers.contains_key(DECLINED) {
+    let is_unknown = head.status == StatusCode::NOT_FOUND;
+    if is_of_vm && (is_unknown || head.headers.contains_key(DECLINED)) {
         return Ok(AttemptResult::without_answer(AttemptOutcome::Shed, true, detail));
     }
     detach(&mut head, &outgoing.method);
-    let not_executed = !info.signed && NOT_EXECUTED.contains(&head.status);
+    let not_executed = is_of_vm && NOT_EXECUTED.contains(&head.status);
     let outcome = if not_executed { AttemptOutcome::Shed } else { AttemptOutcome::Answered };
     let answer = Some((head, body));
     Ok(AttemptResult { outcome, not_executed, lost: false, answer, detail })
--- a/crates/th-gateway/src/outgoing.rs
+++ b/crates/th-gateway/src/outgoing.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    answer::NOT_EXECUTED,
     answer_head::{SWITCHED, detach},
     answer_room::{AnswerError, AnswerRoom},
     authorise::Caller,
@@ -57,12 +58,16 @@
     }
 }
 
-/// Applies what a backend server states about itself in the head of an answer.
-fn apply_statements(core: &Core, backend: &BackendId, info: &AnswerInfo) {
+/// Applies what a backend server states about itself in the head of an answer. A late answer, which names another attempt
+/// than `attempt`, may state what no longer holds.
+fn apply_statements(core: &Core, backend: &BackendId, info: &AnswerInfo, attempt: &str) {
     let (mut dispatcher, now) = (core.dispatcher.borrow_mut(), core.now());
     if info.leaving && dispatcher.on_leaving(backend) {
         log::info!(target: "backend", "backend={backend} The backend server leaves; it gets no more requests.");
     }
+    if info.id.as_ref().is_some_and(|it| it != attempt) {
+        return;
+    }
     if let Some(pause) = info.rest {
         dispatcher.on_rest(backend, pause, now);
         let limit = core.settings.dispatch.max_rest;
@@ -135,6 +140,17 @@
         }
     }
 
+    /// Checks that an answer belongs to this attempt; `is_first` tells whether it is the first one on its connection.
+    fn check_owner(&self, info: &AnswerInfo, is_first: bool) -> Result<(), &'static str> {
+        match &info.id {
+            Some(id) if *id == self.id => Ok(()),
+            Some(_) => Err("the answer belongs to another request"),
+            // No earlier answer can be repeated there, and servers reject malformed requests without an id.
+            None if is_first && (info.not_executed || info.moved) => Ok(()),
+            None => Err("the answer states no id and may belong to another request"),
+        }
+    }
+
     async fn receive(
         &self,
         core: &Rc<Core>,
@@ -145,14 +161,10 @@
         let (mut head, body) = response.into_parts();
         let info = core.dialect.read_answer(&head);
         if !info.moved {
-            apply_statements(core, backend, &info);
+            apply_statements(core, backend, &info, &self.id);
         }
-        if info.id.as_ref().is_some_and(|it| *it != self.id) {
-            return AttemptResult::without_answer(
-                AttemptOutcome::Broken,
-                false,
-                "the answer belongs to another request",
-            );
+        if let Err(detail) = self.check_owner(&info, connection.is_first()) {
+            return AttemptResult::without_answer(AttemptOutcome::Broken, false, detail);
         }
         if head.status == StatusCode::SWITCHING_PROTOCOLS {
             return AttemptResult::without_answer(AttemptOutcome::Broken, false, SWITCHED);
@@ -169,11 +181,13 @@
         if let Some(busy) = info.busy {
             core.dispatcher.borrow_mut().on_load(backend, busy, now);
         }
-        let settings = &core.settings;
-        let idle =
-            info.idle_timeout.map_or(settings.idle_timeout, |it| it.minus(settings.retire_margin));
-        connection.expires = now.after(idle);
-        core.pool.borrow_mut().put(backend, connection);
+        // Nothing would tell a copy of an answer without an id from the next answer.
+        if info.id.is_some() {
+            let settings = &core.settings;
+            let idle = info.idle_timeout.map(|it| it.minus(settings.retire_margin));
+            connection.expires = now.after(idle.unwrap_or(settings.idle_timeout));
+            core.pool.borrow_mut().put(backend, connection);
+        }
         if info.moved {
             return AttemptResult::without_answer(
                 AttemptOutcome::Moved,
@@ -187,11 +201,16 @@
             let detail = format!("not run, status {}", head.status);
             return AttemptResult::without_answer(outcome, true, detail);
         }
-        if head.status.is_success() && (!info.signed || info.id.is_none()) {
+        if NOT_EXECUTED.contains(&head.status) {
+            let detail =
+                format!("status {}, which does not say that the request was not run", head.status);
+            return AttemptResult::without_answer(AttemptOutcome::Failed, false, detail);
+        }
+        if head.status.is_success() && !info.signed {
             return AttemptResult::without_answer(
                 AttemptOutcome::Broken,
                 false,
-                "successful answer without the server's signature or the request's id",
+                "successful answer without the server's signature",
             );
         }
         detach(&mut head, &self.method);
