--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -288,11 +288,7 @@
             tokio::spawn(answer_early(stream, sender.clone()));
         }
     });
-    store.put(
-        "servers/i-2",
-        &json!({"service": "desk", "address": early["address"], "zone": "north-a",
-        "slots": 4, "state": "ready", "cold_remaining_ms": 0, "born": 1_700_000_000_000_u64}),
-    );
+    store.put("servers/i-2", &early);
     store.remove(&format!("servers/{}", servers[0].id));
     store.put("op/config", &patient(8, "/early/"));
     entry.wait_for_status("/early/x", 503).await;
