--- a/crates/th-gateway/src/logging.rs
+++ b/crates/th-gateway/src/logging.rs
@@ -20,6 +20,8 @@
 const OTHER_LINES_PER_S: f64 = 200.0;
 /// Burst size of both limits, in seconds of the rate.
 const BURST_S: f64 = 2.0;
+/// Longest text of a line in bytes; it may quote what others wrote, of any size.
+const MAX_TEXT: usize = 4_096;
 /// Log target of the lines about requests.
 const CALL_TARGET: &str = "call";
 
@@ -81,11 +83,17 @@
             self.counts.thinned.fetch_add(1, Ordering::Relaxed);
             return;
         }
+        let mut text = record.args().to_string();
+        if MAX_TEXT < text.len() {
+            let size = text.len();
+            text.truncate(text.floor_char_boundary(MAX_TEXT));
+            text.push_str(&format!("... ({size} bytes)"));
+        }
         let line = serde_json::json!({
             "at": humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
             "level": record.level().as_str(),
             "part": record.target(),
-            "text": record.args().to_string(),
+            "text": text,
         });
         if self.sender.try_send(format!("{line}\n")).is_err() {
             self.counts.lost.fetch_add(1, Ordering::Relaxed);
