Let no count of another VM overflow at the quota keeper

Seen: absurd_numbers_of_another_vm_end_no_keeper (th-steer, quota) failed with 'attempt to add with overflow' in end_earlier: a report in which an earlier process of a VM claims 2^32 - 1 used requests and holds a token. With overflow checks the task that serves the report ends; without them, as in a release, the count wraps and quotas are given out again. All other numbers of reports and answers (not finite, negative, 2^32 - 1 used, held or wanted, starts up to 2^64 - 1) end and give out nothing wrong, by the same test.

Now both sums saturate.

--- a/crates/th-steer/src/quota/keeper.rs
+++ b/crates/th-steer/src/quota/keeper.rs
@@ -228,7 +228,7 @@
             self.level = (self.level - change).max(0.0);
         }
         if let Some(account) = self.accounts.get_mut(&process) {
-            account.tokens += change as u32;
+            account.tokens = account.tokens.saturating_add(change as u32);
         }
         change as i32
     }
@@ -252,7 +252,8 @@
         let from = (process.0.clone(), Time::ZERO);
         for (_, account) in self.accounts.range_mut(from..process.clone()) {
             if account.tokens != 0 {
-                account.used += std::mem::take(&mut account.tokens);
+                let held = std::mem::take(&mut account.tokens);
+                account.used = account.used.saturating_add(held);
                 account.at = now;
             }
             (account.asked, account.target) = (0.0, 0.0);
--- a/crates/th-steer/tests/quota.rs
+++ b/crates/th-steer/tests/quota.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use th_protocol::{Mbit, Millis, OrganisationId, RequestRate, Time, VmId};
-use th_steer::quota::{Quota, QuotaBook, QuotaLimits, TokenGrant, UsageAnswer, UsageReport};
+use th_steer::quota::{
+    Quota, QuotaBook, QuotaLimits, TokenGrant, UsageAnswer, UsageEntry, UsageReport,
+};
 
 const START: Time = Time(1_000_000);
 /// Later than a process that starts may be counted, and is young.
@@ -298,3 +300,47 @@
         assert_eq!(book.keeper(START).to_string(), format!("vm-{keeper}"));
     }
 }
+
+/// Guards against a keeper that ends, or gives out more than there is, at numbers of another VM that cannot be.
+#[test]
+fn absurd_numbers_of_another_vm_end_no_keeper() {
+    let mut book = book("vm-0");
+    book.set_members([(id("vm-1"), Some(Mbit(u32::MAX)))], SETTLED);
+    let (mut number, mut now) = (0, SETTLED);
+    for asked in [f32::NAN, f32::INFINITY, f32::NEG_INFINITY, f32::MAX, -1.0, 0.0] {
+        for (used, tokens, wanted) in [
+            (u32::MAX, u32::MAX, u32::MAX),
+            (u32::MAX, 1, u32::MAX),
+            (u32::MAX - 1, u32::MAX, 0),
+            (0, u32::MAX, u32::MAX),
+            (0, 0, u32::MAX),
+        ] {
+            for start in [Time(0), Time(u64::MAX - number), Time(u64::MAX), START] {
+                number += 1;
+                now = now.after(Millis(150));
+                let entry = UsageEntry { id: id("org"), used, tokens, wanted, asked };
+                let report = UsageReport {
+                    vm: id("vm-1"),
+                    start,
+                    number,
+                    settled: true,
+                    young: false,
+                    full: true,
+                    entries: vec![entry.clone(), entry],
+                };
+                let answer = book.on_report(report, now);
+                let given: i64 = answer.grants.iter().map(|it| i64::from(it.change)).sum();
+                let most = QuotaLimits::default().allowed(quotas(100.0, 100.0)[&id("org")]);
+                assert!(given as f64 <= most, "{given} of {most} tokens");
+            }
+        }
+    }
+    // The same numbers in an answer.
+    let (mut vm, keeper) = follower(i32::MAX);
+    for change in [i32::MAX, i32::MAX, i32::MIN, i32::MAX] {
+        let report = vm.report(&keeper, SETTLED);
+        vm.on_answer(grant(report.number, change), SETTLED);
+    }
+    assert!(vm.take(&id("org"), SETTLED).is_ok());
+    vm.give_back(&id("org"));
+}
