Show keys of other writers without control characters

Seen: thctl fleet wrote the key servers/ESC[2J as it is to the operator's terminal, and texts of odd entries too before these were cut (odd_items_are_shown_in_short_and_without_control_characters failed on the key). The key is escaped now. Sums of slots and of quotas saturate: three servers with 2^32 - 1 slots would have ended the tool with overflow checks, by reading; such entries are invalid by now.

--- a/src/bin/thctl/fleet.rs
+++ b/src/bin/thctl/fleet.rs
@@ -39,7 +39,7 @@
         match it.serving {
             Serving::Ready => {
                 count.ready += 1;
-                count.slots += it.slots.0;
+                count.slots = count.slots.saturating_add(it.slots.0);
             }
             Serving::Draining => count.draining += 1,
         }
@@ -115,8 +115,9 @@
         let (mut asked, mut refused, mut tokens, mut rate, mut oldest) =
             (0.0, 0, 0, 0.0, Millis::ZERO);
         for row in rows.values() {
-            (asked, refused, tokens) =
-                (asked + row.asked, refused + row.refused, tokens + row.tokens);
+            asked += row.asked;
+            refused = row.refused.saturating_add(refused);
+            tokens = row.tokens.saturating_add(tokens);
             (rate, oldest) = (row.rate, oldest.max(row.age.unwrap_or_default()));
         }
         if asked <= 0.0 && refused == 0 {
@@ -180,7 +181,9 @@
         )?;
     }
     for it in &view.unusable {
-        writeln!(out, "unusable: {} at revision {}: {}", it.key, it.revision, it.cause)?;
+        // A key is another writer's text.
+        let key = it.key.escape_debug();
+        writeln!(out, "unusable: {key} at revision {}: {}", it.revision, it.cause)?;
     }
     Ok(out)
 }
--- a/tests/thctl_fleet.rs
+++ b/tests/thctl_fleet.rs
@@ -64,6 +64,36 @@
     }
 }
 
+/// Guards against control sequences of another writer in the operator's terminal, and a tool that ends at absurd numbers.
+#[tokio::test]
+async fn odd_items_are_shown_in_short_and_without_control_characters() {
+    let store = StandInStore::start().await;
+    store.put("op/config", &config());
+    let server = StandInServer::start("i-1", Duration::ZERO).await;
+    let mut entry = server.entry("ready");
+    store.put("servers/i-1", &entry);
+    store.put("servers/\u{1b}[2J", &json!({}));
+    store.put_bytes("servers/i-nested", "[".repeat(200_000).as_bytes());
+    store.put_encoded("servers/i-undecodable", "\u{7}");
+    entry["state"] = json!("\u{1b}]0;x\u{7}".repeat(100_000));
+    store.put("servers/i-long", &entry);
+    entry["state"] = json!("ready");
+    entry["slots"] = json!(u32::MAX);
+    for number in 0..3 {
+        store.put(&format!("servers/i-slots-{number}"), &entry);
+    }
+    let address = store.address.to_string();
+    let (code, text) =
+        spawn_blocking(move || thctl(&["fleet", "--store", &address])).await.unwrap();
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("desk in north-a: 1 ready with 4 slots"), "{text}");
+    for key in ["i-nested", "i-undecodable", "i-long", "i-slots-0", "i-slots-1", "i-slots-2"] {
+        assert!(text.contains(&format!("unusable: servers/{key} at")), "{key}: {text}");
+    }
+    assert!(!text.contains(|it: char| it.is_control() && it != '\n'), "{text:?}");
+    assert!(text.lines().all(|it| it.len() < 1_000), "{text}");
+}
+
 /// "We cannot yet tell which backends are dragging": a server that answers, but far too late, is named.
 #[tokio::test]
 async fn a_server_that_drags_is_named() {
