--- a/tests/odd_replacements.rs
+++ b/tests/odd_replacements.rs
@@ -1,12 +1,14 @@
 //! Odd entries in place of good ones whose writers go on: what they must not leave behind.
 
+mod desk;
 mod entry;
 #[path = "../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 mod watchers;
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use desk::{config, deployment};
 use rstest::rstest;
 use serde_json::{Value, json};
 use stand_in::StandInStore;
@@ -56,3 +58,25 @@
     };
     LocalSet::new().run_until(play).await;
 }
+
+/// Guards against look-ups that name a dead VM for good, since an odd entry stands in the place of its own.
+#[tokio::test]
+async fn a_vm_with_an_odd_entry_is_returned_only_while_it_is_ready() {
+    let (store, _servers, entry) = deployment(1).await;
+    let (_other_store, _other_servers, other) = deployment(1).await;
+    let item =
+        json!({"zone": "north-a", "callers": other.listen.callers, "ready": other.listen.ready});
+    store.put("th/vm/vm-2", &item);
+    entry.wait_until_returned(other.listen.callers, true).await;
+    store.put("th/vm/vm-2", &json!({"zone": "north-a", "callers": "127.0.0.1:0"}));
+    store.put("op/config", &config(8, "/seen/"));
+    entry.wait_for_status("/seen/x", 200).await;
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(
+        entry.is_returned(other.listen.callers).await,
+        "it is ready, so look-ups still return it"
+    );
+    drop(other);
+    let address: SocketAddr = item["callers"].as_str().unwrap().parse().unwrap();
+    entry.wait_until_returned(address, false).await;
+}
