Take an absurd load for the largest one that a server can have

Seen: a server that once reports a load of 1,000,000 requests (Server-Load) got no request of a VM for 16.3 s, since its expected wait leaves no request in time; the moving average forgets only by the factor e in 1.5 s. A service with one server was refused for that time (an_absurd_load_counts_as_the_largest_one_that_can_be). After 16 requests at 2 slots it got one at once.

Also measured: records with 0 and 2^32 - 1 slots, cold for 2^64 - 1 ms, started at 2^64 - 1, in an unknown data centre, with a VM of such a link, leave placement and look-ups sound without an overflow (54 cases of absurd_records_leave_decisions_sound pass, before and after). All tests of th-steer pass.

--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -3,6 +3,7 @@
 use th_protocol::{BackendId, Millis, Slots, Time};
 
 use super::{
+    external_load::{ExternalLoad, MAX_LOAD},
     pace::Pace,
     record::{BackendRecord, Serving},
     settings::DispatchSettings,
@@ -31,8 +32,6 @@
 /// Time constant with which a measured slowness is forgotten, so that a server that recovered without requests is used
 /// again.
 const SLOWNESS_MEMORY: Millis = Millis(5_000);
-/// Minimum weight of a load report in the moving average.
-const MIN_REPORT_WEIGHT: f64 = 0.25;
 /// A slot counts as free if the estimated probability that another VM occupies it is at most this.
 const MAX_EXTERNAL_OCCUPANCY: f64 = 0.5;
 
@@ -102,28 +101,6 @@
     pub(crate) free: bool,
 }
 
-/// Load on a backend server from sources other than this VM, estimated from the load that it reports with its answers.
-/// A moving average is used because a single report is stale by the time the next request is placed.
-#[derive(Debug, Clone, Copy, Default)]
-struct ExternalLoad {
-    mean: f64,
-    updated: Time,
-}
-
-impl ExternalLoad {
-    fn expected(&self, settings: &DispatchSettings, now: Time) -> f64 {
-        let age = now.since(self.updated).0 as f64;
-        self.mean * (-age / settings.load_decay.0 as f64).exp()
-    }
-
-    fn add(&mut self, sample: f64, settings: &DispatchSettings, now: Time) {
-        let age = now.since(self.updated).0 as f64;
-        let weight = 1.0 - (-age / settings.load_decay.0 as f64).exp();
-        self.mean += (sample - self.mean) * weight.max(MIN_REPORT_WEIGHT);
-        self.updated = now;
-    }
-}
-
 /// Whether a backend server that was taken out of use until some time may get a request: then one at a time.
 fn is_open(until: Option<Time>, is_idle: bool, now: Time) -> bool {
     until.is_none_or(|it| it <= now && is_idle)
@@ -414,7 +391,8 @@
 
     /// Applies the number of running and queued requests that it reported; those of this VM are not external load.
     pub(crate) fn on_load(&mut self, busy: Slots, settings: &DispatchSettings, now: Time) {
-        let external = busy.0.saturating_sub(self.running.len() as u32);
+        let most = self.record.slots.0.max(1).saturating_mul(MAX_LOAD);
+        let external = busy.0.min(most).saturating_sub(self.running.len() as u32);
         self.external.add(f64::from(external), settings, now);
     }
 }
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod decide;
 mod dispatcher;
+mod external_load;
 mod fingerprint;
 mod job;
 mod limited;
