--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -113,8 +113,8 @@
     core.connections.set(core.connections.get() + 1);
     let _memory = Reservation::connection(&core.memory);
     let limits = core.dispatcher.borrow().routes().map(|it| it.limits()).unwrap_or_default();
-    let idle = Duration::from_millis(limits.idle.plus(limits.send).0 * IDLE_FACTOR);
-    let max_head = (limits.head.0 as usize * 2).max(MIN_HEAD_BUFFER);
+    let idle = Duration::from_millis(limits.idle.plus(limits.send).0.saturating_mul(IDLE_FACTOR));
+    let max_head = (limits.head.0 as usize).saturating_mul(2).max(MIN_HEAD_BUFFER);
     let depth = core.settings.pipeline_depth;
     let ahead = handler.ahead.map(|ahead| -> StartAhead {
         Rc::new(move |mut request| {
