--- a/tests/odd_replacements.rs
+++ b/tests/odd_replacements.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 use stand_in::StandInStore;
 use th_protocol::BackendId;
+use th_steer::dispatch::Serving;
 use tokio::{
     task::LocalSet,
     time::{Instant, sleep},
@@ -59,6 +60,36 @@
     LocalSet::new().run_until(play).await;
 }
 
+/// Guards against requests to a server that drains, which the older copy has as ready, since an odd entry hid that it drains.
+#[tokio::test]
+async fn a_drain_before_an_odd_entry_is_not_taken_back_by_the_copy() {
+    let store = StandInStore::start().await;
+    store.put("servers/i-1", &server(4));
+    write_config(&store, 1);
+    let play = async {
+        let (gateway, _) = start_vm(1, store.address, LIMIT);
+        let cores = [Rc::clone(gateway.core())];
+        in_force(&cores, 1, LIMIT).await;
+        let copy = store.copy();
+        let mut draining = server(5);
+        draining["state"] = json!("draining");
+        store.put("servers/i-1", &draining);
+        write_config(&store, 2);
+        in_force(&cores, 2, LIMIT).await;
+        store.put("servers/i-1", &json!({"slots": 1e300}));
+        write_config(&store, 3);
+        in_force(&cores, 3, LIMIT).await;
+        store.restore(copy);
+        write_config(&store, 4);
+        in_force(&cores, 4, LIMIT).await;
+        let id: BackendId = "i-1".parse().unwrap();
+        let dispatcher = cores[0].dispatcher.borrow();
+        let record = dispatcher.backend(&id);
+        assert!(record.is_none_or(|it| it.serving == Serving::Draining), "{record:?}");
+    };
+    LocalSet::new().run_until(play).await;
+}
+
 /// Guards against look-ups that name a dead VM for good, since an odd entry stands in the place of its own.
 #[tokio::test]
 async fn a_vm_with_an_odd_entry_is_returned_only_while_it_is_ready() {
