Count the slots of one server as eight times the median at most

Seen: beside 12 servers with 2 slots each, one server that states 100 slots draws 86% of the callers of another region to its data centre, and one that states 10,000, as many as an entry may, 96% (a_server_that_claims_many_slots_draws_no_more_than_eight failed in its three cases). Its slots never seem to be taken either.

Cause: slots are summed as they are stated. Now a server's slots count as 8 times the median of its service at most, in look-ups and in placement (dispatch/slot_limit.rs). They are counted anew only where a server comes, goes or states other slots, so that neither a look-up nor an unchanged entry costs more. Servers of a service that state much the same are not affected.

A single server, and one of two where both claim too much, is not bounded by this.

Measured: the three cases pass; all tests of th-steer pass (48 binaries).

--- a/crates/th-steer/src/dispatch/addresses.rs
+++ b/crates/th-steer/src/dispatch/addresses.rs
@@ -144,7 +144,7 @@
             let known = capacity.contains_key(zone) && routes.cold_rate(service).is_some();
             if row.accepts_work() && known && !self.evacuated.contains(zone) {
                 let pool = slots.entry(service).or_default().entry(zone).or_default();
-                *pool += f64::from(row.record.slots.0);
+                *pool += f64::from(row.slots.0);
             }
         }
         for pools in slots.values() {
--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -25,12 +25,10 @@
 /// A request drags once it has run for this many times its latency objective, and for [`DRAG_EXPECTED`] times its
 /// expected time. An object that is cold against expectation explains shorter times.
 const DRAG_OBJECTIVE: f64 = 2.0;
-/// See [`DRAG_OBJECTIVE`].
 const DRAG_EXPECTED: f64 = 2.5;
 /// Number of requests in a row that drag, finished or not, from which a backend server counts as slow.
 const DRAG_LIMIT: u32 = 2;
-/// Time constant with which a measured slowness is forgotten, so that a server that recovered without requests is used
-/// again.
+/// Time constant with which a measured slowness is forgotten, so that a server that recovered is used again.
 const SLOWNESS_MEMORY: Millis = Millis(5_000);
 /// A slot counts as free if the estimated probability that another VM occupies it is at most this.
 const MAX_EXTERNAL_OCCUPANCY: f64 = 0.5;
@@ -115,6 +113,8 @@
 #[derive(Debug)]
 pub(crate) struct BackendRow {
     pub(crate) record: BackendRecord,
+    /// The slots that count, see [`slot_limit`](super::slot_limit).
+    pub(crate) slots: Slots,
     /// Hash of the id, for rendezvous hashing.
     pub(crate) hash: u64,
     /// Running attempts of this VM, in the order in which they were sent.
@@ -146,6 +146,7 @@
         BackendRow {
             hash: crate::route::hash_name(record.id.as_str()),
             cold_until: now.after(record.cold),
+            slots: record.slots,
             record,
             running: Vec::new(),
             external: ExternalLoad::default(),
@@ -229,7 +230,7 @@
         settings: &DispatchSettings,
         now: Time,
     ) -> SlotEstimate {
-        let slots = f64::from(self.record.slots.0.max(1));
+        let slots = f64::from(self.slots.0.max(1));
         let load = self.load(settings, now) + f64::from(ahead);
         let excess = load + 1.0 - slots;
         if excess <= 0.0 {
@@ -391,7 +392,7 @@
 
     /// Applies the number of running and queued requests that it reported; those of this VM are not external load.
     pub(crate) fn on_load(&mut self, busy: Slots, settings: &DispatchSettings, now: Time) {
-        let most = self.record.slots.0.max(1).saturating_mul(MAX_LOAD);
+        let most = self.slots.0.max(1).saturating_mul(MAX_LOAD);
         let external = busy.0.min(most).saturating_sub(self.running.len() as u32);
         self.external.add(f64::from(external), settings, now);
     }
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -28,6 +28,7 @@
 mod route;
 mod server_share;
 mod settings;
+mod slot_limit;
 mod spill;
 mod statements;
 mod table;
--- a/crates/th-steer/src/dispatch/table.rs
+++ b/crates/th-steer/src/dispatch/table.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use th_protocol::{BackendId, ServiceId, Time, ZoneId};
+use th_protocol::{BackendId, ServiceId, Slots, Time, ZoneId};
 
-use super::{backend::BackendRow, record::BackendRecord};
+use super::{backend::BackendRow, record::BackendRecord, slot_limit::slot_limit};
 
 /// Index of a backend server's row. A placement decision visits hundreds of rows, so it avoids look-ups by backend id.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -17,6 +17,8 @@
     free: Vec<RowId>,
     ids: BTreeMap<BackendId, RowId>,
     by_service: BTreeMap<ServiceId, BTreeMap<ZoneId, Vec<RowId>>>,
+    /// The most slots that count of each server of a service.
+    limits: BTreeMap<ServiceId, Slots>,
 }
 
 impl BackendTable {
@@ -81,27 +83,63 @@
             });
             self.ids.insert(record.id.clone(), id);
             self.index_row(id, &record);
+            let service = record.service.clone();
             self.rows[id.0 as usize] = Some(BackendRow::new(record, now));
+            self.limit_slots(&service);
             return id;
         };
-        let before = self.get(id).map(|it| it.record.clone());
-        if let Some(before) = before
-            && (before.service != record.service || before.zone != record.zone)
-        {
+        let Some(before) = self.get(id).map(|it| it.record.clone()) else {
+            return id;
+        };
+        if before.service != record.service || before.zone != record.zone {
             self.unindex_row(id, &before);
             self.index_row(id, &record);
         }
+        let (service, slots) = (record.service.clone(), record.slots);
+        let limit = self.limits.get(&service).copied();
         if let Some(row) = self.get_mut(id) {
             row.on_record(record, now);
+            row.slots = limit.map_or(slots, |it| it.min(slots));
+        }
+        if before.service != service {
+            self.limit_slots(&before.service);
+        }
+        if before.service != service || before.slots != slots {
+            self.limit_slots(&service);
         }
         id
     }
 
+    /// Brings the slots that count of a service's servers up to date with what these state.
+    fn limit_slots(&mut self, service: &ServiceId) {
+        let ids: Vec<RowId> = self
+            .by_service
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+            .flatten()
+            .copied()
+            .collect();
+        if ids.is_empty() {
+            self.limits.remove(service);
+            return;
+        }
+        let limit =
+            slot_limit(ids.iter().filter_map(|it| Some(self.get(*it)?.record.slots)).collect());
+        self.limits.insert(service.clone(), limit);
+        for id in ids {
+            if let Some(row) = self.get_mut(id) {
+                row.slots = row.record.slots.min(limit);
+            }
+        }
+    }
+
     pub(crate) fn remove(&mut self, backend: &BackendId) -> Option<BackendRow> {
         let id = self.ids.remove(backend)?;
         self.free.push(id);
         let row = self.rows[id.0 as usize].take()?;
         self.unindex_row(id, &row.record);
+        self.limit_slots(&row.record.service);
         Some(row)
     }
 }
--- a/crates/th-steer/tests/dispatch_absurd.rs
+++ b/crates/th-steer/tests/dispatch_absurd.rs
@@ -84,3 +84,37 @@
         assert!(time <= largest, "{time} after {busy} busy, {largest} after {}", 8 * slots);
     }
 }
+
+/// The share of the callers of a data centre that look-ups send to the other region, which has as many slots as each data
+/// centre of this one, beside a server there that states some slots.
+fn far_share(stated: Slots) -> f64 {
+    let names: Vec<String> = (0..12).map(|it| format!("b-{it}")).collect();
+    let zones = ["north-a", "north-b", "south-a"];
+    let servers: Vec<(&str, &str)> =
+        names.iter().map(String::as_str).zip(zones.into_iter().cycle()).collect();
+    let mut world = World::new(&servers);
+    let (near, far) = (entry("entry-2", "north-b", 2), entry("entry-3", "south-a", 3));
+    world.dispatcher.on_entry(near);
+    world.dispatcher.on_entry(far.clone());
+    let record = BackendRecord { slots: stated, ..backend("b-odd", "south-a") };
+    world.dispatcher.on_backend(record, world.now);
+    let (mut count, mut all) = (0, 0);
+    for _ in 0..100 {
+        for address in world.dispatcher.lookup("desk.example", &id("north-a")) {
+            all += 1;
+            count += u32::from(address == far.callers);
+        }
+    }
+    f64::from(count) / f64::from(all)
+}
+
+/// Guards against callers that are all sent to the data centre of one server, by slots that it only claims. One server of
+/// twelve others counts as eight of them at most.
+#[rstest]
+fn a_server_that_claims_many_slots_draws_no_more_than_eight(
+    #[values(100, 10_000, u32::MAX)] slots: u32,
+) {
+    let usual = backend("b-1", "north-a").slots.0;
+    let (share, bound) = (far_share(Slots(slots)), far_share(Slots(8 * usual)));
+    assert!(share <= bound, "a share of {share} by {slots} slots, {bound} by {}", 8 * usual);
+}
