--- a/crates/th-steer/src/dispatch/backend.rs
+++ b/crates/th-steer/src/dispatch/backend.rs
@@ -3,6 +3,7 @@
 use th_protocol::{BackendId, Millis, Slots, Time};
 
 use super::{
+    external_load::{ExternalLoad, MAX_LOAD},
     pace::Pace,
     record::{BackendRecord, Serving},
     settings::DispatchSettings,
@@ -24,15 +25,11 @@
 /// A request drags once it has run for this many times its latency objective, and for [`DRAG_EXPECTED`] times its
 /// expected time. An object that is cold against expectation explains shorter times.
 const DRAG_OBJECTIVE: f64 = 2.0;
-/// See [`DRAG_OBJECTIVE`].
 const DRAG_EXPECTED: f64 = 2.5;
 /// Number of requests in a row that drag, finished or not, from which a backend server counts as slow.
 const DRAG_LIMIT: u32 = 2;
-/// Time constant with which a measured slowness is forgotten, so that a server that recovered without requests is used
-/// again.
+/// Time constant with which a measured slowness is forgotten, so that a server that recovered is used again.
 const SLOWNESS_MEMORY: Millis = Millis(5_000);
-/// Minimum weight of a load report in the moving average.
-const MIN_REPORT_WEIGHT: f64 = 0.25;
 /// A slot counts as free if the estimated probability that another VM occupies it is at most this.
 const MAX_EXTERNAL_OCCUPANCY: f64 = 0.5;
 
@@ -102,28 +99,6 @@
     pub(crate) free: bool,
 }
 
-/// Load on a backend server from sources other than this VM, estimated from the load that it reports with its answers.
-/// A moving average is used because a single report is stale by the time the next request is placed.
-#[derive(Debug, Clone, Copy, Default)]
-struct ExternalLoad {
-    mean: f64,
-    updated: Time,
-}
-
-impl ExternalLoad {
-    fn expected(&self, settings: &DispatchSettings, now: Time) -> f64 {
-        let age = now.since(self.updated).0 as f64;
-        self.mean * (-age / settings.load_decay.0 as f64).exp()
-    }
-
-    fn add(&mut self, sample: f64, settings: &DispatchSettings, now: Time) {
-        let age = now.since(self.updated).0 as f64;
-        let weight = 1.0 - (-age / settings.load_decay.0 as f64).exp();
-        self.mean += (sample - self.mean) * weight.max(MIN_REPORT_WEIGHT);
-        self.updated = now;
-    }
-}
-
 /// Whether a backend server that was taken out of use until some time may get a request: then one at a time.
 fn is_open(until: Option<Time>, is_idle: bool, now: Time) -> bool {
     until.is_none_or(|it| it <= now && is_idle)
@@ -138,6 +113,8 @@
 #[derive(Debug)]
 pub(crate) struct BackendRow {
     pub(crate) record: BackendRecord,
+    /// The slots that count, see [`slot_limit`](super::slot_limit).
+    pub(crate) slots: Slots,
     /// Hash of the id, for rendezvous hashing.
     pub(crate) hash: u64,
     /// Running attempts of this VM, in the order in which they were sent.
@@ -169,6 +146,7 @@
         BackendRow {
             hash: crate::route::hash_name(record.id.as_str()),
             cold_until: now.after(record.cold),
+            slots: record.slots,
             record,
             running: Vec::new(),
             external: ExternalLoad::default(),
@@ -252,7 +230,7 @@
         settings: &DispatchSettings,
         now: Time,
     ) -> SlotEstimate {
-        let slots = f64::from(self.record.slots.0.max(1));
+        let slots = f64::from(self.slots.0.max(1));
         let load = self.load(settings, now) + f64::from(ahead);
         let excess = load + 1.0 - slots;
         if excess <= 0.0 {
@@ -414,7 +392,8 @@
 
     /// Applies the number of running and queued requests that it reported; those of this VM are not external load.
     pub(crate) fn on_load(&mut self, busy: Slots, settings: &DispatchSettings, now: Time) {
-        let external = busy.0.saturating_sub(self.running.len() as u32);
+        let most = self.slots.0.max(1).saturating_mul(MAX_LOAD);
+        let external = busy.0.min(most).saturating_sub(self.running.len() as u32);
         self.external.add(f64::from(external), settings, now);
     }
 }
