Let all VMs of a data centre read at once when the store has dropped its history

A transfer of pages is not given up and not repeated: a page of 1.1 MB over a link of 0.25 MB/s (4.4 s, limit of the settings 3 s) is read once, at start and after a dropped history.

Cause: the VM that watches the store kept the others waiting while it read everything itself, and then told them to read everything too: the same bytes one after the other over two links. Now it tells them at once, and all read side by side; the number of reads is as before.

--- a/crates/th-gateway/src/relay.rs
+++ b/crates/th-gateway/src/relay.rs
@@ -159,6 +159,13 @@
         self.advanced.notify_waiters();
     }
 
+    /// Tells other VMs to read everything themselves, since the store has dropped its history: over a narrow link it would reach
+    /// them late by way of this VM.
+    pub fn cut(&self) {
+        self.log.borrow_mut().cut();
+        self.advanced.notify_waiters();
+    }
+
     /// Passes on changes up to `at`, at which the store was at the time `current`.
     pub fn append(&self, changes: Vec<ItemChange>, at: StoreMoment, current: Time, now: Time) {
         self.log.borrow_mut().append(changes, at, current, now);
@@ -248,7 +255,8 @@
     let asked: ChangesRequest = rmp_serde::from_slice(&body)?;
     let after = StoreMoment::new(era, Revision(asked.after));
     let known = relay.log.borrow().at();
-    if known <= after && known.era == after.era {
+    let is_known = takes_part || relay.log.borrow().since(after).is_some();
+    if known <= after && known.era == after.era && is_known {
         let wait = Duration::from_millis(Millis(asked.wait_ms).min(MAX_WAIT).0);
         let end = tokio::time::Instant::now() + wait;
         // At the end of the wait the answer has no changes, and says how old the knowledge is.
--- a/crates/th-steer/src/relay/change_log.rs
+++ b/crates/th-steer/src/relay/change_log.rs
@@ -59,6 +59,11 @@
         self.extend(at);
     }
 
+    /// Handles a history that the store has dropped: what changed after the known moment must be read from the store.
+    pub fn cut(&mut self) {
+        self.start = None;
+    }
+
     /// Appends the changes up to `at`, at which the store was at the time `current`. With the first ones of a new era, these
     /// are all differences to what was known before. Those of an earlier era than the known one are ignored.
     pub fn append(&mut self, changes: Vec<ItemChange>, at: StoreMoment, current: Time, now: Time) {
@@ -92,7 +97,7 @@
             }
             let ((moment, key), _) = entry.remove_entry();
             self.latest.remove(&key);
-            self.start = self.start.max(Some(moment));
+            self.start = self.start.map(|it| it.max(moment));
         }
         if let Some(start) = self.start {
             self.spans.retain(|era, _| start.era <= *era);
--- a/crates/th-steer/tests/relay.rs
+++ b/crates/th-steer/tests/relay.rs
@@ -77,6 +77,21 @@
     assert_eq!((log.since(at(8)), log.since(at(7))), (Some(Vec::new()), None));
 }
 
+/// A VM that follows one whose history was cut must read everything itself, until that one has read everything.
+#[test]
+fn a_cut_log_knows_nothing_until_it_starts_anew() {
+    let mut log = ChangeLog::default();
+    log.reset(at(5), START);
+    log.append(vec![put("a", 6)], at(6), START, START);
+    log.cut();
+    assert_eq!((log.since(at(6)), log.since(at(5))), (None, None));
+    let late = START.after(Millis(60_000));
+    log.append(vec![put("b", 7)], at(7), late, late);
+    assert_eq!((log.at(), log.since(at(6))), (at(7), None));
+    log.reset(at(8), late);
+    assert_eq!(log.since(at(8)), Some(Vec::new()));
+}
+
 /// The log of a fleet that changes all the time is bounded, and tells a VM that was away too long to read everything.
 #[test]
 fn old_changes_are_dropped() {
--- a/tests/narrow_links.rs
+++ b/tests/narrow_links.rs
@@ -12,22 +12,18 @@
 use entry::{EntryProcess, ListenAddresses};
 use reqwest::Method;
 use rstest::rstest;
-use serde_json::{Value, json};
 use stand_in::{NarrowLink, StandInServer, StandInStore};
 use th_protocol::Mbit;
-use th_steer::dispatch::EntryRecord;
 use tokio::{
     task::LocalSet,
     time::{Instant, sleep, sleep_until},
 };
-use watchers::{in_force, limited, register, start_vm, write_config};
+use watchers::{
+    NARROW, WIDE, bytes_per_second, in_force, large_config, limited, start_linked, write_config,
+};
 
 /// Limit of the settings on configurations and drains.
 const LIMIT: Duration = Duration::from_millis(3_000);
-/// Link of a small VM.
-const NARROW: Mbit = Mbit(2);
-/// Link of a large VM.
-const WIDE: Mbit = Mbit(40);
 /// Number of routes of a large configuration: 0.21 MB, and 0.28 MB in the store's encoding, which a narrow link carries in 1.1 s.
 const ROUTES: usize = 1_000;
 /// Number of routes of one that it carries in 0.93 s, as in the incident.
@@ -35,46 +31,11 @@
 /// Time from one phase of a watch to the next; six phases are the interval of watches.
 const STEP: Duration = Duration::from_millis(200);
 
-fn bytes_per_second(link: Mbit) -> f64 {
-    link.bytes_per_ms() as f64 * 1e3
-}
-
-/// A configuration with many routes. Requests to `/look/` may run only in the home regions, or anywhere if there are none.
-fn large_config(version: u64, count: usize, homes: &[&str]) -> Value {
-    let route = |name: String, prefix: String, homes: &[&str]| {
-        json!({"name": name, "host": "desk.example", "prefix": prefix, "kind": "safe", "timeout_ms": 1500,
-            "target_latency_ms": 600, "priority": 1, "service": "desk", "max_attempts": 2, "sticky": true,
-            "home_regions": homes})
-    };
-    let mut routes = vec![route("look".to_owned(), "/look/".to_owned(), homes)];
-    for number in 1..count {
-        routes.push(route(format!("r-{number:08}"), format!("/added/{number:08}/"), &[]));
-    }
-    json!({"version": format!("{version:08x}"), "routes": routes,
-        "services": [{"name": "desk", "cold_per_s": 4.1}], "limits": {}})
-}
-
-/// What the link of a VM and those of the others together carry from it to them.
-fn rate_to_others(links: &[Mbit], sender: usize) -> f64 {
-    let others = links.iter().enumerate().filter(|(it, _)| *it != sender);
-    let received: f64 = others.map(|(_, it)| bytes_per_second(*it)).sum();
-    bytes_per_second(links[sender]).min(received.max(1.0))
-}
-
 /// The time after which a large configuration is in force at the VMs of a data centre with those links.
 async fn latest_of(links: &[Mbit], phase: Duration, config: &[u8]) -> Duration {
     let store = StandInStore::start().await;
     write_config(&store, 1);
-    let mut vms = Vec::new();
-    for (index, link) in links.iter().enumerate() {
-        let from_store = NarrowLink::start(store.address, bytes_per_second(*link)).await;
-        let (gateway, record) = start_vm(index + 1, from_store.address, LIMIT);
-        let rate = rate_to_others(links, index);
-        let to_peers = NarrowLink::start(record.peers.unwrap(), rate).await;
-        let (peers, link) = (Some(to_peers.address), Some(*link));
-        register(&store, &EntryRecord { peers, link, ..record });
-        vms.push(gateway);
-    }
+    let vms = start_linked(links, &store, LIMIT).await;
     let cores: Vec<_> = vms.iter().map(|it| Rc::clone(it.core())).collect();
     in_force(&cores, 1, LIMIT).await;
     sleep(LIMIT + phase).await;
