Show what small changes wait for beside a large one

A VM has one call for changes under way.

A withdrawn key of a configuration is part of it, and not tested apart.

--- a/tests/narrow_reads.rs
+++ b/tests/narrow_reads.rs
@@ -1,4 +1,4 @@
-//! Reading everything over a narrow link.
+//! Reading everything over a narrow link, and small changes beside a large one.
 
 mod entry;
 #[path = "../platform/tests/stand_in/mod.rs"]
@@ -10,8 +10,10 @@
 use rstest::rstest;
 use serde_json::json;
 use stand_in::{NarrowLink, StandInStore, wait_until};
+use th_gateway::Core;
 use th_protocol::Mbit;
-use tokio::time::sleep;
+use th_steer::dispatch::{Dispatcher, Serving};
+use tokio::time::{Instant, sleep};
 use watchers::{
     NARROW, WIDE, bytes_per_second, in_force, large_config, start_linked, start_vm, undisturbed,
     write_config,
@@ -21,6 +23,8 @@
 const LIMIT: Duration = Duration::from_millis(3_000);
 /// Number of routes of a configuration that a narrow link carries in 4.4 s, longer than the limit and all time-outs.
 const LONG_ROUTES: usize = 4_000;
+/// Number of routes of one that it carries in 0.93 s, as in the incident HOME.
+const ROUTES: usize = 840;
 /// Number of routes of one that it carries in 1.4 s: half of the limit is left for all that comes before.
 const MANY_ROUTES: usize = 1_250;
 /// Time from one phase of a watch to the next; six phases are the interval of watches.
@@ -100,3 +104,61 @@
     let took = undisturbed(async || latest_after_drop(links, phase * STEP).await).await;
     assert!(took <= LIMIT, "in force after {took:?}, the limit is {LIMIT:?}");
 }
+
+/// The longest time after which one of three urgent changes is known at all VMs of a data centre with those links: a server
+/// that leaves, an evacuation and the removal of a server, written while a large configuration arrives.
+async fn latest_urgent(links: &[Mbit], phase: Duration) -> Duration {
+    let store = StandInStore::start().await;
+    put_server(&store, "i-1", "ready");
+    put_server(&store, "i-2", "ready");
+    write_config(&store, 1);
+    let vms = start_linked(links, &store, LIMIT).await;
+    let cores: Vec<_> = vms.iter().map(|it| Rc::clone(it.core())).collect();
+    in_force(&cores, 1, LIMIT).await;
+    let config = large_config(2, ROUTES, &[]).to_string();
+    sleep(LIMIT + phase).await;
+    store.put_bytes("op/config", config.as_bytes());
+    let (first, second) = ("i-1".parse().unwrap(), "i-2".parse().unwrap());
+    let drain = async {
+        sleep(Duration::from_millis(50)).await;
+        put_server(&store, "i-1", "draining");
+        known(&cores, |it| it.backend(&first).is_some_and(|it| it.serving == Serving::Draining))
+            .await
+    };
+    let evacuation = async {
+        sleep(Duration::from_millis(400)).await;
+        store.put("op/evacuate/north-a", &json!({}));
+        known(&cores, |it| !it.evacuated().is_empty()).await
+    };
+    let removal = async {
+        sleep(Duration::from_millis(800)).await;
+        store.remove("servers/i-2");
+        known(&cores, |it| it.backend(&second).is_none()).await
+    };
+    let (drain, evacuation, removal) = tokio::join!(drain, evacuation, removal);
+    drain.max(evacuation).max(removal)
+}
+
+/// Waits until all VMs know a change, or until twice the limit has passed. Returns the time that it took.
+async fn known(cores: &[Rc<Core>], holds: impl Fn(&Dispatcher) -> bool) -> Duration {
+    let written = Instant::now();
+    while !cores.iter().all(|it| holds(&it.dispatcher.borrow())) && written.elapsed() < 2 * LIMIT {
+        sleep(Duration::from_millis(10)).await;
+    }
+    written.elapsed()
+}
+
+/// Guards against requests to servers that leave or are evacuated, because a small change waits too long for a large one that
+/// arrives at the same VM.
+#[rstest]
+#[case::alone(&[NARROW])]
+#[case::narrow(&[NARROW, NARROW, NARROW])]
+#[case::mixed(&[NARROW, NARROW, WIDE, NARROW, NARROW])]
+#[tokio::test]
+async fn small_changes_are_known_in_time_beside_a_large_configuration(
+    #[case] links: &[Mbit],
+    #[values(0, 1, 2, 3, 4, 5)] phase: u32,
+) {
+    let took = undisturbed(async || latest_urgent(links, phase * STEP).await).await;
+    assert!(took <= LIMIT, "known after {took:?}, the limit is {LIMIT:?}");
+}
