--- a/crates/th-gateway/src/relay/relay.rs
+++ b/crates/th-gateway/src/relay/relay.rs
@@ -32,6 +32,13 @@
         self.advanced.notify_waiters();
     }
 
+    /// Tells other VMs to read everything themselves, since the store has dropped its history: over a narrow link it would reach
+    /// them late by way of this VM.
+    pub fn cut(&self) {
+        self.log.borrow_mut().cut();
+        self.advanced.notify_waiters();
+    }
+
     /// Passes on changes up to `at`, at which the store was at the time `current`.
     pub fn append(&self, changes: Vec<ItemChange>, at: StoreMoment, current: Time, now: Time) {
         self.log.borrow_mut().append(changes, at, current, now);
--- a/crates/th-gateway/src/relay/serve.rs
+++ b/crates/th-gateway/src/relay/serve.rs
@@ -77,7 +77,8 @@
     let asked: ChangesRequest = rmp_serde::from_slice(&body)?;
     let after = StoreMoment::new(era, Revision(asked.after));
     let known = relay.log.borrow().at();
-    if known <= after && known.era == after.era {
+    let is_known = takes_part || relay.log.borrow().since(after).is_some();
+    if known <= after && known.era == after.era && is_known {
         let wait = Duration::from_millis(Millis(asked.wait_ms).min(MAX_WAIT).0);
         let end = tokio::time::Instant::now() + wait;
         // At the end of the wait the answer has no changes, and says how old the knowledge is.
