Hold waiting and hedged requests to their route's newest home regions too

Where the configuration has changed meanwhile, the route's homes are looked up again before a request is sent or hedged, together with those of its organisation.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -376,8 +376,9 @@
                     }
                     return fail(last, false, job.deadline <= now, Millis::ZERO);
                 }
+                core.dispatcher.borrow().renew_homes(&mut job, Version(record.version));
                 if !core.dispatcher.borrow().may_run_at(&job, &attempt.backend) {
-                    // Its organisation got other home regions while it waited.
+                    // Its route or organisation got other home regions while it waited.
                     drop(Slot::new(Rc::clone(core), job.clone(), attempt));
                     continue;
                 }
--- a/crates/th-gateway/src/hedge.rs
+++ b/crates/th-gateway/src/hedge.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use futures_util::future::LocalBoxFuture;
-use th_protocol::Millis;
+use th_protocol::{Millis, Version};
 use th_steer::dispatch::{Attempt, AttemptOutcome, Job};
 use tokio::time::sleep;
 
@@ -69,6 +69,7 @@
         return None;
     }
     let mut dispatcher = core.dispatcher.borrow_mut();
+    dispatcher.renew_homes(job, Version(record.version));
     if !dispatcher.is_isolated() {
         let (attempt, address) = dispatcher.place_hedge(job, core.now())?;
         job.tried.push(attempt.backend.clone());
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -1,9 +1,9 @@
 //! Placement decision for a request: which backend servers may run it, which of them is cheapest, and whether it would
 //! finish before its deadline.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
-use th_protocol::{BackendId, Millis, RegionId, Time, ZoneId};
+use th_protocol::{BackendId, Millis, RegionId, Time, Version, ZoneId};
 
 use super::{
     admission::comeback_time,
@@ -12,6 +12,7 @@
     job::{Job, Placement, Rejection},
     objects::ObjectsInUse,
     place::{Candidate, CostInputs, Pool, WaitCounts, cheapest, millis},
+    route::Route,
     table::RowId,
 };
 
@@ -74,6 +75,20 @@
         self.topology.zones.get(zone)
     }
 
+    /// Gives a request that was routed by a configuration of that version the home regions that its route has now.
+    pub fn renew_homes(&self, job: &mut Job, version: Version) {
+        let Some(routes) = self.routes.as_ref().filter(|it| it.version() != version) else {
+            return;
+        };
+        let route = &job.route;
+        let mut named = routes.of_host(&route.host).iter();
+        let current = named.find(|it| it.name == route.name && it.prefix == route.prefix);
+        if let Some(current) = current.filter(|it| it.home_regions != route.home_regions) {
+            let home_regions = current.home_regions.clone();
+            job.route = Arc::new(Route { home_regions, ..(**route).clone() });
+        }
+    }
+
     /// Whether a request may run at a backend server, by the server's region.
     pub fn may_run_at(&self, job: &Job, backend: &BackendId) -> bool {
         self.backend(backend).is_some_and(|it| job.allows(self.region_of(&it.zone)))
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -145,15 +145,21 @@
     }
 }
 
-/// Guards against requests that run outside the home regions that their organisation got while they waited for a slot.
+/// Guards against requests that run outside the home regions that their organisation or route got while they waited for a slot.
+#[rstest]
+#[case::organisation("/tenants/0/home_regions")]
+#[case::route("/routes/1/home_regions")]
 #[tokio::test]
-async fn a_request_that_waited_runs_in_the_homes_of_its_organisation() {
+async fn a_request_that_waited_runs_in_the_homes_of_the_newest_configuration(#[case] place: &str) {
     let (store, server, entry) = deployment().await;
     let key = [("credential", "k-port")];
     let config = |version: u64, homes: &[&str]| {
         let mut config = config_of(version, &json!(["k-port"]));
         config["routes"][1]["timeout_ms"] = json!(4_000);
-        config["tenants"][0]["home_regions"] = json!(homes);
+        for at in ["/tenants/0", "/routes/1"] {
+            config.pointer_mut(at).unwrap()["home_regions"] = json!([]);
+        }
+        *config.pointer_mut(place).unwrap() = json!(homes);
         config
     };
     store.put("op/config", &config(8, &["north"]));
