--- a/tests/packed_changes.rs
+++ b/tests/packed_changes.rs
@@ -18,6 +18,8 @@
 type Answer = (Vec<(String, Option<ByteBuf>, u64)>, u64, u64);
 /// Longer than a VM takes to know a change.
 const LIMIT: Duration = Duration::from_secs(5);
+/// Age that knowledge has only while the store is silent.
+const SILENCE: Duration = Duration::from_millis(2_500);
 /// Size of a large item.
 const SIZE: usize = 200_000;
 
@@ -84,6 +86,15 @@
         assert!(packed.age.as_ref().is_some_and(|it| it.parse::<u64>().is_ok()));
         assert_eq!((packed.read().0, packed.read().1), (plain.read().0, plain.read().1));
     }
+    // The age goes on while the body is kept.
+    store.set_silent(true);
+    let kept_age = u64::from(SILENCE.as_millis() as u32);
+    let end = Instant::now() + LIMIT;
+    while ask(&entry, after, true).await.age.unwrap().parse::<u64>().unwrap() < kept_age {
+        assert!(Instant::now() < end, "a kept answer does not state the age of what the VM knows");
+        sleep(Duration::from_millis(50)).await;
+    }
+    store.set_silent(false);
     store.put("other/small", &json!({}));
     let after = store.copy().revision - 1;
     assert!(!ask(&entry, after, true).await.is_packed);
