Review: ports taken meanwhile, and stand-ins for two more cases

Change: a process that ends at its start is started again with other ports; heartbeats by hand, a store that falls silent.

--- a/review/stand_in/backend.rs
+++ b/review/stand_in/backend.rs
@@ -109,15 +109,26 @@
     }
 
     fn write(&self, store: &Store) {
+        let (key, entry) = self.next_entry("ready");
+        store.put(&key, &entry);
+    }
+
+    /// The key and value of the server's next write to the store.
+    pub fn next_entry(&self, state: &str) -> (String, String) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let entry = format!(
-            "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"1\",\"slots\":{SLOTS},\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+            "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"1\",\"slots\":{SLOTS},\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
             quote(&self.service),
             self.address,
             quote(&self.zone),
             self.born
         );
-        store.put(&format!("servers/{}", self.id), &entry);
+        (format!("servers/{}", self.id), entry)
+    }
+
+    /// Ends the writes at each heartbeat; the case makes them itself from now on.
+    pub fn write_by_hand(&self) {
+        self.registered.store(false, Ordering::SeqCst);
     }
 
     fn serve(&self, mut connection: Connection) {
--- a/review/stand_in/call.rs
+++ b/review/stand_in/call.rs
@@ -14,7 +14,6 @@
     pub connected: bool,
     /// `None` if its connection ended without a complete answer, or no answer came by the deadline.
     pub status: Option<u16>,
-    pub retry_after: String,
 }
 
 /// Sends a request on a connection of its own and waits for the answer until the deadline.
@@ -32,15 +31,14 @@
     let connected = opened.is_ok();
     let answer = opened.and_then(|it| exchange(it, (method, host, path), id, deadline_ms, body));
     let ended = record.now();
-    let (status, retry_after, text) = match answer {
+    let (status, text) = match answer {
         Ok((status, retry_after)) => {
-            let text = format!("status {status} retry-after {retry_after:?}");
-            (Some(status), retry_after, text)
+            (Some(status), format!("status {status} retry-after {retry_after:?}"))
         }
-        Err(error) => (None, String::new(), format!("no answer: {error}")),
+        Err(error) => (None, format!("no answer: {error}")),
     };
     record.add(format!("client's request {id} ends: {text}"));
-    Answered { id: id.to_owned(), sent, ended, connected, status, retry_after }
+    Answered { id: id.to_owned(), sent, ended, connected, status }
 }
 
 fn exchange(
--- a/review/stand_in/directory.rs
+++ b/review/stand_in/directory.rs
@@ -3,7 +3,7 @@
 //! Clients ask the directory of the other processes which machines to use. With `TROUBLE=0` the machine is removed and
 //! the store stays well.
 
-use std::{collections::BTreeMap, path::Path, sync::Arc, thread, time::Duration};
+use std::{collections::BTreeMap, net::TcpListener, path::Path, sync::Arc, thread, time::Duration};
 
 use crate::{
     Outcome,
@@ -49,10 +49,11 @@
     let mut entries = Vec::new();
     for (zone, _) in ZONES {
         let vm = format!("frontend-{zone}-1");
-        entries.push(Entry::start(&Settings::new(&vm, zone, store.address), folder, &zones));
-    }
-    if !entries.iter().all(|it| it.wait_until_ready(Duration::from_secs(20))) {
-        return Outcome::Unable("a process did not become ready".to_owned());
+        let settings = Settings::new(&vm, zone, store.address);
+        let Some(entry) = Entry::start_ready(&settings, folder, &zones, record) else {
+            return Outcome::Unable("a process did not become ready".to_owned());
+        };
+        entries.push(entry);
     }
     thread::sleep(Duration::from_secs(4));
     let gone = entries.remove(1);
@@ -68,7 +69,13 @@
         store.fall_silent();
         record.add("the store falls silent");
     }
-    thread::sleep(SILENCE);
+    // The address of a machine without power does not answer: connections to it hang.
+    thread::sleep(Duration::from_millis(200));
+    let silent = TcpListener::bind(gone.settings.ready);
+    if let Err(error) = &silent {
+        return Outcome::Unable(format!("binding the removed machine's ready address: {error}"));
+    }
+    thread::sleep(SILENCE.saturating_sub(record.now() - removed));
     store.come_back();
     record.add("the store is well");
     let back = record.now();
--- a/review/stand_in/entry.rs
+++ b/review/stand_in/entry.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{http::Connection, json::quote};
+use crate::{http::Connection, json::quote, record::Record};
 
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
@@ -102,6 +102,32 @@
         Entry { settings: settings.clone(), child }
     }
 
+    /// Starts a process and waits until it is ready. The ports that were free may be taken by another program meanwhile, so
+    /// it is started again with others if it ends.
+    pub fn start_ready(
+        settings: &Settings,
+        folder: &Path,
+        zones: &BTreeMap<&str, &str>,
+        record: &Record,
+    ) -> Option<Entry> {
+        for _ in 0..3 {
+            let ports = Settings::new(&settings.vm, &settings.zone, settings.store);
+            let mut entry =
+                Entry::start(&Settings { grace_s: settings.grace_s, ..ports }, folder, zones);
+            let until = Instant::now() + Duration::from_secs(15);
+            while Instant::now() < until && entry.wait(Duration::ZERO).is_none() {
+                if entry.is_ready() {
+                    return Some(entry);
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+            let log = fs::read_to_string(folder.join(format!("{}.log", settings.vm)));
+            let last = log.unwrap_or_default().lines().last().unwrap_or_default().to_owned();
+            record.add(format!("{} did not become ready; its log ends: {last}", settings.vm));
+        }
+        None
+    }
+
     pub fn signal(&self, signal: i32) {
         kill(self.child.id() as i32, signal);
     }
@@ -130,17 +156,6 @@
         connection.write(head.as_bytes()).is_ok()
             && connection.read().is_ok_and(|it| it.status() == 200)
     }
-
-    pub fn wait_until_ready(&self, limit: Duration) -> bool {
-        let until = Instant::now() + limit;
-        while Instant::now() < until {
-            if self.is_ready() {
-                return true;
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
-        false
-    }
 }
 
 impl Drop for Entry {
--- a/review/stand_in/grace.rs
+++ b/review/stand_in/grace.rs
@@ -38,10 +38,10 @@
     }
     let mut settings = Settings::new("frontend-pl-quay-1", "pl-quay", store.address);
     settings.grace_s = if trouble { OLD_GRACE_S } else { NEW_GRACE_S };
-    let mut entry = Entry::start(&settings, folder, &zones);
-    if !entry.wait_until_ready(Duration::from_secs(20)) {
+    let Some(mut entry) = Entry::start_ready(&settings, folder, &zones, record) else {
         return Outcome::Unable("the process did not become ready".to_owned());
-    }
+    };
+    settings = entry.settings.clone();
     thread::sleep(Duration::from_secs(2));
     if trouble {
         settings.grace_s = NEW_GRACE_S;
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod entry;
 mod grace;
+mod held_write;
 mod http;
 mod json;
 mod record;
@@ -35,6 +36,7 @@
     record.add(format!("case {case}, trouble {trouble}"));
     let outcome = match case.as_str() {
         "directory" => directory::run(trouble, Path::new(folder), &record),
+        "held-write" => held_write::run(trouble, Path::new(folder), &record),
         "stop" => stop::run(trouble, Path::new(folder), &record),
         "grace" => grace::run(trouble, Path::new(folder), &record),
         _ => Outcome::Unable(format!("no case {case}")),
--- a/review/stand_in/stop.rs
+++ b/review/stand_in/stop.rs
@@ -78,10 +78,10 @@
     let mut entries = Vec::new();
     for vm in ["frontend-pl-quay-1", "frontend-pl-quay-2"] {
         let settings = Settings::new(vm, "pl-quay", store.address);
-        entries.push(Entry::start(&settings, folder, &zones));
-    }
-    if !entries.iter().all(|it| it.wait_until_ready(Duration::from_secs(20))) {
-        return Outcome::Unable("a process did not become ready".to_owned());
+        let Some(entry) = Entry::start_ready(&settings, folder, &zones, record) else {
+            return Outcome::Unable("a process did not become ready".to_owned());
+        };
+        entries.push(entry);
     }
     thread::sleep(Duration::from_secs(3));
     let stop = record.now() + STOP_AFTER;
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -142,12 +142,6 @@
         self.changed.notify_all();
     }
 
-    /// The keys under a prefix.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = self.state.lock().unwrap();
-        state.items.keys().filter(|it| it.starts_with(prefix)).cloned().collect()
-    }
-
     /// Makes the store silent: calls do nothing and get no answer, and leases pause.
     pub fn fall_silent(&self) {
         self.state.lock().unwrap().silent = Some(Instant::now());
