Review: case 3, a heartbeat that was held up makes a leaving server ready again

Cause: sequence and born of a server's entries are compared only between eras of the store, not within one. Change: a script in which a partition holds up one server's heartbeat until after it has reported that it drains, and its claim.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Case 3: runs the program and the stand-ins; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
 # could not run.
 set -u
-exec bash "$(dirname "$0")/../case.sh" directory "$(cd "$(dirname "$0")" && pwd)/record.txt" "${TROUBLE:-1}"
+exec bash "$(dirname "$0")/../case.sh" held-write "$(cd "$(dirname "$0")" && pwd)/record.txt" "${TROUBLE:-1}"
