--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod grace;
 mod held_write;
+mod homes;
 mod http;
 mod json;
 mod record;
@@ -37,6 +38,7 @@
     let outcome = match case.as_str() {
         "directory" => directory::run(trouble, Path::new(folder), &record),
         "held-write" => held_write::run(trouble, Path::new(folder), &record),
+        "homes" => homes::run(trouble, Path::new(folder), &record),
         "stop" => stop::run(trouble, Path::new(folder), &record),
         "grace" => grace::run(trouble, Path::new(folder), &record),
         _ => Outcome::Unable(format!("no case {case}")),
