--- a/review/stand_in/backend.rs
+++ b/review/stand_in/backend.rs
@@ -37,20 +37,10 @@
 pub struct Run {
     pub id: String,
     pub backend: String,
-    pub begun: Duration,
     pub ended: Duration,
     pub end: End,
 }
 
-/// What a server does with a request, instead of working on it.
-pub enum Turn {
-    Work,
-    /// It answers with that status and these headers, and does not run the request.
-    Refuse(u16, Vec<(&'static str, String)>),
-}
-
-type Decide = Box<dyn Fn(&Message) -> Turn + Send + Sync>;
-
 pub struct Backend {
     pub id: String,
     service: String,
@@ -62,7 +52,6 @@
     pub runs: Mutex<Vec<Run>>,
     /// Times at which requests arrived.
     pub arrivals: Mutex<Vec<(Duration, String)>>,
-    decide: Decide,
     record: Arc<Record>,
     /// Requests that run and that wait for a slot.
     busy: Mutex<(usize, usize)>,
@@ -75,7 +64,6 @@
         store: &Arc<Store>,
         record: &Arc<Record>,
         (id, service, zone): (&str, &str, &str),
-        decide: impl Fn(&Message) -> Turn + Send + Sync + 'static,
     ) -> Arc<Backend> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let backend = Arc::new(Backend {
@@ -88,7 +76,6 @@
             registered: AtomicBool::new(true),
             runs: Mutex::default(),
             arrivals: Mutex::default(),
-            decide: Box::new(decide),
             record: Arc::clone(record),
             busy: Mutex::default(),
             freed: Condvar::new(),
@@ -150,12 +137,6 @@
         let left = request.header("request-deadline").to_owned();
         self.arrivals.lock().unwrap().push((arrived, id.clone()));
         self.record.add(format!("{} gets request {id}, deadline {left} ms", self.id));
-        if let Turn::Refuse(status, headers) = (self.decide)(request) {
-            self.record.add(format!("{} answers request {id}: {status} {headers:?}", self.id));
-            let mut all = vec![echo, ("not-executed", "1".to_owned())];
-            all.extend(headers);
-            return connection.answer(status, &all, b"");
-        }
         if !self.take_slot() {
             self.record.add(format!("{} rejects request {id}: 503 not executed", self.id));
             let rejected = ("not-executed", "1".to_owned());
@@ -166,7 +147,6 @@
             self.record.add(format!("{} drops request {id}, which waited", self.id));
             return Err(std::io::ErrorKind::ConnectionAborted.into());
         }
-        let begun = self.record.now();
         self.record.add(format!("{} runs request {id}", self.id));
         let work = request.query("ms").and_then(|it| it.parse().ok()).unwrap_or(20);
         let until = Instant::now() + Duration::from_millis(work);
@@ -177,10 +157,10 @@
         }
         self.free_slot();
         if is_closed {
-            self.end(&id, begun, End::Dropped);
+            self.end(&id, End::Dropped);
             return Err(std::io::ErrorKind::ConnectionAborted.into());
         }
-        self.end(&id, begun, End::Answered);
+        self.end(&id, End::Answered);
         let signature = ("server-signature", format!("{}.{id}", self.id));
         let body = format!("{} ran {id}", self.id);
         connection.answer(200, &[echo, signature, self.load()], body.as_bytes())
@@ -211,9 +191,9 @@
         ("server-load", format!("{running},{waiting},{SLOTS}"))
     }
 
-    fn end(&self, id: &str, begun: Duration, end: End) {
+    fn end(&self, id: &str, end: End) {
         self.record.add(format!("{} ends request {id}: {end:?}", self.id));
         let (id, backend, ended) = (id.to_owned(), self.id.clone(), self.record.now());
-        self.runs.lock().unwrap().push(Run { id, backend, begun, ended, end });
+        self.runs.lock().unwrap().push(Run { id, backend, ended, end });
     }
 }
--- a/review/stand_in/directory.rs
+++ b/review/stand_in/directory.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Outcome,
-    backend::{Backend, Turn},
+    backend::Backend,
     entry::{Entry, SIGKILL, Settings},
     http::Connection,
     record::Record,
@@ -43,7 +43,7 @@
     for (number, (zone, _)) in ZONES.into_iter().enumerate() {
         for part in ["a", "b"] {
             let id = format!("i-{number}{part}");
-            Backend::start(&store, record, (&id, "roster-desk", zone), |_| Turn::Work);
+            Backend::start(&store, record, (&id, "roster-desk", zone));
         }
     }
     let mut entries = Vec::new();
--- a/review/stand_in/grace.rs
+++ b/review/stand_in/grace.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Outcome,
-    backend::{Backend, End, Turn},
+    backend::{Backend, End},
     call::{Answered, send},
     entry::{Entry, SIGHUP, SIGKILL, SIGTERM, Settings},
     record::Record,
@@ -34,7 +34,7 @@
     let mut backends = Vec::new();
     for id in ["i-1", "i-2", "i-3", "i-4", "i-5"] {
         let place = (id, "roster-desk", "pl-quay");
-        backends.push(Backend::start(&store, record, place, |_| Turn::Work));
+        backends.push(Backend::start(&store, record, place));
     }
     let mut settings = Settings::new("frontend-pl-quay-1", "pl-quay", store.address);
     settings.grace_s = if trouble { OLD_GRACE_S } else { NEW_GRACE_S };
--- a/review/stand_in/held_write.rs
+++ b/review/stand_in/held_write.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     Outcome,
-    backend::{Backend, HEARTBEAT, Turn},
+    backend::{Backend, HEARTBEAT},
     call::send,
     entry::{Entry, Settings},
     record::Record,
@@ -64,7 +64,7 @@
     let mut backends = Vec::new();
     for id in ["i-1", "i-2", "i-3", "i-4", "i-5"] {
         let place = (id, "roster-desk", "pl-quay");
-        backends.push(Backend::start(&store, record, place, |_| Turn::Work));
+        backends.push(Backend::start(&store, record, place));
     }
     let settings = Settings::new("frontend-pl-quay-1", "pl-quay", store.address);
     let Some(entry) = Entry::start_ready(&settings, folder, &zones, record) else {
--- a/review/stand_in/homes.rs
+++ b/review/stand_in/homes.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     Outcome,
-    backend::{Backend, Turn},
+    backend::Backend,
     call::send,
     entry::{Entry, Settings},
     http::Connection,
@@ -53,7 +53,7 @@
     for (number, (zone, _, count)) in ZONES.into_iter().enumerate() {
         for part in 0..count {
             let id = format!("i-{number}-{part}");
-            Backend::start(&store, record, (&id, "roster-desk", zone), |_| Turn::Work);
+            Backend::start(&store, record, (&id, "roster-desk", zone));
         }
     }
     let mut entries = Vec::new();
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod call;
+mod cut_watches;
 mod directory;
 mod entry;
 mod grace;
@@ -39,6 +40,7 @@
         "directory" => directory::run(trouble, Path::new(folder), &record),
         "held-write" => held_write::run(trouble, Path::new(folder), &record),
         "homes" => homes::run(trouble, Path::new(folder), &record),
+        "cut-watches" => cut_watches::run(trouble, Path::new(folder), &record),
         "stop" => stop::run(trouble, Path::new(folder), &record),
         "grace" => grace::run(trouble, Path::new(folder), &record),
         _ => Outcome::Unable(format!("no case {case}")),
--- a/review/stand_in/stop.rs
+++ b/review/stand_in/stop.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Outcome,
-    backend::{Backend, Run, Turn},
+    backend::{Backend, Run},
     call::{Answered, send},
     entry::{Entry, SIGKILL, SIGTERM, Settings},
     record::Record,
@@ -73,7 +73,7 @@
     let mut backends = Vec::new();
     for id in ["i-1", "i-2"] {
         let place = (id, "roster-desk", "pl-quay");
-        backends.push(Backend::start(&store, record, place, |_| Turn::Work));
+        backends.push(Backend::start(&store, record, place));
     }
     let mut entries = Vec::new();
     for vm in ["frontend-pl-quay-1", "frontend-pl-quay-2"] {
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -27,6 +27,8 @@
     leases: BTreeMap<u64, (Duration, Instant)>,
     revision: u64,
     next_lease: u64,
+    /// Number of waiting watches to cut, and the item that is removed after the last one.
+    cuts: (u32, String),
     /// Since when the store is silent.
     silent: Option<Instant>,
     /// When leases were last renewed, by key of their items.
@@ -107,6 +109,7 @@
             leases: BTreeMap::new(),
             revision: 10,
             next_lease: 100,
+            cuts: (0, String::new()),
             silent: None,
             renewals: Vec::new(),
         };
@@ -142,6 +145,32 @@
         self.changed.notify_all();
     }
 
+    /// Cuts the next watches that wait, and removes an item right after the last of them.
+    pub fn cut_watches(&self, count: u32, removed: &str) {
+        self.state.lock().unwrap().cuts = (count, removed.to_owned());
+    }
+
+    /// Whether a watch that begins to wait is cut.
+    fn takes_cut(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        if state.cuts.0 == 0 {
+            return false;
+        }
+        state.cuts.0 -= 1;
+        if state.cuts.0 == 0 {
+            let key = std::mem::take(&mut state.cuts.1);
+            state.revision += 1;
+            state.remove(&key);
+            self.changed.notify_all();
+        }
+        true
+    }
+
+    /// Whether all watches that were to be cut have been.
+    pub fn has_cut_all(&self) -> bool {
+        self.state.lock().unwrap().cuts.0 == 0
+    }
+
     /// Makes the store silent: calls do nothing and get no answer, and leases pause.
     pub fn fall_silent(&self) {
         self.state.lock().unwrap().silent = Some(Instant::now());
@@ -188,6 +217,9 @@
                 }
                 return;
             }
+            if request.path() == "/-/kv-watch" && self.is_idle(&request) && self.takes_cut() {
+                return;
+            }
             let (status, body) = self.call(&request);
             let headers =
                 [("content-type", "application/json".to_owned()), ("store-era", "1".to_owned())];
@@ -239,6 +271,12 @@
         state.items.get(&key).map_or((404, "{}".to_owned()), |it| (200, item_text(&key, it)))
     }
 
+    /// Whether a watch has nothing to report yet.
+    fn is_idle(&self, request: &Message) -> bool {
+        let after: u64 = request.query("after").and_then(|it| it.parse().ok()).unwrap_or(0);
+        self.state.lock().unwrap().events.last().is_none_or(|it| it.0 <= after)
+    }
+
     fn watch(&self, request: &Message) -> (u16, String) {
         let prefix = request.query("prefix").unwrap_or_default();
         let after: u64 = request.query("after").and_then(|it| it.parse().ok()).unwrap_or(0);
