Reject requests that wait for a slot and cannot be finished before a stop ends

Cause: the stop leaves at its time limit and counts what is in flight, while dispatch lets a request wait for as long as its own deadline allows. Only routes with a time-out above 3.2 s show it.

Change: the stop tells dispatch by when answers must be out. A request, waiting or new, whose expected wait and work do not fit before that is rejected as Stopping at once; the answer says that it was not run. One that another VM passed on is declined, so that the other VM tries a third one.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -384,8 +384,10 @@
                 }
                 (attempt, address)
             }
-            Placement::Reject(Rejection::Isolated, _) if forwarded && not_executed => {
-                record.attempts.push(format!("{:?}", Rejection::Isolated));
+            Placement::Reject(it @ (Rejection::Isolated | Rejection::Stopping), _)
+                if forwarded && not_executed =>
+            {
+                record.attempts.push(format!("{it:?}"));
                 return decline();
             }
             Placement::Reject(Rejection::Isolated, retry_after) if !forwarded => {
--- a/crates/th-gateway/src/stop.rs
+++ b/crates/th-gateway/src/stop.rs
@@ -11,6 +11,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The stop ends this long before the grace period does, so that the process has exited by then.
 const EXIT_MARGIN: Millis = Millis(300);
+/// Requests that still wait are rejected this long before the stop ends, so that their callers get the answer.
+const ANSWER_MARGIN: Millis = Millis(200);
 
 /// Waits until callers use other VMs and the last request is answered. Returns the number of requests that are cut.
 ///
@@ -18,12 +20,16 @@
 /// late to be answered.
 pub(crate) async fn stop(core: &Rc<Core>, callers: &AbortHandle) -> u32 {
     let started = core.now();
+    let end = started.after(core.settings.grace.minus(EXIT_MARGIN));
+    let last_answer = end.before(ANSWER_MARGIN);
     core.stopping.set(true);
+    core.dispatcher.borrow_mut().close_by(last_answer);
+    core.place_waiting(usize::MAX);
     log::info!(target: "stop", "in_flight={} Stopping; this VM no longer reports itself as ready.", core.in_flight.get());
-    sleep(Duration::from_millis(core.settings.linger.0)).await;
+    let linger = core.settings.linger.min(last_answer.since(started));
+    sleep(Duration::from_millis(linger.0)).await;
     callers.abort();
     core.closing.notify_waiters();
-    let end = started.after(core.settings.grace.minus(EXIT_MARGIN));
     while (0 < core.in_flight.get() || 0 < core.connections.get()) && core.now() < end {
         sleep(POLL_INTERVAL).await;
         core.closing.notify_waiters();
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -133,6 +133,9 @@
         if job.deadline <= now {
             return Placement::Reject(Rejection::Expired, self.settings.backoff_min);
         }
+        if self.closes.is_some_and(|it| it <= now) {
+            return Placement::Reject(Rejection::Stopping, self.settings.backoff_min);
+        }
         if self.is_isolated() {
             return Placement::Reject(Rejection::Isolated, self.settings.backoff_min);
         }
@@ -149,7 +152,11 @@
         let remaining = job.deadline.since(now).0 as f64;
         // Work that starts too late is aborted at the deadline, and then counts as executed.
         let queued = 0.0 < best.wait || job.arrived < now;
-        let needed = if queued { best.wait + best.work * MIN_WORK } else { 0.0 };
+        let least = best.wait + best.work * MIN_WORK;
+        if self.closes.is_some_and(|it| (it.since(now).0 as f64) < least) {
+            return Placement::Reject(Rejection::Stopping, self.settings.backoff_min);
+        }
+        let needed = if queued { least } else { 0.0 };
         if remaining < needed {
             let backoff = millis(needed - remaining);
             let backoff = backoff.clamp(self.settings.backoff_min, self.settings.backoff_max);
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -59,6 +59,8 @@
     pub(crate) fair_shares: FairShares,
     /// Waiting requests by target server and rank, as of the last pass over all of them, plus those that arrived since.
     pub(crate) wait_counts: WaitCounts,
+    /// When this VM stops: the time by which all requests must be answered.
+    pub(crate) closes: Option<Time>,
     pub(crate) last_attempt: u64,
     pub(crate) last_waiter: u64,
     pub(crate) traffic: Traffic,
@@ -96,6 +98,7 @@
             waiting: Waiting::default(),
             fair_shares: FairShares::default(),
             wait_counts: WaitCounts::default(),
+            closes: None,
             last_attempt: 0,
             last_waiter: 0,
             traffic: Traffic::default(),
@@ -110,6 +113,12 @@
         self.settings = settings;
     }
 
+    /// Begins a planned stop. From now on a request is only sent if it is likely to be answered by `end`; the others are
+    /// rejected, also those that wait.
+    pub fn close_by(&mut self, end: Time) {
+        self.closes = Some(end);
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> Option<&Arc<RouteTable>> {
         self.routes.as_ref()
--- a/crates/th-steer/src/dispatch/job.rs
+++ b/crates/th-steer/src/dispatch/job.rs
@@ -62,6 +62,8 @@
     TooLate,
     /// Its deadline has passed, for example while it waited.
     Expired,
+    /// It would not finish before the planned stop of this VM ends; another entry VM may take it.
+    Stopping,
 }
 
 /// The result of placing a request.
--- a/crates/th-steer/tests/dispatch_admission.rs
+++ b/crates/th-steer/tests/dispatch_admission.rs
@@ -6,7 +6,7 @@
 
 use dispatch_world::{World, backend, route};
 use th_protocol::{Millis, Time};
-use th_steer::dispatch::{Attempt, AttemptOutcome, Job, Placement, Route};
+use th_steer::dispatch::{Attempt, AttemptOutcome, Job, Placement, Rejection, Route};
 
 /// The one server of the tests has two slots, so it serves 20 of these requests a second.
 const WORK: Millis = Millis(100);
@@ -156,3 +156,66 @@
     let half = Millis(WORK.0 / 2);
     assert!(half <= comeback, "{comeback} is before the first slot is free");
 }
+
+/// A planned stop while more requests wait than can be served before it ends.
+///
+/// Guards against requests that wait until the stop ends and get no answer: those that can't be served are rejected at once,
+/// and the others are served.
+#[test]
+fn a_stop_rejects_at_once_what_it_cannot_finish() {
+    const WAITING: u64 = 60;
+    const STOP: Millis = Millis(1_000);
+    let mut world = warm_world();
+    let route = Route { timeout: Millis(60_000), objective: Millis(10_000), ..quick_route() };
+    let mut waiting: BTreeMap<u64, Job> = BTreeMap::new();
+    let mut runs: Vec<(Time, Job, Attempt)> = Vec::new();
+    for _ in 0..WAITING {
+        let job = world.job_of(route.clone(), OBJECT);
+        match world.place(&job) {
+            (Placement::Send { attempt, .. }, _) => {
+                runs.push((world.now.after(WORK), job, attempt))
+            }
+            (placement, number) => {
+                assert_eq!(placement, Placement::Wait);
+                waiting.insert(number.unwrap(), job);
+            }
+        }
+    }
+    let (start, end) = (world.now, world.now.after(STOP));
+    world.dispatcher.close_by(end);
+    let (mut served, mut rejected) = (0, 0);
+    while world.now < end {
+        for (number, placement) in world.dispatcher.place_waiting(usize::MAX, world.now) {
+            let job = waiting.remove(&number).unwrap();
+            match placement {
+                Placement::Send { attempt, .. } => {
+                    runs.push((world.now.after(WORK), job, attempt));
+                }
+                Placement::Reject(rejection, retry_after) => {
+                    assert_eq!((rejection, retry_after), (Rejection::Stopping, Millis(150)));
+                    rejected += 1;
+                    // Another VM can still serve it in time.
+                    let after = world.now.since(start);
+                    let at_once = after == Millis::ZERO;
+                    assert!(
+                        at_once || rejected > WAITING / 2,
+                        "rejection {rejected} after {after}"
+                    );
+                }
+                Placement::Wait => unreachable!("it is in the queue"),
+            }
+        }
+        world.now = world.now.after(STEP);
+        let (due, left): (Vec<_>, Vec<_>) = runs.into_iter().partition(|it| it.0 <= world.now);
+        runs = left;
+        for (_, job, attempt) in due {
+            world.dispatcher.on_attempt_end(&job, &attempt, AttemptOutcome::Answered, world.now);
+            served += 1;
+        }
+    }
+    assert!(waiting.is_empty() && runs.is_empty(), "{} wait, {} run", waiting.len(), runs.len());
+    assert_eq!(served + rejected, WAITING);
+    assert!(SERVED_A_SECOND * 8 / 10 <= served, "served {served}, rejected {rejected}");
+    let late = world.job_of(route, OBJECT);
+    assert!(matches!(world.place(&late).0, Placement::Reject(Rejection::Stopping, _)));
+}
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -2,18 +2,19 @@
 
 mod desk;
 mod entry;
+mod raw_caller;
 #[path = "../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use desk::{config, deployment};
 use entry::EntryProcess;
+use raw_caller::{PATIENCE, RawCaller, get, post};
 use serde_json::json;
 use stand_in::{StandInServer, StandInStore, wait_until};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
     time::{Instant, sleep, timeout},
 };
 
@@ -23,81 +24,6 @@
 const SLOW: Duration = Duration::from_secs(3);
 /// A short time in which nothing is to happen.
 const CALM: Duration = Duration::from_millis(200);
-/// Bound on every wait of these tests.
-const PATIENCE: Duration = Duration::from_secs(20);
-
-/// A caller's connection on which requests are written as they are.
-struct RawCaller {
-    stream: TcpStream,
-    received: Vec<u8>,
-}
-
-/// Status and attempt id of an answer, and whether it closes the connection.
-#[derive(Debug, PartialEq, Eq)]
-struct Answer {
-    status: u16,
-    id: String,
-    closes: bool,
-}
-
-fn get(path: &str, id: &str) -> String {
-    format!(
-        "GET {path} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nRequest-Deadline: 600000\r\n\r\n"
-    )
-}
-
-fn post(path: &str, id: &str, body: &str) -> String {
-    let length = body.len();
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nRequest-Deadline: 600000\r\nContent-Length: {length}\r\n\r\n{body}"
-    )
-}
-
-impl RawCaller {
-    async fn connect(address: SocketAddr) -> RawCaller {
-        RawCaller { stream: TcpStream::connect(address).await.unwrap(), received: Vec::new() }
-    }
-
-    async fn send(&mut self, requests: &[String]) {
-        self.stream.write_all(requests.concat().as_bytes()).await.unwrap();
-    }
-
-    /// Reads the next answer; `None` if the connection has ended.
-    async fn answer(&mut self) -> Option<Answer> {
-        loop {
-            let text = String::from_utf8_lossy(&self.received).to_ascii_lowercase();
-            if let Some(end) = text.find("\r\n\r\n") {
-                let field = |name: &str| {
-                    let start = text[..end].split(&format!("\r\n{name}: ")).nth(1);
-                    start.map(|it| it.lines().next().unwrap().to_owned())
-                };
-                let length: usize = field("content-length").unwrap().parse().unwrap();
-                if end + 4 + length <= text.len() {
-                    self.received.drain(..end + 4 + length);
-                    return Some(Answer {
-                        status: text[9..12].parse().unwrap(),
-                        id: field("attempt-id").unwrap_or_default(),
-                        closes: field("connection").as_deref() == Some("close"),
-                    });
-                }
-            }
-            let read = timeout(PATIENCE, self.stream.read_buf(&mut self.received)).await;
-            if read.expect("an answer or the end").unwrap() == 0 {
-                return None;
-            }
-        }
-    }
-
-    async fn ids(&mut self, count: usize) -> Vec<String> {
-        let mut ids = Vec::new();
-        for _ in 0..count {
-            let answer = self.answer().await.unwrap();
-            assert_eq!(answer.status, 200);
-            ids.push(answer.id);
-        }
-        ids
-    }
-}
 
 /// A deployment whose requests are sent to one server each and do not time out.
 async fn patient_deployment(count: usize) -> (StandInStore, Vec<StandInServer>, EntryProcess) {
