Reject requests that become complete late in a planned stop

Found here by a test: of five ways in which a request can come late on an open connection, one is affected. A request whose body arrives slowly was sent to a server once complete, 3.2 and 4.5 s after SIGTERM, and cut after 5.7 s.

Cause: the stop closes connections, but a request whose head had been read counted as taken however late its body came.

Change: the stopping flag becomes a phase. From the moment at which the stop takes no more connections, whatever becomes complete is rejected as not run, and its connection closes.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -19,7 +19,7 @@
     answer_room::{AnswerRoom, learn_size, reject_unheld},
     authorise::{Caller, authorise, check_again, deny},
     charge::Charge,
-    core::{Core, Slot},
+    core::{Core, Phase, Slot},
     crash::{check_crash, reject_crashing, report},
     dialect::RequestInfo,
     forward::{Forwarded, decline, forward},
@@ -57,7 +57,7 @@
 /// Serves a pipelined request that has no body ahead of its turn; `None` if it must wait for its turn, because it may
 /// run only once or because this VM starts no new work.
 pub(crate) fn serve_ahead(core: &Rc<Core>, request: Request<()>) -> Option<HandlerFuture> {
-    if core.stopping.get() {
+    if core.is_stopping() {
         return None;
     }
     let (head, ()) = request.into_parts();
@@ -124,6 +124,9 @@
     forwarded: Option<Forwarded>,
     record: &mut LogRecord,
 ) -> Answer {
+    if core.phase.get() == Phase::Closed {
+        return reject_unread(reject_closed(core), &head, body, CallerLimits::default().body).await;
+    }
     let Some(routes) = core.dispatcher.borrow().routes().cloned() else {
         let answer = reject("This VM knows no routes yet.", NO_ROUTES_RETRY_AFTER);
         return reject_unread(answer, &head, body, CallerLimits::default().body).await;
@@ -165,6 +168,11 @@
             Ok(Err(answer)) => return answer,
             Err(_) => return stalled_body(deadline.since(arrived)),
         };
+    if core.phase.get() == Phase::Closed {
+        // Its body took long to arrive.
+        record.attempts.push(format!("{:?}", Rejection::Stopping));
+        return if forwarded.is_some() { decline() } else { reject_closed(core) };
+    }
     if let Some(fingerprint) = forwarded.as_ref().and_then(|it| it.fingerprint) {
         outgoing.fingerprint = fingerprint;
     }
@@ -201,6 +209,12 @@
     answer
 }
 
+/// Rejects a request that became complete too late before the end of a planned stop.
+fn reject_closed(core: &Core) -> Answer {
+    let retry_after = core.settings.dispatch.backoff_min;
+    reject("This VM is stopping; the request was not run.", retry_after)
+}
+
 /// Places a request; waits if no slot is free. One that another VM passed on, since it reaches no server, is not tried
 /// here either while this VM reaches none.
 async fn place(core: &Rc<Core>, job: &Job, forwarded: bool) -> Placement {
--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -23,6 +23,17 @@
 /// Maximum number of waiting requests examined when a slot becomes free; the next tick examines all.
 const MAX_EXAMINED_REQUESTS: usize = 12;
 
+/// Phases of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It serves callers.
+    Serving,
+    /// A planned stop has begun, and callers may not know yet: requests are still taken.
+    Leaving,
+    /// Requests that become complete now are rejected, and those taken before are finished.
+    Closed,
+}
+
 /// State shared by all tasks of the process, which run on one thread.
 pub struct Core {
     /// Decides where each request runs.
@@ -52,7 +63,7 @@
     /// Sizes of the answers of each route.
     pub(crate) answer_sizes: RefCell<AnswerSizes>,
     pub(crate) connections: Cell<u32>,
-    pub(crate) stopping: Cell<bool>,
+    pub(crate) phase: Cell<Phase>,
     /// Wakes callers' connections once the process accepts no more requests, so that they close.
     pub(crate) closing: Notify,
 }
@@ -84,7 +95,7 @@
             waiters: RefCell::new(BTreeMap::new()),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
-            stopping: Cell::new(false),
+            phase: Cell::new(Phase::Serving),
             closing: Notify::new(),
         }
     }
@@ -101,7 +112,12 @@
 
     /// Whether this VM accepts requests: it has routes and is not stopping.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.dispatcher.borrow().routes().is_some()
+        !self.is_stopping() && self.dispatcher.borrow().routes().is_some()
+    }
+
+    /// Whether a planned stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.phase.get() != Phase::Serving
     }
 
     /// Assigns free slots to waiting requests; examines the first `limit` of them.
--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -74,7 +74,7 @@
     /// Whether this VM may run the request: it starts new work, and has no older configuration than the sender.
     pub(crate) fn is_accepted(&self, core: &Core) -> bool {
         let own = core.dispatcher.borrow().routes().map(|it| it.version());
-        !core.stopping.get() && own.is_some_and(|it| self.version <= it)
+        !core.is_stopping() && own.is_some_and(|it| self.version <= it)
     }
 
     fn set_headers(&self, headers: &mut HeaderMap) {
--- a/crates/th-gateway/src/hedge.rs
+++ b/crates/th-gateway/src/hedge.rs
@@ -96,7 +96,7 @@
 fn hedge_delay(core: &Core, job: &Job, expected: Millis) -> Option<Millis> {
     let settings = &core.settings;
     let last = job.route.attempts as usize <= job.tried.len();
-    if !job.route.idempotent || last || core.stopping.get() {
+    if !job.route.idempotent || last || core.is_stopping() {
         return None;
     }
     let delay = Millis(expected.0 * u64::from(settings.hedge_factor));
--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -94,7 +94,7 @@
         None => serve(request).await?,
     };
     // Requests behind a closing answer would be lost, so those that already run are answered first.
-    if core.stopping.get() && !pipeline.has_ahead() {
+    if core.is_stopping() && !pipeline.has_ahead() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     pipeline.on_answered();
--- a/crates/th-gateway/src/stop.rs
+++ b/crates/th-gateway/src/stop.rs
@@ -5,7 +5,7 @@
 use th_protocol::Millis;
 use tokio::{task::AbortHandle, time::sleep};
 
-use crate::core::Core;
+use crate::core::{Core, Phase};
 
 /// Interval at which a stop checks whether the last request has finished.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -16,18 +16,19 @@
 
 /// Waits until callers use other VMs and the last request is answered. Returns the number of requests that are cut.
 ///
-/// `callers` is the task that accepts connections. It is aborted after the linger time, so that no request arrives too
-/// late to be answered.
+/// `callers` is the task that accepts connections. It is aborted after the linger time. Requests that become complete on
+/// open connections after that are rejected, since their servers could not finish them in time.
 pub(crate) async fn stop(core: &Rc<Core>, callers: &AbortHandle) -> u32 {
     let started = core.now();
     let end = started.after(core.settings.grace.minus(EXIT_MARGIN));
     let last_answer = end.before(ANSWER_MARGIN);
-    core.stopping.set(true);
+    core.phase.set(Phase::Leaving);
     core.dispatcher.borrow_mut().close_by(last_answer);
     core.place_waiting(usize::MAX);
     log::info!(target: "stop", "in_flight={} Stopping; this VM no longer reports itself as ready.", core.in_flight.get());
     let linger = core.settings.linger.min(last_answer.since(started));
     sleep(Duration::from_millis(linger.0)).await;
+    core.phase.set(Phase::Closed);
     callers.abort();
     core.closing.notify_waiters();
     while (0 < core.in_flight.get() || 0 < core.connections.get()) && core.now() < end {
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -1,4 +1,4 @@
-//! Planned stops of the real program: requests that wait for a slot.
+//! Planned stops of the real program: requests that wait for a slot, and requests that come late in the grace period.
 
 mod desk;
 mod entry;
@@ -10,16 +10,20 @@
 
 use desk::{config, deployment};
 use entry::EntryProcess;
-use raw_caller::{Answer, RawCaller, post};
+use raw_caller::{Answer, RawCaller, get, post};
+use rstest::rstest;
 use serde_json::json;
 use stand_in::{StandInServer, StandInStore, wait_until};
 use tokio::{
+    io::AsyncWriteExt,
     task::JoinHandle,
     time::{Instant, sleep},
 };
 
 /// Grace period of the settings.
 const GRACE: Duration = Duration::from_secs(6);
+/// A request that a server runs at the end of the grace period may be cut if it was sent before this time.
+const EARLY: Duration = Duration::from_secs(3);
 /// Work of a request; three in a row exceed the grace period.
 const WORK: Duration = Duration::from_secs(2);
 
@@ -83,3 +87,71 @@
     assert_eq!(entry.wait().code(), Some(0));
     assert!(stopped.elapsed() < GRACE, "{:?}", stopped.elapsed());
 }
+
+/// How a request becomes complete only late in the grace period.
+#[derive(Debug, Clone, Copy)]
+enum Late {
+    /// Its connection was opened and stayed idle.
+    Connected,
+    /// A part of its head was sent.
+    Head,
+    /// Its head was sent, and a part of its body.
+    Body,
+    /// Its connection has served another one.
+    Kept,
+    /// Another one is at work on its connection.
+    Behind,
+}
+
+/// Guards against requests that are taken late in the grace period, sent to a server, and cut at its end.
+#[rstest]
+#[tokio::test]
+async fn a_request_that_comes_late_in_the_grace_is_not_cut(
+    #[values(Late::Connected, Late::Head, Late::Body, Late::Kept, Late::Behind)] late: Late,
+    #[values(2_400, 3_200, 4_500)] after: u64,
+) {
+    let (_store, server, mut entry) = patient_deployment().await;
+    let mut caller = RawCaller::connect(entry.listen.callers).await;
+    let request = post("/book/x", "late", "gang=7");
+    let body = request.find("gang").unwrap();
+    let cut = match late {
+        Late::Connected => 0,
+        Late::Head => body - 2,
+        Late::Body => body + 3,
+        Late::Kept => {
+            caller.send(&[get("/look/first", "first")]).await;
+            assert_eq!(caller.answer().await.map(|it| it.status), Some(200));
+            0
+        }
+        Late::Behind => {
+            server.set_work(Duration::from_millis(after + 200));
+            caller.send(&[post("/book/first", "first", "gang=1")]).await;
+            wait_until("it runs", || server.runs("first") == 1).await;
+            0
+        }
+    };
+    let (first, rest) = request.split_at(cut);
+    caller.send(&[first.to_owned()]).await;
+    sleep(Duration::from_millis(100)).await;
+    entry.signal("-TERM");
+    let stopped = Instant::now();
+    sleep(Duration::from_millis(after)).await;
+    // As many servers' requests, this one takes too long for the rest of the grace period.
+    server.set_work(Duration::from_secs(4));
+    // The connection may have been closed.
+    let _ = caller.stream.write_all(rest.as_bytes()).await;
+    let mut answers = Vec::new();
+    while let Some(answer) = caller.answer().await {
+        answers.push((answer.id, answer.status));
+    }
+    let ended = stopped.elapsed();
+    if matches!(late, Late::Behind) {
+        assert!(answers.contains(&("first".to_owned(), 200)), "{answers:?}");
+    }
+    let is_cut = server.runs("late") == 1 && !answers.contains(&("late".to_owned(), 200));
+    assert!(
+        !is_cut || after < EARLY.as_millis() as u64,
+        "it was sent {after} ms after the signal, ran, and was cut after {ended:?}: {answers:?}"
+    );
+    assert_eq!(entry.wait().code(), Some(i32::from(is_cut)));
+}
