Ignore writes of servers that are carried out after later ones, or after their removal

The users ran the related case: a write that comes after the entry's removal brings a server back that is gone.

Cause: entries state the order of their writer's writes, but it was compared only between eras of the store. The order in which the store carries writes out is not the order in which they were made.

Change: LastWrites judges each write of a server by its start and count, in any era. The time for which removals are deferred around an outage is exempt. A write that is ignored no longer cancels a deferred removal.

Tests changed: the_same_era_decides_by_revision stated the fault as expected; six cases of the same era replace it. Stand-in servers count their writes, as real ones do, and one that comes back in odd_entries.rs writes twice.

--- a/crates/th-steer/src/relay/mod.rs
+++ b/crates/th-steer/src/relay/mod.rs
@@ -13,7 +13,7 @@
 
 pub use change_log::{ChangeLog, ItemChange};
 pub use freshness::{relayed_time, watch_time};
-pub use last_writes::{LastWrites, WriteMark};
+pub use last_writes::{LastWrites, Write, WriteMark, WriteOrder};
 pub use news::{News, NewsError};
 pub use pace::{PaceError, WatchPace};
 pub use upstream::{Source, Upstream};
--- a/crates/th-steer/tests/relay_eras.rs
+++ b/crates/th-steer/tests/relay_eras.rs
@@ -4,7 +4,9 @@
 
 use rstest::rstest;
 use th_protocol::{Era, Millis, Revision, StoreMoment, Time};
-use th_steer::relay::{ChangeLog, ItemChange, LastWrites, News, NewsError, WriteMark};
+use th_steer::relay::{
+    ChangeLog, ItemChange, LastWrites, News, NewsError, Write, WriteMark, WriteOrder,
+};
 
 const START: Time = Time(100_000);
 
@@ -150,6 +152,10 @@
     Some(WriteMark { start, count })
 }
 
+fn write(moment: StoreMoment, mark: Option<WriteMark>) -> Write {
+    Write { moment, mark, is_awaited: false }
+}
+
 /// A server was ready with its third write and draining with its fifth, in era 1.
 #[rstest]
 #[case::ready_in_the_copy(at(2, 8), mark(70, 3), true)]
@@ -158,16 +164,22 @@
 #[case::the_start_before_in_the_copy(at(2, 8), mark(60, 90), true)]
 #[case::started_again(at(2, 8), mark(80, 1), false)]
 #[case::no_order_stated(at(2, 8), None, false)]
-#[case::the_same_era_decides_by_revision(at(1, 40), mark(70, 3), false)]
-fn a_server_that_drains_is_not_made_ready_by_the_copy(
+#[case::held_up_in_the_same_era(at(1, 40), mark(70, 3), true)]
+#[case::before_the_last_start_in_the_same_era(at(1, 40), mark(60, 90), true)]
+#[case::next_in_the_same_era(at(1, 40), mark(70, 6), false)]
+#[case::the_same_write_in_the_same_era(at(1, 40), mark(70, 5), false)]
+#[case::started_again_in_the_same_era(at(1, 40), mark(80, 0), false)]
+#[case::no_order_stated_in_the_same_era(at(1, 40), None, false)]
+fn a_server_that_drains_is_not_made_ready_by_an_earlier_write(
     #[case] moment: StoreMoment,
     #[case] read: Option<WriteMark>,
     #[case] expected: bool,
 ) {
     let mut writes = LastWrites::default();
-    writes.on_put("s", at(1, 8), mark(70, 3));
-    writes.on_put("s", at(1, 20), mark(70, 5));
-    assert_eq!(writes.is_outdated("s", moment, read), expected);
+    writes.on_put("s", write(at(1, 8), mark(70, 3)), START);
+    writes.on_put("s", write(at(1, 20), mark(70, 5)), START);
+    let order = writes.on_put("s", write(moment, read), START);
+    assert_eq!(order, if expected { WriteOrder::Outdated } else { WriteOrder::Latest });
 }
 
 #[rstest]
@@ -178,12 +190,71 @@
     #[case] expected: bool,
 ) {
     let mut writes = LastWrites::default();
-    writes.on_put("s", at(1, 20), mark(70, 5));
-    writes.on_removed("s", Era(1));
-    assert_eq!(writes.is_outdated("s", at(2, 20), read), expected);
-    // Once it was removed in the new era too, whatever is written there counts.
-    writes.on_removed("s", Era(2));
-    assert!(!writes.is_outdated("s", at(2, 30), read));
+    writes.on_put("s", write(at(1, 20), mark(70, 5)), START);
+    writes.on_removed("s", Era(1), START);
+    assert_eq!(writes.is_from_copy("s", at(2, 20), read), expected);
+    // Once it was removed in the new era too, what is written there is judged like any other write.
+    writes.on_removed("s", Era(2), START);
+    assert!(!writes.is_from_copy("s", at(2, 30), read));
+    let order = writes.on_put("s", write(at(2, 30), read), START);
+    assert_eq!(order, if expected { WriteOrder::Outdated } else { WriteOrder::Unconfirmed });
+}
+
+/// A server was removed after its fifth write. Guards against the return of a server that is gone, by a write that was on its
+/// way when its entry was removed, and against live ones that stay out of use.
+#[rstest]
+#[case::one_that_was_seen(&[(70, 5)], WriteOrder::Outdated)]
+#[case::one_from_before(&[(70, 2)], WriteOrder::Outdated)]
+#[case::one_that_was_not_seen(&[(70, 6)], WriteOrder::Unconfirmed)]
+#[case::the_same_once_more(&[(70, 6), (70, 6)], WriteOrder::Outdated)]
+#[case::two_that_come_crossed(&[(70, 7), (70, 6)], WriteOrder::Outdated)]
+#[case::it_goes_on_writing(&[(70, 6), (70, 7)], WriteOrder::Latest)]
+#[case::some_of_its_writes_are_not_passed_on(&[(70, 9), (70, 14)], WriteOrder::Latest)]
+#[case::it_started_again(&[(80, 0)], WriteOrder::Latest)]
+#[case::its_clock_was_set_back(&[(60, 0)], WriteOrder::Unconfirmed)]
+#[case::and_it_goes_on_writing(&[(60, 0), (60, 1)], WriteOrder::Latest)]
+#[case::two_starts_in_turn(&[(60, 0), (70, 6)], WriteOrder::Unconfirmed)]
+fn a_removed_server_is_back_once_it_goes_on_writing(
+    #[case] written: &[(u64, u64)],
+    #[case] expected: WriteOrder,
+) {
+    let mut writes = LastWrites::default();
+    writes.on_put("s", write(at(1, 20), mark(70, 5)), START);
+    writes.on_removed("s", Era(1), START);
+    let mut last = None;
+    for (number, (start, count)) in (30..).zip(written) {
+        let now = START.after(Millis(number * 50));
+        last = Some(writes.on_put("s", write(at(1, number), mark(*start, *count)), now));
+    }
+    assert_eq!(last, Some(expected));
+}
+
+/// A write can be on its way for some seconds only, and a server may be alive whose removal is not applied yet.
+#[rstest]
+#[case::soon(Millis(9_000), false, WriteOrder::Unconfirmed)]
+#[case::later(Millis(11_000), false, WriteOrder::Latest)]
+#[case::awaited(Millis(1_000), true, WriteOrder::Latest)]
+fn a_single_write_is_enough_where_it_cannot_be_late(
+    #[case] after: Millis,
+    #[case] is_awaited: bool,
+    #[case] expected: WriteOrder,
+) {
+    let mut writes = LastWrites::default();
+    writes.on_put("s", write(at(1, 20), mark(70, 5)), START);
+    writes.on_removed("s", Era(1), START);
+    let next = Write { is_awaited, ..write(at(1, 30), mark(70, 6)) };
+    assert_eq!(writes.on_put("s", next, START.after(after)), expected);
+    let outdated = Write { is_awaited, ..write(at(1, 31), mark(70, 4)) };
+    assert_eq!(writes.on_put("s", outdated, START.after(after)), WriteOrder::Outdated);
+}
+
+/// Guards against a server that started again with its clock set back and is taken for its own past while the entry stands.
+#[test]
+fn an_earlier_start_that_goes_on_writing_is_a_new_one() {
+    let mut writes = LastWrites::default();
+    writes.on_put("s", write(at(1, 20), mark(70, 5)), START);
+    assert_eq!(writes.on_put("s", write(at(1, 21), mark(60, 3)), START), WriteOrder::Outdated);
+    assert_eq!(writes.on_put("s", write(at(1, 22), mark(60, 4)), START), WriteOrder::Latest);
 }
 
 #[rstest]
@@ -194,10 +265,10 @@
     #[case] expected: bool,
 ) {
     let mut writes = LastWrites::default();
-    writes.on_put("e", at(1, 20), None);
-    assert!(!writes.is_outdated("e", moment, None), "it is in force");
-    writes.on_removed("e", Era(1));
-    assert_eq!(writes.is_outdated("e", moment, None), expected);
+    writes.on_put("e", write(at(1, 20), None), START);
+    assert!(!writes.is_from_copy("e", moment, None), "it is in force");
+    writes.on_removed("e", Era(1), START);
+    assert_eq!(writes.is_from_copy("e", moment, None), expected);
 }
 
 /// Guards against knowledge of an earlier era that is put over a later one, and against builds that do not tell eras apart.
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -25,6 +25,8 @@
 
 /// Limit of the settings on configurations and drains.
 const LIMIT: Duration = Duration::from_millis(2_500);
+/// Time from one write of a server's entry to the next.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Levels of nesting under which a parser that calls itself overflows its stack.
 const DEPTH: usize = 200_000;
 /// Size of an entry that is far too long.
@@ -316,6 +318,9 @@
         for entry in &entries {
             wait_until_used(entry, &second).await;
         }
+        // It goes on writing, as servers do that were removed and live.
+        store.put("servers/i-1", &first.entry("ready"));
+        sleep(HEARTBEAT).await;
         store.put("servers/i-1", &first.entry("ready"));
         let (_, odd) = odd_entries(kind).remove(0);
         for key in ["servers/i-2", "th/vm/vm-odd", "th/crash/odd/i-odd"] {
