--- a/crates/th-steer/src/dispatch/addresses.rs
+++ b/crates/th-steer/src/dispatch/addresses.rs
@@ -73,7 +73,7 @@
     fn alternatives(&self, zone: &ZoneId) -> Vec<Alternative> {
         let region = self.region_of(zone);
         let mut alternatives = Vec::new();
-        for entry in self.entries.values() {
+        for entry in self.responsive_entries() {
             if self.region_of(&entry.zone) != region {
                 continue;
             }
@@ -89,7 +89,7 @@
     fn address_shares(&self, host: Option<&str>, zone: &ZoneId) -> Vec<(SocketAddr, f64)> {
         let allowed = host.and_then(|it| self.allowed_regions(it, zone));
         let mut by_zone: BTreeMap<ZoneId, Vec<&EntryRecord>> = BTreeMap::new();
-        for entry in self.entries.values() {
+        for entry in self.responsive_entries() {
             let region = self.topology.zones.get(&entry.zone);
             let allowed = allowed.as_ref().is_none_or(|it| region.is_some_and(|r| it.contains(r)));
             if allowed {
@@ -165,7 +165,7 @@
     /// Caps the shares of data centres by the links of their entry VMs.
     fn cap_by_links(&self, capacity: &mut BTreeMap<ZoneId, f64>) {
         let mut caps: BTreeMap<ZoneId, f64> = BTreeMap::new();
-        for entry in self.entries.values() {
+        for entry in self.responsive_entries() {
             *caps.entry(entry.zone.clone()).or_default() += self.traffic.cap(entry);
         }
         cap_shares(capacity, &caps);
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -46,6 +46,8 @@
     pub(crate) backends: BackendTable,
     pub(crate) evacuated: BTreeSet<ZoneId>,
     pub(crate) entries: BTreeMap<VmId, EntryRecord>,
+    /// Registered VMs that did not respond to probes.
+    pub(crate) unresponsive: BTreeSet<VmId>,
     /// The entry VMs that share the rates of servers.
     pub(crate) members: Members,
     pub(crate) remembered: RememberedStatements,
@@ -87,6 +89,7 @@
             backends: BackendTable::default(),
             evacuated: BTreeSet::new(),
             entries: BTreeMap::new(),
+            unresponsive: BTreeSet::new(),
             members: Members::default(),
             remembered: RememberedStatements::default(),
             work: WorkTimes::default(),
@@ -185,12 +188,14 @@
     /// Adds or updates an entry VM.
     pub fn on_entry(&mut self, record: EntryRecord) {
         self.members.add(&record);
+        self.unresponsive.remove(&record.vm);
         self.entries.insert(record.vm.clone(), record);
     }
 
     /// Removes an entry VM.
     pub fn on_entry_removed(&mut self, vm: &VmId) {
         self.entries.remove(vm);
+        self.unresponsive.remove(vm);
     }
 
     /// The entry VMs, with the capacities of their links as far as known.
--- a/crates/th-steer/src/dispatch/mod.rs
+++ b/crates/th-steer/src/dispatch/mod.rs
@@ -42,6 +42,7 @@
 pub use job::{Job, Placement, Rejection};
 pub use links::vm_shares;
 pub use lookup::{Topology, lookup_shares};
+pub use lookups::{Sign, unresponsive_vms};
 pub use objects::ObjectsInUse;
 pub use pace::{Pace, rate_share};
 pub use process::{BackendProcess, ProcessError};
