--- a/tests/registration.rs
+++ b/tests/registration.rs
@@ -32,3 +32,53 @@
         sleep(Duration::from_millis(20)).await;
     }
 }
+
+fn start(store: &StandInStore) -> EntryProcess {
+    let listen = ListenAddresses::free();
+    let settings = settings("vm-1", "north-a", listen, store.address);
+    EntryProcess::start(listen, &settings, Stdio::null())
+}
+
+/// Guards against a VM whose entry is gone for good, because its first write was carried out after a later one, under a lease
+/// that nobody renews.
+#[tokio::test]
+async fn a_write_that_is_carried_out_late_does_not_take_the_entry_away() {
+    let store = StandInStore::start().await;
+    store.hold_next_write();
+    let _entry = start(&store);
+    wait_until("its first write is held up", || store.holds_write()).await;
+    wait_until("it is registered", || store.keys("th/vm/").len() == 1).await;
+    assert_eq!(store.release_write(), Some(200));
+    let end = Instant::now() + WATCHED_TIME;
+    while Instant::now() < end {
+        assert_eq!(store.keys("th/vm/").len(), 1, "{:?} before the end", end - Instant::now());
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against an entry of a VM that has stopped, because its write was carried out after that.
+#[tokio::test]
+async fn a_write_that_is_carried_out_late_does_not_register_a_stopped_vm() {
+    let store = StandInStore::start().await;
+    store.hold_next_write();
+    let entry = start(&store);
+    wait_until("its first write is held up", || store.holds_write()).await;
+    wait_until("it is registered", || store.keys("th/vm/").len() == 1).await;
+    entry.signal("-TERM");
+    wait_until("its entry is removed", || store.keys("th/vm/").is_empty()).await;
+    assert_eq!(store.release_write(), Some(404));
+    assert!(store.keys("th/vm/").is_empty());
+}
+
+/// Guards against a live VM that stays without an entry after another writer removed it.
+#[tokio::test]
+async fn an_entry_that_was_removed_is_written_again() {
+    let store = StandInStore::start().await;
+    let _entry = start(&store);
+    for _ in 0..3 {
+        wait_until("it is registered", || store.keys("th/vm/").len() == 1).await;
+        sleep(Duration::from_millis(700)).await;
+        store.remove("th/vm/vm-1");
+    }
+    wait_until("it is registered again", || store.keys("th/vm/").len() == 1).await;
+}
