Take over a changed grace period at a reload

Cause: a reload replaces the settings of dispatch; the stop read the grace period of the start.

Change: the stop gets the grace period in force when it begins.

Measured: a_stop_lasts_for_the_grace_period_in_force failed before in both cases and passes.

--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 
 use eyre::WrapErr;
 use http::Response;
-use th_protocol::{VmId, ZoneId};
+use th_protocol::{Millis, VmId, ZoneId};
 use th_steer::dispatch::{Dispatcher, Topology};
 use tokio::task::{AbortHandle, spawn_local};
 
@@ -93,9 +93,9 @@
         &self.core
     }
 
-    /// Carries out a planned stop. Returns the number of requests that were cut.
-    pub async fn stop(self) -> u32 {
-        stop(&self.core, &self.callers).await
+    /// Carries out a planned stop that may last for the grace period. Returns the number of requests that were cut.
+    pub async fn stop(self, grace: Millis) -> u32 {
+        stop(&self.core, &self.callers, grace).await
     }
 }
 
--- a/crates/th-gateway/src/settings.rs
+++ b/crates/th-gateway/src/settings.rs
@@ -43,8 +43,6 @@
     pub tick: Millis,
     /// Time for which a stopping VM still accepts requests, until callers have refreshed their look-ups.
     pub linger: Millis,
-    /// Maximum duration of a stop.
-    pub grace: Millis,
     /// Settings of the memory held for messages and connections.
     pub held: HeldSettings,
     /// Maximum number of a connection's requests that run while an earlier one is unanswered.
@@ -69,7 +67,6 @@
             lookup_ttl: Millis(2_000),
             tick: Millis(50),
             linger: Millis(2_500),
-            grace: Millis(6_000),
             held: HeldSettings::default(),
             pipeline_depth: 8,
             quotas: QuotaLimits::default(),
--- a/crates/th-gateway/src/stop.rs
+++ b/crates/th-gateway/src/stop.rs
@@ -18,14 +18,14 @@
 ///
 /// `callers` is the task that accepts connections. It is aborted after the linger time. Requests that become complete on
 /// open connections after that are rejected, since their servers could not finish them in time.
-pub(crate) async fn stop(core: &Rc<Core>, callers: &AbortHandle) -> u32 {
+pub(crate) async fn stop(core: &Rc<Core>, callers: &AbortHandle, grace: Millis) -> u32 {
     let started = core.now();
-    let end = started.after(core.settings.grace.minus(EXIT_MARGIN));
+    let end = started.after(grace.minus(EXIT_MARGIN));
     let last_answer = end.before(ANSWER_MARGIN);
     core.phase.set(Phase::Leaving);
     core.dispatcher.borrow_mut().close_by(last_answer);
     core.place_waiting(usize::MAX);
-    log::info!(target: "stop", "in_flight={} Stopping; this VM no longer reports itself as ready.", core.in_flight.get());
+    log::info!(target: "stop", "in_flight={} grace={grace} Stopping; this VM no longer reports itself as ready.", core.in_flight.get());
     let linger = core.settings.linger.min(last_answer.since(started));
     sleep(Duration::from_millis(linger.0)).await;
     core.phase.set(Phase::Closed);
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -12,7 +12,7 @@
 use entry::EntryProcess;
 use raw_caller::{Answer, RawCaller, get, post};
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{Value, json};
 use stand_in::{StandInServer, StandInStore, wait_until};
 use tokio::{
     io::AsyncWriteExt,
@@ -88,6 +88,33 @@
     assert!(stopped.elapsed() < GRACE, "{:?}", stopped.elapsed());
 }
 
+/// Guards against a stop that cuts requests at the end of the grace period of its start, after a reload has changed it.
+#[rstest]
+#[case::longer(9, 1_000)]
+#[case::shorter(4, 0)]
+#[tokio::test]
+async fn a_stop_lasts_for_the_grace_period_in_force(#[case] grace: u64, #[case] left: u64) {
+    let (_store, server, mut entry) = patient_deployment().await;
+    let text = std::fs::read_to_string(entry.settings.path()).unwrap();
+    let mut settings: Value = serde_json::from_str(&text).unwrap();
+    settings["grace"] = json!(grace);
+    std::fs::write(entry.settings.path(), settings.to_string()).unwrap();
+    entry.signal("-HUP");
+    sleep(Duration::from_millis(500)).await;
+    // It ends within the longer period only.
+    let work = GRACE + Duration::from_millis(left);
+    server.set_work(work);
+    let sent = send(&entry, post("/book/x", "long", "gang=7"));
+    wait_until("it runs", || server.runs("long") == 1).await;
+    entry.signal("-TERM");
+    let stopped = Instant::now();
+    let (answer, _) = sent.await.unwrap();
+    let is_served = answer.is_some_and(|it| it.status == 200);
+    assert_eq!(is_served, GRACE < Duration::from_secs(grace));
+    assert_eq!(entry.wait().code(), Some(i32::from(!is_served)));
+    assert!(stopped.elapsed() < Duration::from_secs(grace), "{:?}", stopped.elapsed());
+}
+
 /// How a request becomes complete only late in the grace period.
 #[derive(Debug, Clone, Copy)]
 enum Late {
