--- a/crates/th-steer/src/dispatch/addresses.rs
+++ b/crates/th-steer/src/dispatch/addresses.rs
@@ -21,6 +21,20 @@
 const LOOKUP_ADDRESSES: usize = 24;
 /// Fractional part of the golden ratio; the fractions of its multiples are spread evenly over the unit interval.
 const GOLDEN_FRACTION: f64 = 0.618_033_988_749_895;
+/// Minimum number of requests of a host from which the share on routes with home regions is computed.
+const MIN_HOST_SAMPLE: f64 = 50.0;
+/// From this share of requests on routes with home regions, look-ups of the host return VMs in the home regions only.
+/// It is half of the share that may run elsewhere.
+const MIN_HOME_SHARE: f64 = 0.025;
+/// Factor applied to the counts at each tick, so that the share reflects about the last minute.
+pub(crate) const HOST_COUNT_DECAY: f64 = 0.98;
+
+/// Requests of a host, in total and on routes with home regions; both counts decay.
+#[derive(Debug, Default)]
+pub(crate) struct HostCounts {
+    pub(crate) total: f64,
+    pub(crate) with_homes: f64,
+}
 
 /// Systematic sampling: picks `count` times from parts that add up to one. Each part is picked in proportion to its
 /// size, rounded up or down depending on the offset between 0 and 1.
@@ -171,14 +185,24 @@
 
     /// The regions to which callers of a host may be sent; `None` for all. The caller's own region is always included.
     ///
-    /// A look-up does not include the request path, so the home regions of all routes of the host apply, however few of its
-    /// requests use those routes.
+    /// A look-up does not include the request path. The home regions of the host's routes therefore apply once enough
+    /// requests arrive on such routes or, while too few requests have been counted, if more than half of the host's
+    /// routes have home regions.
     fn allowed_regions(&self, host: &str, zone: &ZoneId) -> Option<BTreeSet<RegionId>> {
-        let mut allowed: Option<BTreeSet<RegionId>> = None;
-        for route in self.routes.as_ref()?.of_host(host) {
-            if route.home_regions.is_empty() {
-                continue;
+        let routes = self.routes.as_ref()?.of_host(host);
+        let with_homes = routes.iter().filter(|it| !it.home_regions.is_empty());
+        let count = with_homes.clone().count();
+        let is_bound = match self.host_counts.get(host) {
+            Some(seen) if MIN_HOST_SAMPLE <= seen.total => {
+                MIN_HOME_SHARE * seen.total <= seen.with_homes
             }
+            _ => routes.len() < 2 * count,
+        };
+        if !is_bound {
+            return None;
+        }
+        let mut allowed: Option<BTreeSet<RegionId>> = None;
+        for route in with_homes {
             allowed = Some(match allowed {
                 None => route.home_regions.clone(),
                 Some(it) => it.intersection(&route.home_regions).cloned().collect(),
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -9,6 +9,7 @@
 use th_protocol::{BackendId, Bytes, Mbit, Millis, ServiceId, Slots, Time, VmId, ZoneId};
 
 use super::{
+    addresses::{HOST_COUNT_DECAY, HostCounts},
     admission::Waiting,
     backend::{Attempt, AttemptOutcome},
     crashes::CrashTable,
@@ -54,6 +55,7 @@
     pub(crate) round_robins: BTreeMap<String, RoundRobin>,
     pub(crate) retries: BTreeMap<ServiceId, RetryWindow>,
     pub(crate) objects: BTreeMap<ServiceId, ObjectsInUse>,
+    pub(crate) host_counts: BTreeMap<String, HostCounts>,
     pub(crate) spill: SpillWindow,
     pub(crate) waiting: Waiting,
     pub(crate) fair_shares: FairShares,
@@ -94,6 +96,7 @@
             round_robins: BTreeMap::new(),
             retries: BTreeMap::new(),
             objects: BTreeMap::new(),
+            host_counts: BTreeMap::new(),
             spill: SpillWindow::default(),
             waiting: Waiting::default(),
             fair_shares: FairShares::default(),
@@ -219,10 +222,13 @@
         }
     }
 
-    /// Counts a new request, for the retry budget and the objects in use.
+    /// Counts a new request, for the retry budget, the home regions of its host and the objects in use.
     pub fn on_request(&mut self, job: &Job, now: Time) {
         let window = self.settings.retry_window;
         self.retries.entry(job.service.clone()).or_default().count_first(window, now);
+        let counts = self.host_counts.entry(job.route.host.clone()).or_default();
+        counts.total += 1.0;
+        counts.with_homes += if job.route.home_regions.is_empty() { 0.0 } else { 1.0 };
         if let Some(object) = job.object.filter(|_| job.route.sticky) {
             self.objects.entry(job.service.clone()).or_default().add(object, now);
         }
@@ -295,7 +301,7 @@
         placed
     }
 
-    /// Updates the traffic averages, and drops objects that are no longer
+    /// Updates the traffic averages, lets the request counts of hosts decay, and drops objects that are no longer
     /// requested and the statistics of removed routes and services.
     pub fn tick(&mut self, now: Time) {
         let share = self.own_share();
@@ -310,7 +316,12 @@
         for objects in self.objects.values_mut() {
             objects.update(start);
         }
+        for counts in self.host_counts.values_mut() {
+            counts.total *= HOST_COUNT_DECAY;
+            counts.with_homes *= HOST_COUNT_DECAY;
+        }
         if let Some(routes) = self.routes.clone() {
+            self.host_counts.retain(|host, _| !routes.of_host(host).is_empty());
             self.objects.retain(|service, _| routes.cold_rate(service).is_some());
             self.retries.retain(|service, _| routes.cold_rate(service).is_some());
             let names: BTreeSet<&str> = routes.iter().map(|it| it.name.as_str()).collect();
