--- a/crates/th-steer/src/dispatch/lookups/mod.rs
+++ b/crates/th-steer/src/dispatch/lookups/mod.rs
@@ -1,7 +1,7 @@
 //! Look-ups: which entry VMs callers are told of.
 
 mod alternative;
-mod roll_call;
+mod liveness;
 
 pub(crate) use alternative::{Alternative, add_alternative};
-pub use roll_call::{Sign, unresponsive_vms};
+pub use liveness::{Sign, unresponsive_vms};
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -64,12 +64,8 @@
 async fn count_watches(store: &StandInStore, server: &StandInServer) -> u64 {
     let before = store.calls("/-/kv-watch");
     let end = Instant::now() + QUIET_TIME;
-    let mut sequence = 10;
     while Instant::now() < end {
-        let mut entry = server.entry("ready");
-        sequence += 1;
-        entry["sequence"] = json!(sequence);
-        store.put(&format!("servers/{}", server.id), &entry);
+        store.put(&format!("servers/{}", server.id), &server.entry("ready"));
         sleep(Duration::from_millis(50)).await;
     }
     store.calls("/-/kv-watch") - before
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -30,6 +30,8 @@
 /// Time after the store is back from an older copy within which operators and servers have written again; the platform's pages
 /// say about two seconds.
 const REWRITE_TIME: Duration = Duration::from_secs(1);
+/// Time for which a write of a server is held up, and from that to its next one.
+const HELD_TIME: Duration = Duration::from_millis(700);
 /// Maximum time from SIGTERM to the exit of a process: the grace period of the settings and a margin.
 const STOP_TIMEOUT: Duration = Duration::from_millis(7_500);
 const ZONES: [&str; 2] = ["north-a", "south-a"];
@@ -314,13 +316,20 @@
                     let mut servers = self.servers.lock().unwrap();
                     std::mem::replace(&mut servers[index], replacement)
                 };
-                self.store
-                    .put(&format!("servers/{}", retired.server.id), &retired.entry("draining"));
-                retired.drained = Some(Instant::now());
                 let id = retired.server.id.clone();
+                let key = format!("servers/{id}");
+                // The write before is held up and carried out after the one that says that it drains.
+                let held_up = retired.entry("ready");
+                self.store.put(&key, &retired.entry("draining"));
+                let next = retired.entry("draining");
+                retired.drained = Some(Instant::now());
                 self.replaced.lock().unwrap().push(retired);
-                sleep(Duration::from_secs(3)).await;
-                self.store.remove(&format!("servers/{id}"));
+                sleep(HELD_TIME).await;
+                self.store.put(&key, &held_up);
+                sleep(HELD_TIME).await;
+                self.store.put(&key, &next);
+                sleep(Duration::from_secs(3) - 2 * HELD_TIME).await;
+                self.store.remove(&key);
                 for server in self.replaced.lock().unwrap().iter_mut() {
                     server.left |= server.server.id == id;
                 }
