--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -91,3 +91,20 @@
     entry.wait_for_status("/look/first", 200).await;
     (store, started, entry)
 }
+
+/// A deployment whose requests are sent to one server each and do not time out.
+pub(crate) async fn patient_deployment(
+    count: usize,
+) -> (StandInStore, Vec<StandInServer>, EntryProcess) {
+    let (store, servers, entry) = deployment(count).await;
+    let mut config = config(8, "/look/");
+    for route in config["routes"].as_array_mut().unwrap() {
+        (route["timeout_ms"], route["max_attempts"]) = (json!(600_000), json!(1));
+    }
+    let mut marker = config["routes"][0].clone();
+    (marker["name"], marker["prefix"]) = (json!("marker"), json!("/marker/"));
+    config["routes"].as_array_mut().unwrap().push(marker);
+    store.put("op/config", &config);
+    entry.wait_for_status("/marker/x", 200).await;
+    (store, servers, entry)
+}
--- a/tests/late_changes.rs
+++ b/tests/late_changes.rs
@@ -20,7 +20,7 @@
     task::LocalSet,
     time::{Instant, sleep},
 };
-use watchers::{in_force, limited, register, start_vm, write_config};
+use watchers::{cores, in_force, limited, start_vm, start_vms, write_config};
 
 /// Limit of the settings on configurations and drains.
 const LIMIT: Duration = Duration::from_millis(2_500);
@@ -33,13 +33,8 @@
 /// silence has a length and a time before it, in milliseconds; the first one begins a phase after all is known.
 async fn latest_after_silences(vms: usize, phase: Duration, silences: &[(u64, u64)]) -> Duration {
     let store = StandInStore::start().await;
-    write_config(&store, 1);
-    let started: Vec<_> = (1..=vms).map(|it| start_vm(it, store.address, LIMIT)).collect();
-    for (_, record) in &started {
-        register(&store, record);
-    }
-    let cores: Vec<_> = started.iter().map(|it| Rc::clone(it.0.core())).collect();
-    in_force(&cores, 1, LIMIT).await;
+    let started = start_vms(vms, &store, LIMIT).await;
+    let cores = cores(&started);
     sleep(LIMIT + phase).await;
     for (away, back) in silences {
         sleep(Duration::from_millis(*back)).await;
--- a/tests/late_writes.rs
+++ b/tests/late_writes.rs
@@ -16,7 +16,7 @@
 use th_protocol::BackendId;
 use th_steer::dispatch::Serving;
 use tokio::{task::LocalSet, time::sleep};
-use watchers::{in_force, register, start_vm, write_config};
+use watchers::{cores, in_force, start_vms, write_config};
 
 /// Limit of the settings on configurations and drains.
 const LIMIT: Duration = Duration::from_millis(2_500);
@@ -40,15 +40,12 @@
 impl Play {
     async fn start(vms: usize) -> (Play, Vec<th_gateway::Gateway>) {
         let store = StandInStore::start().await;
-        write_config(&store, 1);
-        let started: Vec<_> = (1..=vms).map(|it| start_vm(it, store.address, LIMIT)).collect();
-        for (_, record) in &started {
-            register(&store, record);
-        }
-        let cores: Vec<_> = started.iter().map(|it| Rc::clone(it.0.core())).collect();
-        in_force(&cores, 1, LIMIT).await;
+        let started = start_vms(vms, &store, LIMIT).await;
         sleep(LIMIT).await;
-        (Play { store, cores, version: 1 }, started.into_iter().map(|it| it.0).collect())
+        (
+            Play { store, cores: cores(&started), version: 1 },
+            started.into_iter().map(|it| it.0).collect(),
+        )
     }
 
     /// Waits until all VMs know what was written before.
--- a/tests/liveness.rs
+++ b/tests/liveness.rs
@@ -18,7 +18,7 @@
     task::LocalSet,
     time::{Instant, sleep},
 };
-use watchers::{in_force, register, start_vm, write_config};
+use watchers::{cores, in_force, register, start_vm, start_vms, write_config};
 
 /// Limit of the settings on configurations and drains.
 const LIMIT: Duration = Duration::from_millis(2_500);
@@ -48,11 +48,7 @@
 /// left out one that is alive. The leases pause meanwhile.
 async fn returned_until(phase: Duration, silence: Duration, death: Death) -> (Duration, bool) {
     let store = StandInStore::start().await;
-    write_config(&store, 1);
-    let started: Vec<_> = (1..=3).map(|it| start_vm(it, store.address, LIMIT)).collect();
-    for (_, record) in &started {
-        register(&store, record);
-    }
+    let started = start_vms(3, &store, LIMIT).await;
     // A listener that accepts nothing: connections to it hang.
     let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let ready = match death {
@@ -67,8 +63,7 @@
         ..started[0].1.clone()
     };
     register(&store, &dead);
-    let cores: Vec<_> = started.iter().map(|it| Rc::clone(it.0.core())).collect();
-    in_force(&cores, 1, LIMIT).await;
+    let cores = cores(&started);
     sleep(LIMIT + phase).await;
     assert!(cores.iter().all(|it| is_returned(it, dead.callers)));
     store.set_silent(true);
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -8,11 +8,9 @@
 
 use std::time::Duration;
 
-use desk::{config, deployment};
-use entry::EntryProcess;
+use desk::patient_deployment;
 use raw_caller::{PATIENCE, RawCaller, get, post};
-use serde_json::json;
-use stand_in::{StandInServer, StandInStore, wait_until};
+use stand_in::{StandInServer, wait_until};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     time::{Instant, sleep, timeout},
@@ -25,21 +23,6 @@
 /// A short time in which nothing is to happen.
 const CALM: Duration = Duration::from_millis(200);
 
-/// A deployment whose requests are sent to one server each and do not time out.
-async fn patient_deployment(count: usize) -> (StandInStore, Vec<StandInServer>, EntryProcess) {
-    let (store, servers, entry) = deployment(count).await;
-    let mut config = config(8, "/look/");
-    for route in config["routes"].as_array_mut().unwrap() {
-        (route["timeout_ms"], route["max_attempts"]) = (json!(600_000), json!(1));
-    }
-    let mut marker = config["routes"][0].clone();
-    (marker["name"], marker["prefix"]) = (json!("marker"), json!("/marker/"));
-    config["routes"].as_array_mut().unwrap().push(marker);
-    store.put("op/config", &config);
-    entry.wait_for_status("/marker/x", 200).await;
-    (store, servers, entry)
-}
-
 /// When a server began to run a request.
 fn start(servers: &[StandInServer], id: &str) -> Instant {
     let runs = servers.iter().find_map(|it| it.all_runs().remove(id));
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use desk::{config, deployment};
+use desk::patient_deployment;
 use entry::EntryProcess;
 use raw_caller::{Answer, RawCaller, get, post};
 use rstest::rstest;
@@ -28,18 +28,9 @@
 const WORK: Duration = Duration::from_secs(2);
 
 /// A deployment with one server, whose requests wait for as long as their callers do.
-async fn patient_deployment() -> (StandInStore, StandInServer, EntryProcess) {
-    let (store, servers, entry) = deployment(1).await;
-    let mut config = config(8, "/look/");
-    for route in config["routes"].as_array_mut().unwrap() {
-        (route["timeout_ms"], route["max_attempts"]) = (json!(600_000), json!(1));
-    }
-    let mut marker = config["routes"][0].clone();
-    (marker["name"], marker["prefix"]) = (json!("marker"), json!("/marker/"));
-    config["routes"].as_array_mut().unwrap().push(marker);
-    store.put("op/config", &config);
-    entry.wait_for_status("/marker/x", 200).await;
-    (store, servers.into_iter().next().unwrap(), entry)
+async fn one_server() -> (StandInStore, StandInServer, EntryProcess) {
+    let (store, mut servers, entry) = patient_deployment(1).await;
+    (store, servers.remove(0), entry)
 }
 
 /// Sends a request over a connection of its own. Returns its answer, and the time at which it came.
@@ -56,7 +47,7 @@
 #[tokio::test]
 async fn a_stop_answers_the_requests_that_wait_for_a_slot() {
     const REQUESTS: usize = 30;
-    let (_store, server, mut entry) = patient_deployment().await;
+    let (_store, server, mut entry) = one_server().await;
     server.set_work(WORK);
     let before = server.total_runs();
     let ids: Vec<String> = (0..REQUESTS).map(|it| format!("wait-{it}")).collect();
@@ -94,7 +85,7 @@
 #[case::shorter(4, 0)]
 #[tokio::test]
 async fn a_stop_lasts_for_the_grace_period_in_force(#[case] grace: u64, #[case] left: u64) {
-    let (_store, server, mut entry) = patient_deployment().await;
+    let (_store, server, mut entry) = one_server().await;
     let text = std::fs::read_to_string(entry.settings.path()).unwrap();
     let mut settings: Value = serde_json::from_str(&text).unwrap();
     settings["grace"] = json!(grace);
@@ -137,7 +128,7 @@
     #[values(Late::Connected, Late::Head, Late::Body, Late::Kept, Late::Behind)] late: Late,
     #[values(2_400, 3_200, 4_500)] after: u64,
 ) {
-    let (_store, server, mut entry) = patient_deployment().await;
+    let (_store, server, mut entry) = one_server().await;
     let mut caller = RawCaller::connect(entry.listen.callers).await;
     let request = post("/book/x", "late", "gang=7");
     let body = request.find("gang").unwrap();
--- a/tests/registration.rs
+++ b/tests/registration.rs
@@ -39,15 +39,21 @@
     EntryProcess::start(listen, &settings, Stdio::null())
 }
 
-/// Guards against a VM whose entry is gone for good, because its first write was carried out after a later one, under a lease
-/// that nobody renews.
-#[tokio::test]
-async fn a_write_that_is_carried_out_late_does_not_take_the_entry_away() {
+/// Starts a VM whose first write is held up, and waits until it is registered by another one.
+async fn start_with_held_write() -> (StandInStore, EntryProcess) {
     let store = StandInStore::start().await;
     store.hold_next_write();
-    let _entry = start(&store);
+    let entry = start(&store);
     wait_until("its first write is held up", || store.holds_write()).await;
     wait_until("it is registered", || store.keys("th/vm/").len() == 1).await;
+    (store, entry)
+}
+
+/// Guards against a VM whose entry is gone for good, because its first write was carried out after a later one, under a lease
+/// that nobody renews.
+#[tokio::test]
+async fn a_write_that_is_carried_out_late_does_not_take_the_entry_away() {
+    let (store, _entry) = start_with_held_write().await;
     assert_eq!(store.release_write(), Some(200));
     let end = Instant::now() + WATCHED_TIME;
     while Instant::now() < end {
@@ -59,11 +65,7 @@
 /// Guards against an entry of a VM that has stopped, because its write was carried out after that.
 #[tokio::test]
 async fn a_write_that_is_carried_out_late_does_not_register_a_stopped_vm() {
-    let store = StandInStore::start().await;
-    store.hold_next_write();
-    let entry = start(&store);
-    wait_until("its first write is held up", || store.holds_write()).await;
-    wait_until("it is registered", || store.keys("th/vm/").len() == 1).await;
+    let (store, entry) = start_with_held_write().await;
     entry.signal("-TERM");
     wait_until("its entry is removed", || store.keys("th/vm/").is_empty()).await;
     assert_eq!(store.release_write(), Some(404));
--- a/tests/watchers/mod.rs
+++ b/tests/watchers/mod.rs
@@ -65,6 +65,25 @@
     (gateway, record)
 }
 
+/// Starts VMs of a data centre that know each other, and waits until they know the first configuration.
+pub(crate) async fn start_vms(
+    count: usize,
+    store: &StandInStore,
+    limit: Duration,
+) -> Vec<(Gateway, EntryRecord)> {
+    write_config(store, 1);
+    let started: Vec<_> = (1..=count).map(|it| start_vm(it, store.address, limit)).collect();
+    for (_, record) in &started {
+        register(store, record);
+    }
+    in_force(&cores(&started), 1, limit).await;
+    started
+}
+
+pub(crate) fn cores(vms: &[(Gateway, EntryRecord)]) -> Vec<Rc<Core>> {
+    vms.iter().map(|it| Rc::clone(it.0.core())).collect()
+}
+
 pub(crate) fn register(store: &StandInStore, record: &EntryRecord) {
     let value = platform::write_entry(record).unwrap();
     store.put_bytes(&format!("th/vm/{}", record.vm), &value);
