--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -12,7 +12,7 @@
     organisation::Denial,
     route::hash_name,
 };
-use tokio::{sync::oneshot, time::timeout};
+use tokio::time::timeout;
 
 use crate::{
     answer::{Answer, reject, reply},
@@ -29,10 +29,11 @@
     outgoing::{AttemptResult, Outgoing},
     request_body::{RequestBody, buffer_request, reject_unread, stalled_body},
     request_log::{LogRecord, log_request},
+    slot_wait::place,
 };
 
 /// Retry delay suggested to callers while this VM has no routes yet; about the time that reading them takes.
-const NO_ROUTES_RETRY_AFTER: Millis = Millis(500);
+pub(crate) const NO_ROUTES_RETRY_AFTER: Millis = Millis(500);
 /// Link traffic of a request beside the bodies: both message heads and the network's own headers.
 const HEAD_BYTES: Bytes = Bytes(800);
 /// Time until the deadline of a request that states none.
@@ -215,50 +216,6 @@
     reject("This VM is stopping; the request was not run.", retry_after)
 }
 
-/// Places a request; waits if no slot is free. One that another VM passed on, since it reaches no server, is not tried
-/// here either while this VM reaches none.
-async fn place(core: &Rc<Core>, job: &Job, forwarded: bool) -> Placement {
-    if forwarded && core.dispatcher.borrow().is_cut_off() {
-        return Placement::Reject(Rejection::Isolated, core.settings.dispatch.backoff_min);
-    }
-    let (placement, waiter) = core.dispatcher.borrow_mut().place(job.clone(), core.now());
-    let Some(number) = waiter else {
-        return placement;
-    };
-    let (sender, receiver) = oneshot::channel();
-    core.waiters.borrow_mut().insert(number, sender);
-    let wait = SlotWait { core: Rc::clone(core), number, job: job.clone(), receiver };
-    wait.placement().await
-}
-
-/// A wait for a slot, cancelled on drop, for example when the caller abandons the request.
-struct SlotWait {
-    core: Rc<Core>,
-    number: u64,
-    job: Job,
-    receiver: oneshot::Receiver<Placement>,
-}
-
-impl SlotWait {
-    async fn placement(mut self) -> Placement {
-        match (&mut self.receiver).await {
-            Ok(placement) => placement,
-            Err(_) => Placement::Reject(Rejection::Expired, NO_ROUTES_RETRY_AFTER),
-        }
-    }
-}
-
-impl Drop for SlotWait {
-    fn drop(&mut self) {
-        self.core.waiters.borrow_mut().remove(&self.number);
-        self.core.dispatcher.borrow_mut().cancel_wait(self.number);
-        // Release a slot that was assigned in the meantime.
-        if let Ok(Placement::Send { attempt, .. }) = self.receiver.try_recv() {
-            drop(Slot::new(Rc::clone(&self.core), self.job.clone(), attempt));
-        }
-    }
-}
-
 /// A finished attempt and its summary for the request log.
 pub(crate) struct FinishedAttempt {
     pub(crate) result: AttemptResult,
--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod request_body;
 mod request_log;
 mod settings;
+mod slot_wait;
 mod stop;
 mod usage;
 
