Bind look-ups of a host by homes once callers who make look-ups use its routes with homes

Cause: homes bound the look-ups of a host by their share of all its requests, counted at one VM.

Change: a VM remembers for a minute who sent it requests on routes with homes. A look-up by one of these binds the look-ups of the host until ten minutes after the last such look-up. The share stays as a rule beside it, for callers whose look-ups come from elsewhere.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -24,7 +24,7 @@
     dialect::RequestInfo,
     forward::{Forwarded, decline, forward},
     hedge::run_hedged,
-    listen::HandlerFuture,
+    listen::{CallerAddress, HandlerFuture},
     memory::Reservation,
     outgoing::{AttemptResult, Outgoing},
     request_body::{RequestBody, buffer_request, reject_unread, stalled_body},
@@ -138,6 +138,13 @@
         return reject_unread(answer, &head, body, routes.limits().body).await;
     };
     record.route = route.name.clone();
+    if !route.home_regions.is_empty()
+        && forwarded.is_none()
+        && let Some(CallerAddress(caller)) = head.extensions.get()
+    {
+        let caller = caller.to_canonical();
+        core.dispatcher.borrow_mut().on_home_request(&route.host, caller, arrived);
+    }
     let key = forwarded.as_ref().map_or(info.key, |it| it.key);
     let (caller, stale) = match authorise(core, &route, key) {
         Ok(caller) => (caller, None),
--- a/crates/th-gateway/src/lookup.rs
+++ b/crates/th-gateway/src/lookup.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
-use crate::{body::AnswerBody, core::Core};
+use crate::{body::AnswerBody, core::Core, listen::CallerAddress};
 
 type Answer = Response<AnswerBody>;
 
@@ -21,7 +21,12 @@
     let Some(query) = core.dialect.parse_lookup(request.uri()) else {
         return status(StatusCode::NOT_FOUND);
     };
-    let addresses = core.dispatcher.borrow_mut().lookup(&query.host, &query.zone);
+    let mut dispatcher = core.dispatcher.borrow_mut();
+    if let Some(CallerAddress(caller)) = request.extensions().get() {
+        dispatcher.on_lookup(&query.host, caller.to_canonical(), core.now());
+    }
+    let addresses = dispatcher.lookup(&query.host, &query.zone);
+    drop(dispatcher);
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/th-steer/src/dispatch/addresses.rs
+++ b/crates/th-steer/src/dispatch/addresses.rs
@@ -185,9 +185,10 @@
 
     /// The regions to which callers of a host may be sent; `None` for all. The caller's own region is always included.
     ///
-    /// A look-up does not include the request path. The home regions of the host's routes therefore apply once enough
-    /// requests arrive on such routes or, while too few requests have been counted, if more than half of the host's
-    /// routes have home regions.
+    /// A look-up does not include the request path. The home regions of the host's routes therefore apply once a caller that
+    /// makes look-ups uses such routes. A caller may make its look-ups elsewhere, so they also apply once a part of all
+    /// requests is on such routes or, while too few requests have been counted, if more than half of the host's routes have
+    /// home regions.
     fn allowed_regions(&self, host: &str, zone: &ZoneId) -> Option<BTreeSet<RegionId>> {
         let routes = self.routes.as_ref()?.of_host(host);
         let with_homes = routes.iter().filter(|it| !it.home_regions.is_empty());
@@ -198,7 +199,7 @@
             }
             _ => routes.len() < 2 * count,
         };
-        if !is_bound {
+        if !is_bound && !self.uses_homes(host) {
             return None;
         }
         let mut allowed: Option<BTreeSet<RegionId>> = None;
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -16,6 +16,7 @@
     job::{Job, Placement},
     links::Traffic,
     lookup::Topology,
+    lookups::HomeUse,
     objects::ObjectsInUse,
     place::{WaitCounts, millis},
     reach::Reach,
@@ -56,6 +57,8 @@
     pub(crate) retries: BTreeMap<ServiceId, RetryWindow>,
     pub(crate) objects: BTreeMap<ServiceId, ObjectsInUse>,
     pub(crate) host_counts: BTreeMap<String, HostCounts>,
+    /// By host.
+    pub(crate) home_use: BTreeMap<String, HomeUse>,
     pub(crate) spill: SpillWindow,
     pub(crate) waiting: Waiting,
     pub(crate) fair_shares: FairShares,
@@ -97,6 +100,7 @@
             retries: BTreeMap::new(),
             objects: BTreeMap::new(),
             host_counts: BTreeMap::new(),
+            home_use: BTreeMap::new(),
             spill: SpillWindow::default(),
             waiting: Waiting::default(),
             fair_shares: FairShares::default(),
@@ -316,6 +320,7 @@
         for objects in self.objects.values_mut() {
             objects.update(start);
         }
+        self.update_home_use(now);
         for counts in self.host_counts.values_mut() {
             counts.total *= HOST_COUNT_DECAY;
             counts.with_homes *= HOST_COUNT_DECAY;
