Log requests that get no answer, and what a stop leaves unread

Callers saw (users' record): an upload that had been sent whole ended with a closed connection around SIGTERM. The logs could not tell why: a request had a line only with its answer, and connections that a stop resets or closes unread left no trace.

Change: a request that is dropped without an answer is logged and counted with the stage that it had reached, and whether its caller left or the stop cut it. A closed port logs how many connections waited to be accepted, a connection how many bytes of its caller no request got. The last lines are written before the process exits. What is served is unchanged: connections that wait are still lost.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -19,16 +19,17 @@
     answer_room::{AnswerRoom, learn_size, reject_unheld},
     authorise::{Caller, authorise, check_again, deny},
     charge::Charge,
-    core::{Core, Phase, Slot},
+    core::{Core, Slot},
     crash::{check_crash, reject_crashing, report},
     dialect::RequestInfo,
     forward::{Forwarded, decline, forward},
     hedge::run_hedged,
     listen::{CallerAddress, HandlerFuture},
     memory::Reservation,
+    open_request::OpenRequest,
     outgoing::{AttemptResult, Outgoing},
     request_body::{RequestBody, buffer_request, reject_unread, stalled_body},
-    request_log::{LogRecord, log_request},
+    request_log::{LogRecord, Stage},
     slot_wait::place,
 };
 
@@ -39,22 +40,6 @@
 /// Time until the deadline of a request that states none.
 const DEFAULT_TIME_LEFT: Millis = Millis(30_000);
 
-/// Counts a request as in flight until this is dropped.
-struct InFlight(Rc<Core>);
-
-impl InFlight {
-    fn new(core: &Rc<Core>) -> InFlight {
-        core.in_flight.set(core.in_flight.get() + 1);
-        InFlight(Rc::clone(core))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 /// Serves a pipelined request that has no body ahead of its turn; `None` if it must wait for its turn, because it may
 /// run only once or because this VM starts no new work.
 pub(crate) fn serve_ahead(core: &Rc<Core>, request: Request<()>) -> Option<HandlerFuture> {
@@ -100,13 +85,13 @@
     body: B,
     forwarded: Option<Forwarded>,
 ) -> Answer {
-    let _guard = InFlight::new(&core);
-    let arrived = core.now();
     let info = core.dialect.read_request(&head);
     let forwarder = forwarded.as_ref().map(|it| it.vm.clone());
-    let mut record = LogRecord { id: info.id.clone(), forwarder, ..LogRecord::default() };
-    let answer = handle(&core, head, body, info, arrived, forwarded, &mut record).await;
-    log_request(&core, &answer, &record, arrived);
+    let record = LogRecord { id: info.id.clone(), forwarder, ..LogRecord::default() };
+    let mut open = OpenRequest::new(&core, record);
+    let arrived = open.arrived;
+    let answer = handle(&core, head, body, info, arrived, forwarded, &mut open.record).await;
+    open.finish(&answer);
     answer
 }
 
@@ -125,7 +110,7 @@
     forwarded: Option<Forwarded>,
     record: &mut LogRecord,
 ) -> Answer {
-    if core.phase.get() == Phase::Closed {
+    if core.is_closed() {
         return reject_unread(reject_closed(core), &head, body, CallerLimits::default().body).await;
     }
     let Some(routes) = core.dispatcher.borrow().routes().cloned() else {
@@ -176,7 +161,7 @@
             Ok(Err(answer)) => return answer,
             Err(_) => return stalled_body(deadline.since(arrived)),
         };
-    if core.phase.get() == Phase::Closed {
+    if core.is_closed() {
         // Its body took long to arrive.
         record.attempts.push(format!("{:?}", Rejection::Stopping));
         return if forwarded.is_some() { decline() } else { reject_closed(core) };
@@ -305,6 +290,7 @@
         return deny(denial, record.forwarder.is_some());
     }
     charge.keep(true);
+    record.stage = Stage::PassedOn;
     let done = pass_on(core, job, outgoing, job.route.attempts, record.version).await;
     charge.keep(!done.result.not_executed);
     record.attempts.push(done.summary);
@@ -336,6 +322,7 @@
             return fail(last, false, job.deadline <= core.now(), Millis::ZERO);
         }
         let started = core.now();
+        record.stage = Stage::Waiting;
         let placement = place(core, &job, forwarded).await;
         let now = core.now();
         record.waited += now.since(started);
@@ -371,6 +358,7 @@
             Placement::Reject(Rejection::Isolated, retry_after) if !forwarded => {
                 let attempts = job.route.attempts.saturating_sub(reached).max(1);
                 charge.keep(true);
+                record.stage = Stage::PassedOn;
                 let done = pass_on(core, &job, &outgoing, attempts, record.version).await;
                 charge.keep(!(not_executed && done.result.not_executed));
                 record.attempts.push(done.summary);
@@ -384,6 +372,7 @@
             Placement::Wait => return fail(last, not_executed, false, NO_ROUTES_RETRY_AFTER),
         };
         charge.keep(true);
+        record.stage = Stage::Sent;
         let done = run_hedged(core, &mut job, &outgoing, attempt, address, record).await;
         charge.keep(!(not_executed && done.result.not_executed));
         record.attempts.push(done.summary);
@@ -408,6 +397,7 @@
             if !forwarded {
                 let attempts = job.route.attempts - reached;
                 charge.keep(true);
+                record.stage = Stage::PassedOn;
                 let passed = pass_on(core, &job, &outgoing, attempts, record.version).await;
                 charge.keep(!(not_executed && passed.result.not_executed));
                 record.attempts.push(passed.summary);
--- a/crates/th-gateway/src/core.rs
+++ b/crates/th-gateway/src/core.rs
@@ -24,7 +24,7 @@
 const MAX_EXAMINED_REQUESTS: usize = 12;
 
 /// Phases of a process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
     /// It serves callers.
     Serving,
@@ -32,6 +32,8 @@
     Leaving,
     /// Requests that become complete now are rejected, and those taken before are finished.
     Closed,
+    /// The stop has ended; what is unfinished is cut.
+    Ended,
 }
 
 /// State shared by all tasks of the process, which run on one thread.
@@ -120,6 +122,16 @@
         self.phase.get() != Phase::Serving
     }
 
+    /// Whether requests that become complete are rejected.
+    pub(crate) fn is_closed(&self) -> bool {
+        Phase::Closed <= self.phase.get()
+    }
+
+    /// Whether the planned stop has ended.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.phase.get() == Phase::Ended
+    }
+
     /// Assigns free slots to waiting requests; examines the first `limit` of them.
     pub(crate) fn place_waiting(&self, limit: usize) {
         let placed = self.dispatcher.borrow_mut().place_waiting(limit, self.now());
--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -1,12 +1,13 @@
 //! Start and stop of the process, and its periodic work.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use eyre::WrapErr;
 use http::Response;
 use th_protocol::{Millis, VmId, ZoneId};
 use th_steer::dispatch::{Dispatcher, Topology};
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     body::AnswerBody,
@@ -32,8 +33,31 @@
 /// A running data path. All its tasks run on the thread that started it.
 pub struct Gateway {
     core: Rc<Core>,
-    /// The task that accepts callers' connections.
-    callers: AbortHandle,
+    /// The port for callers.
+    callers: Port,
+}
+
+/// A port whose connections are accepted.
+pub(crate) struct Port {
+    closing: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl Port {
+    fn open(core: &Rc<Core>, address: SocketAddr, handler: Handler) -> Result<Port> {
+        let listener = open(address).wrap_err_with(|| format!("listening at {address}"))?;
+        let closing = CancellationToken::new();
+        let task = spawn_local(accept(Rc::clone(core), listener, handler, closing.clone()));
+        Ok(Port { closing, task })
+    }
+
+    /// Closes the port.
+    pub(crate) async fn close(self) {
+        self.closing.cancel();
+        if let Err(error) = self.task.await {
+            log::error!(target: "stop", "Closing the port failed: {error}");
+        }
+    }
 }
 
 fn sync_handler(
@@ -65,21 +89,21 @@
         let shared = Rc::clone(&core);
         let ahead: StartAhead = Rc::new(move |request| serve_ahead(&shared, request));
         let callers = Handler { serve, ahead: Some(ahead) };
-        let callers = listen(&core, listeners.callers, callers)?;
+        let callers = Port::open(&core, listeners.callers, callers)?;
         let shared = Rc::clone(&core);
-        listen(&core, listeners.lookups, sync_handler(move |it| lookup(&shared, it)))?;
+        Port::open(&core, listeners.lookups, sync_handler(move |it| lookup(&shared, it)))?;
         let shared = Rc::clone(&core);
-        listen(&core, listeners.ready, sync_handler(move |it| readiness(&shared, it)))?;
+        Port::open(&core, listeners.ready, sync_handler(move |it| readiness(&shared, it)))?;
         if let Some(address) = listeners.metrics {
             let shared = Rc::clone(&core);
-            listen(&core, address, sync_handler(move |_| metrics(&shared)))?;
+            Port::open(&core, address, sync_handler(move |_| metrics(&shared)))?;
         }
         if let Some(address) = listeners.peers {
             let shared = Rc::clone(&core);
             let serve = Rc::new(move |request| -> HandlerFuture {
                 Box::pin(serve_peer(Rc::clone(&shared), request))
             });
-            listen(&core, address, Handler { serve, ahead: None })?;
+            Port::open(&core, address, Handler { serve, ahead: None })?;
         }
         spawn_local(tick(Rc::clone(&core)));
         spawn_local(check_links(Rc::clone(&core)));
@@ -95,15 +119,10 @@
 
     /// Carries out a planned stop that may last for the grace period. Returns the number of requests that were cut.
     pub async fn stop(self, grace: Millis) -> u32 {
-        stop(&self.core, &self.callers, grace).await
+        stop(&self.core, self.callers, grace).await
     }
 }
 
-fn listen(core: &Rc<Core>, address: std::net::SocketAddr, handler: Handler) -> Result<AbortHandle> {
-    let listener = open(address).wrap_err_with(|| format!("listening at {address}"))?;
-    Ok(spawn_local(accept(Rc::clone(core), listener, handler)).abort_handle())
-}
-
 /// Runs the periodic work.
 async fn tick(core: Rc<Core>) {
     let mut ticks = 0u32;
--- a/crates/th-gateway/src/lib.rs
+++ b/crates/th-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod lookup;
 mod memory;
 mod metrics;
+mod open_request;
 mod outgoing;
 mod pipeline;
 mod relay;
--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    io::ErrorKind,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -14,6 +15,7 @@
     net::{TcpListener, TcpSocket, TcpStream},
     task::spawn_local,
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     body::AnswerBody,
@@ -62,10 +64,19 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections until the task is aborted.
-pub(crate) async fn accept(core: Rc<Core>, listener: TcpListener, handler: Handler) {
+/// Accepts connections until the port is to be closed.
+pub(crate) async fn accept(
+    core: Rc<Core>,
+    listener: TcpListener,
+    handler: Handler,
+    closing: CancellationToken,
+) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.cancelled() => break,
+        };
+        match accepted {
             Ok((stream, address)) => {
                 let caller = CallerAddress(address.ip());
                 spawn_local(handle_connection(Rc::clone(&core), stream, caller, handler.clone()));
@@ -76,6 +87,32 @@
             }
         }
     }
+    match take_queued(listener) {
+        Ok(queued) => {
+            log::info!(target: "stop", "queued={} Closed the port for callers.", queued.len());
+        }
+        Err(error) => {
+            log::warn!(target: "stop", "Taking the connections that wait at the port failed: {error}");
+        }
+    }
+}
+
+/// Closes a port and returns the connections that waited to be accepted, which the system would reset.
+fn take_queued(listener: TcpListener) -> std::io::Result<Vec<(TcpStream, SocketAddr)>> {
+    // The operating system knows of connections that have not been reported yet.
+    let listener = listener.into_std()?;
+    let mut queued = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, address)) => {
+                stream.set_nonblocking(true)?;
+                queued.push((TcpStream::from_std(stream)?, address));
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(queued),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
 }
 
 /// Returns the answer to the next request of a connection, which may already run.
@@ -123,7 +160,7 @@
         })
     });
     let pipeline = Rc::new(Pipeline::new(ahead, depth, max_head, &core.memory));
-    let stream = PipelinedStream::new(stream, Rc::clone(&pipeline), idle);
+    let stream = PipelinedStream::new(stream, Rc::clone(&pipeline), idle, &core.metrics.discarded);
     let shared = (Rc::clone(&core), Rc::clone(&pipeline));
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(caller);
--- a/crates/th-gateway/src/logging.rs
+++ b/crates/th-gateway/src/logging.rs
@@ -7,7 +7,7 @@
         atomic::{AtomicU64, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
-    time::{Instant, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
@@ -20,6 +20,8 @@
 const OTHER_LINES_PER_S: f64 = 200.0;
 /// Burst size of both limits, in seconds of the rate.
 const BURST_S: f64 = 2.0;
+/// Longest wait at the end of the process until all lines are written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest text of a line in bytes; it may quote what others wrote, of any size.
 const MAX_TEXT: usize = 4_096;
 /// Log target of the lines about requests.
@@ -59,8 +61,15 @@
     }
 }
 
+/// What the thread that writes lines gets.
+enum Message {
+    Line(String),
+    /// Answered once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 struct LineLogger {
-    sender: SyncSender<String>,
+    sender: SyncSender<Message>,
     success: Mutex<TokenBucket>,
     other: Mutex<TokenBucket>,
     counts: Arc<LineCounts>,
@@ -95,17 +104,31 @@
             "part": record.target(),
             "text": text,
         });
-        if self.sender.try_send(format!("{line}\n")).is_err() {
+        if self.sender.try_send(Message::Line(format!("{line}\n"))).is_err() {
             self.counts.lost.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (sender, written) = sync_channel(1);
+        if self.sender.try_send(Message::Flush(sender)).is_ok() {
+            // Standard output may be blocked; the process must not wait for it.
+            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
 }
 
-fn write_lines(receiver: &Receiver<String>) {
+fn write_lines(receiver: &Receiver<Message>) {
     let mut out = std::io::stdout().lock();
-    for line in receiver {
+    for message in receiver {
+        let line = match message {
+            Message::Line(line) => line,
+            Message::Flush(sender) => {
+                // Whoever waited may have given up.
+                let _ = sender.send(());
+                continue;
+            }
+        };
         if out.write_all(line.as_bytes()).and_then(|()| out.flush()).is_err() {
             // Standard output is closed. The process keeps serving without a log.
             return;
--- a/crates/th-gateway/src/metrics.rs
+++ b/crates/th-gateway/src/metrics.rs
@@ -41,6 +41,10 @@
     pub(crate) forwards: IntCounter,
     pub(crate) vm_connections: IntCounter,
     denied: IntCounterVec,
+    /// Requests that got no answer, by how far they had come.
+    pub(crate) unanswered: IntCounterVec,
+    /// Callers' bytes that were discarded as their connections closed.
+    pub(crate) discarded: IntCounter,
 }
 
 fn add<C: Collector + Clone + 'static>(registry: &Registry, metric: prometheus::Result<C>) -> C {
@@ -60,6 +64,18 @@
         Metrics {
             latency: add(&registry, HistogramVec::new(latency, &["route"])),
             answers: counters("th_gateway_answers_total", "Final answers.", &["route", "status"]),
+            unanswered: counters(
+                "th_gateway_unanswered_total",
+                "Requests whose callers left or that a stop cut.",
+                &["stage"],
+            ),
+            discarded: add(
+                &registry,
+                IntCounter::new(
+                    "th_gateway_discarded_bytes_total",
+                    "Bytes of callers discarded as their connections closed.",
+                ),
+            ),
             attempts: counters(
                 "th_gateway_attempts_total",
                 "Attempts at backend servers.",
--- a/crates/th-gateway/src/pipeline/connection.rs
+++ b/crates/th-gateway/src/pipeline/connection.rs
@@ -101,6 +101,11 @@
         !self.state.borrow().ahead.is_empty()
     }
 
+    /// Number of bytes that were read and not handed over.
+    pub(super) fn buffered(&self) -> usize {
+        self.state.borrow().buffer.len()
+    }
+
     /// Counts a request that the service receives. Returns its answer if it already runs.
     pub(crate) fn receive(
         &self,
--- a/crates/th-gateway/src/pipeline/stream.rs
+++ b/crates/th-gateway/src/pipeline/stream.rs
@@ -10,6 +10,7 @@
 };
 
 use bytes::BytesMut;
+use prometheus::IntCounter;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -38,6 +39,20 @@
     stalled: Option<Pin<Box<Sleep>>>,
     /// Running time-out of the reads after the end.
     linger: Option<Pin<Box<Sleep>>>,
+    /// Number of bytes discarded after the end.
+    discarded: u64,
+    /// Counts such bytes of all connections.
+    total: IntCounter,
+}
+
+impl Drop for PipelinedStream {
+    fn drop(&mut self) {
+        if 0 < self.discarded {
+            let caller =
+                self.stream.peer_addr().map_or_else(|_| String::new(), |it| it.to_string());
+            log::info!(target: "entry", "caller={caller} discarded={} Closed a connection with bytes of the caller that no request got.", self.discarded);
+        }
+    }
 }
 
 impl PipelinedStream {
@@ -45,9 +60,26 @@
         stream: TcpStream,
         pipeline: Rc<Pipeline>,
         write_timeout: Duration,
+        total: &IntCounter,
     ) -> PipelinedStream {
-        let (ended, stalled, linger) = (false, None, None);
-        PipelinedStream { stream, pipeline, ended, write_timeout, stalled, linger }
+        let (ended, stalled, linger, discarded) = (false, None, None, 0);
+        let total = total.clone();
+        PipelinedStream {
+            stream,
+            pipeline,
+            ended,
+            write_timeout,
+            stalled,
+            linger,
+            discarded,
+            total,
+        }
+    }
+
+    /// Counts bytes of the caller that no request gets.
+    fn count_discarded(&mut self, length: usize) {
+        self.discarded += length as u64;
+        self.total.inc_by(length as u64);
     }
 
     /// Passes on the result of a write, unless the caller has accepted nothing for too long.
@@ -138,13 +170,19 @@
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
             self.linger = Some(Box::pin(sleep(LINGER)));
+            let buffered = self.pipeline.buffered();
+            self.count_discarded(buffered);
         }
         let mut discarded = BytesMut::with_capacity(4 << 10);
         while !self.ended {
             discarded.clear();
             let stream = Pin::new(&mut self.stream);
             match poll_read_buf(stream, cx, &mut discarded) {
-                Poll::Ready(read) => self.ended = read? == 0,
+                Poll::Ready(read) => {
+                    let length = read?;
+                    self.count_discarded(length);
+                    self.ended = length == 0;
+                }
                 Poll::Pending => {
                     if let Some(linger) = &mut self.linger {
                         ready!(linger.as_mut().poll(cx));
--- a/crates/th-gateway/src/stop.rs
+++ b/crates/th-gateway/src/stop.rs
@@ -3,9 +3,12 @@
 use std::{rc::Rc, time::Duration};
 
 use th_protocol::Millis;
-use tokio::{task::AbortHandle, time::sleep};
+use tokio::time::sleep;
 
-use crate::core::{Core, Phase};
+use crate::{
+    core::{Core, Phase},
+    gateway::Port,
+};
 
 /// Interval at which a stop checks whether the last request has finished.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -16,9 +19,9 @@
 
 /// Waits until callers use other VMs and the last request is answered. Returns the number of requests that are cut.
 ///
-/// `callers` is the task that accepts connections. It is aborted after the linger time. Requests that become complete on
-/// open connections after that are rejected, since their servers could not finish them in time.
-pub(crate) async fn stop(core: &Rc<Core>, callers: &AbortHandle, grace: Millis) -> u32 {
+/// The port for callers is closed after the linger time. Requests that become complete on open connections after that are
+/// rejected, since their servers could not finish them in time.
+pub(crate) async fn stop(core: &Rc<Core>, callers: Port, grace: Millis) -> u32 {
     let started = core.now();
     let end = started.after(grace.minus(EXIT_MARGIN));
     let last_answer = end.before(ANSWER_MARGIN);
@@ -29,13 +32,14 @@
     let linger = core.settings.linger.min(last_answer.since(started));
     sleep(Duration::from_millis(linger.0)).await;
     core.phase.set(Phase::Closed);
-    callers.abort();
+    callers.close().await;
     core.closing.notify_waiters();
     while (0 < core.in_flight.get() || 0 < core.connections.get()) && core.now() < end {
         sleep(POLL_INTERVAL).await;
         core.closing.notify_waiters();
     }
     let cut = core.in_flight.get();
+    core.phase.set(Phase::Ended);
     log::info!(target: "stop", "cut={cut} Stopped.");
     cut
 }
