Read what has arrived before a planned stop closes a connection as idle

Cause: the notice that closes connections and the connection itself were polled in random order. Where the notice came first, the HTTP library took the connection for idle, and the bytes in its socket were discarded.

Change: a connection is polled first, and once more after the notice with a read that asks the socket itself, since bytes may have come after the last report. It is closed only with nothing unread; what was read is answered, with a rejection from then on.

--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -5,9 +5,11 @@
     io::ErrorKind,
     net::{IpAddr, SocketAddr},
     rc::Rc,
+    task::Poll,
     time::Duration,
 };
 
+use futures_util::poll;
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -173,13 +175,18 @@
         .max_buf_size(max_head)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    // A planned stop notifies repeatedly, until the requests that run ahead of their turn are answered too.
+    // A planned stop notifies repeatedly, until all that has arrived is answered.
     let ended = loop {
         tokio::select! {
+            biased;
             ended = connection.as_mut() => break ended,
             () = core.closing.notified() => {}
         }
-        if !pipeline.has_ahead() {
+        pipeline.check_socket();
+        if let Poll::Ready(ended) = poll!(connection.as_mut()) {
+            break ended;
+        }
+        if !pipeline.has_unread() && !pipeline.has_ahead() {
             connection.as_mut().graceful_shutdown();
             break connection.await;
         }
--- a/crates/th-gateway/src/pipeline/connection.rs
+++ b/crates/th-gateway/src/pipeline/connection.rs
@@ -56,6 +56,8 @@
     memory: Reservation,
     /// Wakes the connection once the next request may be handed over.
     waker: Option<Waker>,
+    /// Whether the next read asks the socket even if it is not reported as readable.
+    check: bool,
 }
 
 impl State {
@@ -92,6 +94,7 @@
             ahead: VecDeque::new(),
             memory: Reservation::new(memory, HeldKind::Requests),
             waker: None,
+            check: false,
         };
         Pipeline { state: RefCell::new(state), start, depth, max_head }
     }
@@ -101,6 +104,20 @@
         !self.state.borrow().ahead.is_empty()
     }
 
+    /// Whether bytes were read that belong to no request yet.
+    pub(crate) fn has_unread(&self) -> bool {
+        !self.state.borrow().buffer.is_empty()
+    }
+
+    /// Makes the next read ask the socket even if it is not reported as readable.
+    pub(crate) fn check_socket(&self) {
+        self.state.borrow_mut().check = true;
+    }
+
+    pub(super) fn take_check(&self) -> bool {
+        std::mem::take(&mut self.state.borrow_mut().check)
+    }
+
     /// Number of bytes that were read and not handed over.
     pub(super) fn buffered(&self) -> usize {
         self.state.borrow().buffer.len()
--- a/crates/th-gateway/src/pipeline/stream.rs
+++ b/crates/th-gateway/src/pipeline/stream.rs
@@ -1,7 +1,7 @@
 //! The stream between a caller's socket and the HTTP library.
 
 use std::{
-    io::{Error, ErrorKind, Result, Write},
+    io::{Error, ErrorKind, Read, Result, Write},
     os::fd::AsFd,
     pin::Pin,
     rc::Rc,
@@ -23,6 +23,8 @@
 /// Maximum number of bytes that are read behind the current request. Beyond it, reading pauses until that request is
 /// answered.
 const MAX_BUFFERED: usize = 64 << 10;
+/// Number of bytes that are read at a time from a socket that is not reported as readable.
+const PART: usize = 4 << 10;
 /// Longest time for which a closed connection is read on. Closing it with unread bytes would reset it, which could cost
 /// the caller the last answer.
 const LINGER: Duration = Duration::from_millis(500);
@@ -113,6 +115,20 @@
         let socket = self.stream.as_fd().try_clone_to_owned()?;
         std::net::TcpStream::from(socket).write(bytes)
     }
+
+    /// Reads from the socket whether or not it is reported as readable.
+    fn read_unreported(&self, buffer: &mut BytesMut) -> Poll<Result<usize>> {
+        let mut part = [0; PART];
+        let socket = self.stream.as_fd().try_clone_to_owned()?;
+        match std::net::TcpStream::from(socket).read(&mut part) {
+            Ok(length) => {
+                buffer.extend_from_slice(&part[..length]);
+                Poll::Ready(Ok(length))
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Poll::Pending,
+            Err(error) => Poll::Ready(Err(error)),
+        }
+    }
 }
 
 impl AsyncRead for PipelinedStream {
@@ -132,7 +148,10 @@
                 return Poll::Pending;
             }
             let stream = Pin::new(&mut self.stream);
-            let read = pipeline.fill(|buffer| poll_read_buf(stream, cx, buffer));
+            let mut read = pipeline.fill(|buffer| poll_read_buf(stream, cx, buffer));
+            if read.is_pending() && pipeline.take_check() {
+                read = pipeline.fill(|buffer| self.read_unreported(buffer));
+            }
             self.ended = ready!(read)? == 0;
         }
     }
