Serve the connections that wait to be accepted when a planned stop closes its port

The system resets connections that are still in its queue, with all that their callers have sent. There are some whenever the process does not run for a moment before the port closes.

Change: the task closes the port itself and first accepts what is in the queue, asking the system rather than the last report of readiness.

--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -66,53 +66,59 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections until the port is to be closed.
+/// Accepts connections until the port is to be closed, those that have arrived by then included.
 pub(crate) async fn accept(
     core: Rc<Core>,
     listener: TcpListener,
     handler: Handler,
     closing: CancellationToken,
 ) {
+    let serve = |stream, address: SocketAddr| {
+        let caller = CallerAddress(address.ip());
+        spawn_local(handle_connection(Rc::clone(&core), stream, caller, handler.clone()));
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = closing.cancelled() => break,
         };
         match accepted {
-            Ok((stream, address)) => {
-                let caller = CallerAddress(address.ip());
-                spawn_local(handle_connection(Rc::clone(&core), stream, caller, handler.clone()));
-            }
+            Ok((stream, address)) => serve(stream, address),
             Err(error) => {
                 log::warn!(target: "entry", "Accepting a connection failed: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
-    match take_queued(listener) {
-        Ok(queued) => {
-            log::info!(target: "stop", "queued={} Closed the port for callers.", queued.len());
-        }
+    match serve_queued(listener, serve) {
+        Ok(queued) => log::info!(target: "stop", "queued={queued} Closed the port for callers."),
         Err(error) => {
-            log::warn!(target: "stop", "Taking the connections that wait at the port failed: {error}");
+            log::warn!(target: "stop", "Accepting the connections that wait at the port failed: {error}");
         }
     }
 }
 
-/// Closes a port and returns the connections that waited to be accepted, which the system would reset.
-fn take_queued(listener: TcpListener) -> std::io::Result<Vec<(TcpStream, SocketAddr)>> {
-    // The operating system knows of connections that have not been reported yet.
+/// Closes a port, and serves the connections that wait to be accepted, which the system would reset. Returns their number.
+fn serve_queued(
+    listener: TcpListener,
+    serve: impl Fn(TcpStream, SocketAddr),
+) -> std::io::Result<usize> {
+    // The system knows of connections that have not been reported yet.
     let listener = listener.into_std()?;
-    let mut queued = Vec::new();
+    let mut queued = 0;
     loop {
         match listener.accept() {
             Ok((stream, address)) => {
                 stream.set_nonblocking(true)?;
-                queued.push((TcpStream::from_std(stream)?, address));
+                serve(TcpStream::from_std(stream)?, address);
+                queued += 1;
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(queued),
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(error) => return Err(error),
+            Err(error) => match error.kind() {
+                ErrorKind::WouldBlock => return Ok(queued),
+                // The caller has gone, or a signal came.
+                ErrorKind::ConnectionAborted | ErrorKind::Interrupted => {}
+                _ => return Err(error),
+            },
         }
     }
 }
