Wait for the first request of a new connection before a planned stop closes it

Cause: a connection that has carried nothing counted as idle. Callers who use a connection for one request send it right after opening.

Connections that have carried a request are closed at once as before: closing tells their callers to use another VM.

--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -13,6 +13,7 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use th_protocol::Millis;
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     task::spawn_local,
@@ -30,6 +31,9 @@
 const BACKLOG: u32 = 1024;
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time that a caller has for its first request on a connection while a planned stop closes idle ones; as long as callers wait
+/// for a connection.
+const FIRST_REQUEST_WAIT: Millis = Millis(1_000);
 /// Factor between the idle time-out stated to callers and the one enforced here, so that callers close idle connections
 /// first.
 const IDLE_FACTOR: u64 = 2;
@@ -156,6 +160,7 @@
         log::debug!(target: "entry", "Setting TCP_NODELAY failed: {error}");
     }
     core.connections.set(core.connections.get() + 1);
+    let opened = core.now();
     let _memory = Reservation::connection(&core.memory);
     let limits = core.dispatcher.borrow().routes().map(|it| it.limits()).unwrap_or_default();
     let idle = Duration::from_millis(limits.idle.plus(limits.send).0.saturating_mul(IDLE_FACTOR));
@@ -192,7 +197,8 @@
         if let Poll::Ready(ended) = poll!(connection.as_mut()) {
             break ended;
         }
-        if !pipeline.has_unread() && !pipeline.has_ahead() {
+        let is_new = pipeline.is_unused() && core.now() < opened.after(FIRST_REQUEST_WAIT);
+        if !is_new && !pipeline.has_unread() && !pipeline.has_ahead() {
             connection.as_mut().graceful_shutdown();
             break connection.await;
         }
--- a/crates/th-gateway/src/pipeline/connection.rs
+++ b/crates/th-gateway/src/pipeline/connection.rs
@@ -104,6 +104,12 @@
         !self.state.borrow().ahead.is_empty()
     }
 
+    /// Whether the caller has sent nothing yet.
+    pub(crate) fn is_unused(&self) -> bool {
+        let state = self.state.borrow();
+        state.passed == 0 && state.buffer.is_empty()
+    }
+
     /// Whether bytes were read that belong to no request yet.
     pub(crate) fn has_unread(&self) -> bool {
         !self.state.borrow().buffer.is_empty()
--- a/tests/stopped_uploads.rs
+++ b/tests/stopped_uploads.rs
@@ -1,4 +1,4 @@
-//! Planned stops of the real program while it does not run for some time: uploads that are whole in its sockets.
+//! Planned stops of the real program: uploads that it has not read when it closes its port and its connections.
 
 mod desk;
 mod entry;
@@ -105,3 +105,23 @@
     check_answers(&servers[0], callers.await).await;
     assert_eq!(entry.wait().code(), Some(0));
 }
+
+/// Guards against new connections that a stop closes while their first requests are on the way.
+#[tokio::test]
+async fn uploads_on_connections_that_were_just_opened_are_answered() {
+    let (_store, servers, mut entry) = patient_deployment(1).await;
+    entry.signal("-TERM");
+    let closes = Instant::now() + LINGER;
+    sleep_until(closes - Duration::from_millis(300)).await;
+    let mut callers = Vec::new();
+    for number in 0..UPLOADS {
+        let caller = RawCaller::connect(entry.listen.callers).await;
+        callers.push((format!("crossing-{number}"), caller));
+    }
+    sleep_until(closes + Duration::from_millis(300)).await;
+    for (id, caller) in &mut callers {
+        caller.send(&[upload(id)]).await;
+    }
+    check_answers(&servers[0], callers).await;
+    assert_eq!(entry.wait().code(), Some(0));
+}
