Read a closed connection on while its caller still sends

Cause: a closed connection was read on for 0.5 s in all, then dropped with bytes unread, which resets it.

Change: it is read on until the caller has sent nothing for 0.5 s, for 5 s at most.

Measured: an_answer_that_comes_before_the_end_of_a_body_is_delivered (360 kB in 3 s) failed before at part 7 of 12 and passes.

--- a/crates/th-gateway/src/pipeline/stream.rs
+++ b/crates/th-gateway/src/pipeline/stream.rs
@@ -14,7 +14,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::{Sleep, sleep},
+    time::{Instant, Sleep, sleep},
 };
 use tokio_util::io::poll_read_buf;
 
@@ -23,11 +23,27 @@
 /// Maximum number of bytes that are read behind the current request. Beyond it, reading pauses until that request is
 /// answered.
 const MAX_BUFFERED: usize = 64 << 10;
-/// Number of bytes that are read at a time from a socket that is not reported as readable.
+/// Number of bytes that are read at a time where none are kept, or where the socket is not reported as readable.
 const PART: usize = 4 << 10;
-/// Longest time for which a closed connection is read on. Closing it with unread bytes would reset it, which could cost
-/// the caller the last answer.
+/// Time without bytes of the caller after which a closed connection is not read on. Closing it with unread bytes would reset
+/// it, which could cost the caller the last answer.
 const LINGER: Duration = Duration::from_millis(500);
+/// Longest time for which a closed connection is read on.
+const MAX_LINGER: Duration = Duration::from_secs(5);
+
+/// Time-outs of the reads after the end of a connection.
+struct Linger {
+    /// Running time-out for the next bytes.
+    silence: Pin<Box<Sleep>>,
+    /// When the reads stop in any case.
+    end: Instant,
+}
+
+impl Linger {
+    fn new() -> Linger {
+        Linger { silence: Box::pin(sleep(LINGER)), end: Instant::now() + MAX_LINGER }
+    }
+}
 
 /// A caller's connection, of which the HTTP library sees one request at a time.
 pub(crate) struct PipelinedStream {
@@ -39,8 +55,8 @@
     write_timeout: Duration,
     /// Running time-out of a write.
     stalled: Option<Pin<Box<Sleep>>>,
-    /// Running time-out of the reads after the end.
-    linger: Option<Pin<Box<Sleep>>>,
+    /// Reads after the end.
+    linger: Option<Linger>,
     /// Number of bytes discarded after the end.
     discarded: u64,
     /// Counts such bytes of all connections.
@@ -186,30 +202,28 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        if self.linger.is_none() {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-            self.linger = Some(Box::pin(sleep(LINGER)));
-            let buffered = self.pipeline.buffered();
-            self.count_discarded(buffered);
+        let this = &mut *self;
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            this.count_discarded(this.pipeline.buffered());
         }
-        let mut discarded = BytesMut::with_capacity(4 << 10);
-        while !self.ended {
+        let linger = this.linger.get_or_insert_with(Linger::new);
+        let now = Instant::now();
+        let mut discarded = BytesMut::with_capacity(PART);
+        let mut length = 0;
+        while !this.ended && now < linger.end {
             discarded.clear();
-            let stream = Pin::new(&mut self.stream);
-            match poll_read_buf(stream, cx, &mut discarded) {
-                Poll::Ready(read) => {
-                    let length = read?;
-                    self.count_discarded(length);
-                    self.ended = length == 0;
-                }
-                Poll::Pending => {
-                    if let Some(linger) = &mut self.linger {
-                        ready!(linger.as_mut().poll(cx));
-                    }
-                    return Poll::Ready(Ok(()));
-                }
+            match poll_read_buf(Pin::new(&mut this.stream), cx, &mut discarded) {
+                Poll::Ready(Ok(0)) => this.ended = true,
+                Poll::Ready(read) => length += read?,
+                Poll::Pending => break,
             }
         }
-        Poll::Ready(Ok(()))
+        if 0 < length {
+            linger.silence.as_mut().reset(linger.end.min(now + LINGER));
+        }
+        let waits = !this.ended && linger.silence.as_mut().poll(cx).is_pending();
+        this.count_discarded(length);
+        if waits { Poll::Pending } else { Poll::Ready(Ok(())) }
     }
 }
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -15,7 +15,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 /// Bound on every wait of these tests.
@@ -94,6 +94,29 @@
     assert_eq!(servers[0].runs("slow"), 0);
 }
 
+/// Guards against answers that are lost since the connection closes while their callers still send.
+#[tokio::test]
+async fn an_answer_that_comes_before_the_end_of_a_body_is_delivered() {
+    const PART: usize = 30_000;
+    const PARTS: usize = 12;
+    let (_store, servers, entry) = deployment(1).await;
+    let mut stream = TcpStream::connect(entry.listen.callers).await.unwrap();
+    let head = format!(
+        "POST /none/slow HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: slow\r\nContent-Length: {}\r\n\r\n",
+        PART * PARTS
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for part in 0..PARTS {
+        stream.write_all(&[b'x'; PART]).await.unwrap_or_else(|it| panic!("part {part}: {it}"));
+        sleep(Duration::from_millis(250)).await;
+    }
+    let mut received = Vec::new();
+    timeout(PATIENCE, stream.read_to_end(&mut received)).await.expect("the end").unwrap();
+    let answer = String::from_utf8_lossy(&received);
+    assert!(answer.starts_with("HTTP/1.1 404 "), "{answer}");
+    assert_eq!(servers[0].runs("slow"), 0);
+}
+
 #[tokio::test]
 async fn a_body_that_is_stated_too_large_is_rejected_before_it_is_sent() {
     let (store, servers, entry) = deployment(1).await;
