Count a connection from its accept on, not from its first turn

Found by reading: a planned stop ends once no connection is counted, and a connection was counted when its task ran first. Those accepted as the port closes were only counted in time since their tasks happen to be queued before the one of the stop.

Change: a guard counts a connection as it is accepted, until it is dropped.

Measured: tests/stopped_uploads.rs (4) and tests/planned_stop.rs (18) pass; no run showed the order going wrong.

--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -59,6 +59,22 @@
 pub(crate) type HandlerFuture =
     std::pin::Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, Infallible>>>>;
 
+/// A caller's connection, counted as open until this is dropped.
+struct OpenConnection(Rc<Core>);
+
+impl OpenConnection {
+    fn new(core: &Rc<Core>) -> OpenConnection {
+        core.connections.set(core.connections.get() + 1);
+        OpenConnection(Rc::clone(core))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 /// Opens a listener whose address can be reused as soon as the process has ended.
 pub(crate) fn open(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = match address {
@@ -79,7 +95,8 @@
 ) {
     let serve = |stream, address: SocketAddr| {
         let caller = CallerAddress(address.ip());
-        spawn_local(handle_connection(Rc::clone(&core), stream, caller, handler.clone()));
+        let open = OpenConnection::new(&core);
+        spawn_local(handle_connection(open, stream, caller, handler.clone()));
     };
     loop {
         let accepted = tokio::select! {
@@ -151,7 +168,7 @@
 }
 
 async fn handle_connection(
-    core: Rc<Core>,
+    open: OpenConnection,
     stream: TcpStream,
     caller: CallerAddress,
     handler: Handler,
@@ -159,7 +176,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "entry", "Setting TCP_NODELAY failed: {error}");
     }
-    core.connections.set(core.connections.get() + 1);
+    let core = Rc::clone(&open.0);
     let opened = core.now();
     let _memory = Reservation::connection(&core.memory);
     let limits = core.dispatcher.borrow().routes().map(|it| it.limits()).unwrap_or_default();
@@ -203,7 +220,6 @@
             break connection.await;
         }
     };
-    core.connections.set(core.connections.get() - 1);
     if let Err(error) = ended {
         log::debug!(target: "entry", "A caller's connection ended: {error}");
     }
