Read and write unreported bytes without a further file descriptor

Cause: a socket was duplicated to be read or written whether or not it was reported as ready. The error went out of the read, and the HTTP library ended the connection with the request in it.

Change: the socket is used as it is, through socket2, which tokio already brings. An interrupted read waits for the next report.

--- a/crates/th-gateway/src/pipeline/stream.rs
+++ b/crates/th-gateway/src/pipeline/stream.rs
@@ -2,7 +2,6 @@
 
 use std::{
     io::{Error, ErrorKind, Read, Result, Write},
-    os::fd::AsFd,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
@@ -11,6 +10,7 @@
 
 use bytes::BytesMut;
 use prometheus::IntCounter;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -128,21 +128,21 @@
 
     /// Writes to the socket whether or not it is reported as writable.
     fn write_unreported(&self, bytes: &[u8]) -> Result<usize> {
-        let socket = self.stream.as_fd().try_clone_to_owned()?;
-        std::net::TcpStream::from(socket).write(bytes)
+        (&*SockRef::from(&self.stream)).write(bytes)
     }
 
     /// Reads from the socket whether or not it is reported as readable.
     fn read_unreported(&self, buffer: &mut BytesMut) -> Poll<Result<usize>> {
         let mut part = [0; PART];
-        let socket = self.stream.as_fd().try_clone_to_owned()?;
-        match std::net::TcpStream::from(socket).read(&mut part) {
+        match (&*SockRef::from(&self.stream)).read(&mut part) {
             Ok(length) => {
                 buffer.extend_from_slice(&part[..length]);
                 Poll::Ready(Ok(length))
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => Poll::Pending,
-            Err(error) => Poll::Ready(Err(error)),
+            Err(error) => match error.kind() {
+                ErrorKind::WouldBlock | ErrorKind::Interrupted => Poll::Pending,
+                _ => Poll::Ready(Err(error)),
+            },
         }
     }
 }
--- a/tests/entry/mod.rs
+++ b/tests/entry/mod.rs
@@ -111,6 +111,14 @@
         assert!(sent.unwrap().success());
     }
 
+    /// Sets how many file descriptors the process may have; those that it has stay open.
+    pub(crate) fn limit_descriptors(&self, limit: u32) {
+        let id = self.child.id().to_string();
+        let limit = format!("--nofile={limit}:");
+        let set = Command::new("prlimit").args(["--pid", &id, &limit]).status();
+        assert!(set.unwrap().success());
+    }
+
     /// Returns the exit status, if the process has exited.
     pub(crate) fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().unwrap()
