Go on accepting at a port that closes while descriptors are missing

Cause: one failed accept ended the port with all that waited there.

Change: the task of the port tries again after a pause, while the stop goes on closing idle connections, which frees descriptors; the stop lasts until the port is closed, and to its limit at most. When a connection was opened is taken at its accept.

--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -51,12 +51,13 @@
         Ok(Port { closing, task })
     }
 
-    /// Closes the port.
-    pub(crate) async fn close(self) {
+    /// Begins to close the port; the connections that wait there are accepted before.
+    pub(crate) fn close(&self) {
         self.closing.cancel();
-        if let Err(error) = self.task.await {
-            log::error!(target: "stop", "Closing the port failed: {error}");
-        }
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.task.is_finished()
     }
 }
 
@@ -119,7 +120,7 @@
 
     /// Carries out a planned stop that may last for the grace period. Returns the number of requests that were cut.
     pub async fn stop(self, grace: Millis) -> u32 {
-        stop(&self.core, self.callers, grace).await
+        stop(&self.core, &self.callers, grace).await
     }
 }
 
--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -13,7 +13,7 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use th_protocol::Millis;
+use th_protocol::{Millis, Time};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     task::spawn_local,
@@ -60,18 +60,21 @@
     std::pin::Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, Infallible>>>>;
 
 /// A caller's connection, counted as open until this is dropped.
-struct OpenConnection(Rc<Core>);
+struct OpenConnection {
+    core: Rc<Core>,
+    opened: Time,
+}
 
 impl OpenConnection {
     fn new(core: &Rc<Core>) -> OpenConnection {
         core.connections.set(core.connections.get() + 1);
-        OpenConnection(Rc::clone(core))
+        OpenConnection { core: Rc::clone(core), opened: core.now() }
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
+        self.core.connections.set(self.core.connections.get() - 1);
     }
 }
 
@@ -111,36 +114,42 @@
             }
         }
     }
-    match serve_queued(listener, serve) {
-        Ok(queued) => log::info!(target: "stop", "queued={queued} Closed the port for callers."),
+    // The system resets the connections in the queue of a closed port, and knows of some that have not been reported yet.
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
         Err(error) => {
-            log::warn!(target: "stop", "Accepting the connections that wait at the port failed: {error}");
+            log::error!(target: "stop", "Accepting the connections that wait at a port failed: {error}");
+            return;
         }
-    }
-}
-
-/// Closes a port, and serves the connections that wait to be accepted, which the system would reset. Returns their number.
-fn serve_queued(
-    listener: TcpListener,
-    serve: impl Fn(TcpStream, SocketAddr),
-) -> std::io::Result<usize> {
-    // The system knows of connections that have not been reported yet.
-    let listener = listener.into_std()?;
+    };
     let mut queued = 0;
     loop {
-        match listener.accept() {
-            Ok((stream, address)) => {
-                stream.set_nonblocking(true)?;
-                serve(TcpStream::from_std(stream)?, address);
+        match accept_queued(&listener) {
+            Ok(Some((stream, address))) => {
+                serve(stream, address);
                 queued += 1;
             }
-            Err(error) => match error.kind() {
-                ErrorKind::WouldBlock => return Ok(queued),
-                // The caller has gone, or a signal came.
-                ErrorKind::ConnectionAborted | ErrorKind::Interrupted => {}
-                _ => return Err(error),
-            },
+            Ok(None) => break,
+            Err(error) => {
+                log::warn!(target: "stop", "Accepting a connection that waits at a port failed: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    log::info!(target: "stop", "queued={queued} Closed a port.");
+}
+
+/// Accepts a connection that waits at the port; `None` if there is none.
+fn accept_queued(
+    listener: &std::net::TcpListener,
+) -> std::io::Result<Option<(TcpStream, SocketAddr)>> {
+    match listener.accept() {
+        Ok((stream, address)) => {
+            stream.set_nonblocking(true)?;
+            Ok(Some((TcpStream::from_std(stream)?, address)))
         }
+        Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(None),
+        Err(error) => Err(error),
     }
 }
 
@@ -176,8 +185,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "entry", "Setting TCP_NODELAY failed: {error}");
     }
-    let core = Rc::clone(&open.0);
-    let opened = core.now();
+    let core = Rc::clone(&open.core);
     let _memory = Reservation::connection(&core.memory);
     let limits = core.dispatcher.borrow().routes().map(|it| it.limits()).unwrap_or_default();
     let idle = Duration::from_millis(limits.idle.plus(limits.send).0.saturating_mul(IDLE_FACTOR));
@@ -214,7 +222,7 @@
         if let Poll::Ready(ended) = poll!(connection.as_mut()) {
             break ended;
         }
-        let is_new = pipeline.is_unused() && core.now() < opened.after(FIRST_REQUEST_WAIT);
+        let is_new = pipeline.is_unused() && core.now() < open.opened.after(FIRST_REQUEST_WAIT);
         if !is_new && !pipeline.has_unread() && !pipeline.has_ahead() {
             connection.as_mut().graceful_shutdown();
             break connection.await;
--- a/crates/th-gateway/src/stop.rs
+++ b/crates/th-gateway/src/stop.rs
@@ -21,7 +21,7 @@
 ///
 /// The port for callers is closed after the linger time. Requests that become complete on open connections after that are
 /// rejected, since their servers could not finish them in time.
-pub(crate) async fn stop(core: &Rc<Core>, callers: Port, grace: Millis) -> u32 {
+pub(crate) async fn stop(core: &Rc<Core>, callers: &Port, grace: Millis) -> u32 {
     let started = core.now();
     let end = started.after(grace.minus(EXIT_MARGIN));
     let last_answer = end.before(ANSWER_MARGIN);
@@ -32,9 +32,10 @@
     let linger = core.settings.linger.min(last_answer.since(started));
     sleep(Duration::from_millis(linger.0)).await;
     core.phase.set(Phase::Closed);
-    callers.close().await;
+    callers.close();
     core.closing.notify_waiters();
-    while (0 < core.in_flight.get() || 0 < core.connections.get()) && core.now() < end {
+    let is_busy = || !callers.is_closed() || 0 < core.in_flight.get() || 0 < core.connections.get();
+    while is_busy() && core.now() < end {
         sleep(POLL_INTERVAL).await;
         core.closing.notify_waiters();
     }
--- a/tests/stop_descriptors.rs
+++ b/tests/stop_descriptors.rs
@@ -58,3 +58,21 @@
     assert_eq!(servers[0].runs("unread"), 0);
     assert_eq!(entry.wait().code(), Some(0));
 }
+
+/// Guards against uploads that are reset at a port that closes while a descriptor is missing for a moment.
+#[tokio::test]
+async fn uploads_at_the_port_wait_for_descriptors() {
+    let (_store, servers, mut entry) = patient_deployment(1).await;
+    entry.signal("-TERM");
+    let closes = Instant::now() + LINGER;
+    sleep_until(closes - Duration::from_millis(300)).await;
+    entry.limit_descriptors(USED_UP);
+    let mut caller = RawCaller::connect(entry.listen.callers).await;
+    caller.send(&[upload("queued")]).await;
+    sleep_until(closes + Duration::from_millis(200)).await;
+    assert_eq!(entry.exit_status(), None, "the stop did not wait for the upload");
+    entry.limit_descriptors(PLENTY);
+    assert_eq!(caller.answer().await.map(|it| it.status), Some(503));
+    assert_eq!(servers[0].runs("queued"), 0);
+    assert_eq!(entry.wait().code(), Some(0));
+}
