Bound the bytes that are read after the end of a connection

Change: a closed connection is read on for as many bytes as a body may have, besides the bounds in time.

Measured: a_body_without_end_is_read_up_to_the_limit failed before (17.8 MB taken, the limit 1 MiB and what sockets hold) and passes; an answer before the end of a slow body is still delivered (tests/uploads.rs, 8 pass).

--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -198,7 +198,10 @@
         })
     });
     let pipeline = Rc::new(Pipeline::new(ahead, depth, max_head, &core.memory));
-    let stream = PipelinedStream::new(stream, Rc::clone(&pipeline), idle, &core.metrics.discarded);
+    // The rest of a body is not longer.
+    let max_discarded = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
+    let total = &core.metrics.discarded;
+    let stream = PipelinedStream::new(stream, Rc::clone(&pipeline), idle, max_discarded, total);
     let shared = (Rc::clone(&core), Rc::clone(&pipeline));
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(caller);
--- a/crates/th-gateway/src/pipeline/stream.rs
+++ b/crates/th-gateway/src/pipeline/stream.rs
@@ -37,11 +37,17 @@
     silence: Pin<Box<Sleep>>,
     /// When the reads stop in any case.
     end: Instant,
+    /// Number of bytes that may still be read.
+    left: usize,
 }
 
 impl Linger {
-    fn new() -> Linger {
-        Linger { silence: Box::pin(sleep(LINGER)), end: Instant::now() + MAX_LINGER }
+    fn new(left: usize) -> Linger {
+        Linger { silence: Box::pin(sleep(LINGER)), end: Instant::now() + MAX_LINGER, left }
+    }
+
+    fn is_over(&self) -> bool {
+        self.left == 0 || self.end <= Instant::now()
     }
 }
 
@@ -57,6 +63,8 @@
     stalled: Option<Pin<Box<Sleep>>>,
     /// Reads after the end.
     linger: Option<Linger>,
+    /// Maximum number of bytes that are read after the end.
+    max_discarded: usize,
     /// Number of bytes discarded after the end.
     discarded: u64,
     /// Counts such bytes of all connections.
@@ -78,6 +86,7 @@
         stream: TcpStream,
         pipeline: Rc<Pipeline>,
         write_timeout: Duration,
+        max_discarded: usize,
         total: &IntCounter,
     ) -> PipelinedStream {
         let (ended, stalled, linger, discarded) = (false, None, None, 0);
@@ -89,6 +98,7 @@
             write_timeout,
             stalled,
             linger,
+            max_discarded,
             discarded,
             total,
         }
@@ -207,23 +217,27 @@
             ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
             this.count_discarded(this.pipeline.buffered());
         }
-        let linger = this.linger.get_or_insert_with(Linger::new);
-        let now = Instant::now();
+        let max = this.max_discarded;
+        let linger = this.linger.get_or_insert_with(|| Linger::new(max));
         let mut discarded = BytesMut::with_capacity(PART);
         let mut length = 0;
-        while !this.ended && now < linger.end {
+        while !this.ended && !linger.is_over() {
             discarded.clear();
             match poll_read_buf(Pin::new(&mut this.stream), cx, &mut discarded) {
-                Poll::Ready(Ok(0)) => this.ended = true,
-                Poll::Ready(read) => length += read?,
+                Poll::Ready(read) => {
+                    let read = read?;
+                    this.ended = read == 0;
+                    length += read;
+                    linger.left = linger.left.saturating_sub(read);
+                }
                 Poll::Pending => break,
             }
         }
         if 0 < length {
-            linger.silence.as_mut().reset(linger.end.min(now + LINGER));
+            linger.silence.as_mut().reset(linger.end.min(Instant::now() + LINGER));
         }
-        let waits = !this.ended && linger.silence.as_mut().poll(cx).is_pending();
+        let is_over = this.ended || linger.is_over() || linger.silence.as_mut().poll(cx).is_ready();
         this.count_discarded(length);
-        if waits { Poll::Pending } else { Poll::Ready(Ok(())) }
+        if is_over { Poll::Ready(Ok(())) } else { Poll::Pending }
     }
 }
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -117,6 +117,27 @@
     assert_eq!(servers[0].runs("slow"), 0);
 }
 
+/// Guards against a caller that keeps a VM busy by sending on without end after its request was rejected.
+#[tokio::test]
+async fn a_body_without_end_is_read_up_to_the_limit() {
+    const LIMIT: usize = 1 << 20;
+    /// What the sockets hold.
+    const UNREAD: usize = 16 << 20;
+    let (store, _servers, entry) = deployment(1).await;
+    let mut config = config(8, "/seen/");
+    config["limits"] = json!({"body_bytes": LIMIT});
+    store.put("op/config", &config);
+    entry.wait_for_status("/seen/x", 200).await;
+    let mut stream = TcpStream::connect(entry.listen.callers).await.unwrap();
+    let head = "POST /book/endless HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: endless\r\nContent-Length: 1000000000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let (part, mut sent) = (vec![b'x'; 1 << 16], 0);
+    while stream.write_all(&part).await.is_ok() {
+        sent += part.len();
+        assert!(sent < LIMIT + UNREAD, "{sent} bytes were taken, the limit is {LIMIT}");
+    }
+}
+
 #[tokio::test]
 async fn a_body_that_is_stated_too_large_is_rejected_before_it_is_sent() {
     let (store, servers, entry) = deployment(1).await;
