Bound the wait of a planned stop for half a head

Change: it has a second from the moment at which the stop closes idle connections, then it is closed.

--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -31,9 +31,9 @@
 const BACKLOG: u32 = 1024;
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time that a caller has for its first request on a connection while a planned stop closes idle ones; as long as callers wait
-/// for a connection.
-const FIRST_REQUEST_WAIT: Millis = Millis(1_000);
+/// Time that a caller has for its first request on a new connection, and for the rest of a request whose head has come in
+/// part, while a planned stop closes idle connections; as long as callers wait for a connection.
+const REQUEST_WAIT: Millis = Millis(1_000);
 /// Factor between the idle time-out stated to callers and the one enforced here, so that callers close idle connections
 /// first.
 const IDLE_FACTOR: u64 = 2;
@@ -215,6 +215,7 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     // A planned stop notifies repeatedly, until all that has arrived is answered.
+    let mut noticed = None;
     let ended = loop {
         tokio::select! {
             biased;
@@ -225,8 +226,11 @@
         if let Poll::Ready(ended) = poll!(connection.as_mut()) {
             break ended;
         }
-        let is_new = pipeline.is_unused() && core.now() < open.opened.after(FIRST_REQUEST_WAIT);
-        if !is_new && !pipeline.has_unread() && !pipeline.has_ahead() {
+        let now = core.now();
+        let noticed = *noticed.get_or_insert(now);
+        let is_new = pipeline.is_unused() && now < open.opened.after(REQUEST_WAIT);
+        let is_arriving = pipeline.has_unread() && now < noticed.after(REQUEST_WAIT);
+        if !is_new && !is_arriving && !pipeline.has_ahead() {
             connection.as_mut().graceful_shutdown();
             break connection.await;
         }
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -173,3 +173,18 @@
     );
     assert_eq!(entry.wait().code(), Some(i32::from(is_cut)));
 }
+
+/// Guards against a stop that lasts until its limit for a head that does not come whole.
+#[tokio::test]
+async fn a_stop_does_not_wait_for_half_a_head() {
+    /// The port closes after 2.5 s, and a request that arrives has 1 s from then on.
+    const LONGEST: Duration = Duration::from_millis(4_500);
+    let (_store, _server, mut entry) = one_server().await;
+    let mut caller = RawCaller::connect(entry.listen.callers).await;
+    caller.send(&["POST /book/x HTTP/1.1\r\nHost: desk".to_owned()]).await;
+    entry.signal("-TERM");
+    let stopped = Instant::now();
+    assert_eq!(caller.answer().await, None);
+    assert_eq!(entry.wait().code(), Some(0));
+    assert!(stopped.elapsed() < LONGEST, "{:?}", stopped.elapsed());
+}
