Test planned stops with large, chunked and expecting uploads, and with further signals

Found by the review of the fixes as sound: uploads of 360 kB, in chunks or after Expect: 100-continue, in connections that are accepted or not while the process is held up, with SIGHUP and SIGTERM once more before it runs on.

Change: the review's cases, in tests/stopped_uploads.rs; a check that late sends are not taken for losses.

--- a/tests/stopped_uploads.rs
+++ b/tests/stopped_uploads.rs
@@ -13,7 +13,10 @@
 use raw_caller::{RawCaller, get, post};
 use rstest::rstest;
 use stand_in::StandInServer;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::{
+    io::AsyncWriteExt,
+    time::{Instant, sleep, sleep_until},
+};
 
 /// Time from SIGTERM until the port for callers closes.
 const LINGER: Duration = Duration::from_millis(2_500);
@@ -118,10 +121,84 @@
         let caller = RawCaller::connect(entry.listen.callers).await;
         callers.push((format!("crossing-{number}"), caller));
     }
+    let opened = Instant::now();
     sleep_until(closes + Duration::from_millis(300)).await;
     for (id, caller) in &mut callers {
         caller.send(&[upload(id)]).await;
     }
+    assert!(opened.elapsed() < Duration::from_secs(1), "the uploads were sent too late");
+    check_answers(&servers[0], callers).await;
+    assert_eq!(entry.wait().code(), Some(0));
+}
+
+/// How an upload is sent.
+#[derive(Debug, Clone, Copy)]
+enum Form {
+    /// With its length, larger than what the kernel takes at once.
+    Large,
+    /// In chunks.
+    Chunked,
+    /// After an `Expect: 100-continue`, without waiting.
+    Expecting,
+}
+
+impl Form {
+    fn upload(self, id: &str) -> String {
+        let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
+        let text = post("/book/photo", id, "");
+        match self {
+            Form::Large => post("/book/photo", id, &"x".repeat(360_000)),
+            Form::Chunked => {
+                let head = text.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+                format!("{head}{}0\r\n\r\n", chunk.repeat(12))
+            }
+            Form::Expecting => upload(id).replacen("\r\n", "\r\nExpect: 100-continue\r\n", 1),
+        }
+    }
+}
+
+/// Guards against the same losses with other uploads, and beside further signals during the stop.
+#[rstest]
+#[tokio::test]
+async fn uploads_of_every_form_are_answered(
+    #[values(Form::Large, Form::Chunked, Form::Expecting)] form: Form,
+    #[values(false, true)] accepted: bool,
+) {
+    let (_store, servers, mut entry) = patient_deployment(1).await;
+    let address = entry.listen.callers;
+    entry.signal("-TERM");
+    let closes = Instant::now() + LINGER;
+    sleep_until(closes - HELD_BEFORE - Duration::from_millis(300)).await;
+    let mut callers = Vec::new();
+    if accepted {
+        for _ in 0..UPLOADS {
+            callers.push(RawCaller::connect(address).await);
+        }
+    }
+    sleep_until(closes - HELD_BEFORE).await;
+    entry.signal("-STOP");
+    while callers.len() < UPLOADS {
+        callers.push(RawCaller::connect(address).await);
+    }
+    let mut uploads = Vec::new();
+    for (number, mut caller) in callers.into_iter().enumerate() {
+        let id = format!("form-{number}");
+        uploads.push(tokio::spawn(async move {
+            // The kernel does not take a large one as a whole while the process is held up.
+            let sent = caller.stream.write_all(form.upload(&id).as_bytes()).await;
+            (id, caller, sent)
+        }));
+    }
+    sleep_until(closes - HELD_BEFORE + HELD).await;
+    entry.signal("-HUP");
+    entry.signal("-TERM");
+    entry.signal("-CONT");
+    let mut callers = Vec::new();
+    for upload in uploads {
+        let (id, caller, sent) = upload.await.unwrap();
+        sent.unwrap_or_else(|it| panic!("{id}: {it}"));
+        callers.push((id, caller));
+    }
     check_answers(&servers[0], callers).await;
     assert_eq!(entry.wait().code(), Some(0));
 }
