Bound the wait for a slot of a request that another VM passed on

Cause: the other VM lets the request wait until its deadline, and knows nothing of the stop.

Change: a request that was passed on waits for a slot for 2 s at most, counted from its arrival at the other VM. It is rejected with `LongWait`, as not run, once it is expected to wait longer, or at the end of that time. No message between VMs has changed.

--- a/crates/th-gateway/src/call.rs
+++ b/crates/th-gateway/src/call.rs
@@ -22,7 +22,7 @@
     core::{Core, Slot},
     crash::{check_crash, reject_crashing, report},
     dialect::RequestInfo,
-    forward::{Forwarded, decline, forward},
+    forward::{FORWARDED_WAIT, Forwarded, decline, forward},
     hedge::run_hedged,
     listen::{CallerAddress, HandlerFuture},
     memory::Reservation,
@@ -191,7 +191,9 @@
     let size = outgoing.body.len() as u64;
     record.object = object;
     let organisation = outgoing.caller.organisation.clone();
-    let job = Job { route, service, object, arrived, deadline, tried: Vec::new(), organisation };
+    let start_by = forwarded.as_ref().map(|_| arrived.after(FORWARDED_WAIT));
+    let tried = Vec::new();
+    let job = Job { route, service, object, arrived, deadline, start_by, tried, organisation };
     core.dispatcher.borrow_mut().on_request(&job, arrived);
     let answer = match stale {
         Some(denial) => pass_to_fresher(core, &job, &outgoing, &denial, &charge, record).await,
--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -37,6 +37,9 @@
 const DECLINED: HeaderName = HeaderName::from_static("th-declined");
 /// Number of VMs that a request is passed to before it is rejected.
 const MAX_VMS: usize = 3;
+/// Longest wait for a slot of a request that another VM passed on: a planned stop of that VM takes longer, so that its
+/// caller gets an answer.
+pub(crate) const FORWARDED_WAIT: Millis = Millis(2_000);
 /// Time between two checks of links to backend servers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Retry delay suggested while no VM takes a request; about the time of a check.
--- a/crates/th-steer/src/dispatch/decide.rs
+++ b/crates/th-steer/src/dispatch/decide.rs
@@ -147,7 +147,7 @@
         }
         let usable = self.eligible(usable, now);
         let Some(best) = self.choose(job, usable, wait_counts, now) else {
-            return Placement::Wait;
+            return self.wait_for(job, 0.0, now);
         };
         let remaining = job.deadline.since(now).0 as f64;
         // Work that starts too late is aborted at the deadline, and then counts as executed.
@@ -163,12 +163,28 @@
             return Placement::Reject(Rejection::TooLate, backoff);
         }
         if !best.free {
-            wait_counts.add(best.row, job.rank());
-            return Placement::Wait;
+            let placement = self.wait_for(job, best.wait, now);
+            if placement == Placement::Wait {
+                wait_counts.add(best.row, job.rank());
+            }
+            return placement;
         }
         self.start_attempt(job, &best, now)
     }
 
+    /// Lets a request wait for a slot that is expected to be free in `wait` milliseconds, if that is in time.
+    fn wait_for(&self, job: &Job, wait: f64, now: Time) -> Placement {
+        let Some(time_left) = job.start_by.map(|it| it.since(now).0 as f64) else {
+            return Placement::Wait;
+        };
+        if 0.0 < time_left && wait <= time_left {
+            return Placement::Wait;
+        }
+        let settings = &self.settings;
+        let back = millis(wait - time_left).clamp(settings.backoff_min, settings.backoff_max);
+        Placement::Reject(Rejection::LongWait, back)
+    }
+
     /// Returns the time after which the caller of a request that servers turned away may come back.
     pub fn comeback(&self, job: &Job, now: Time) -> Millis {
         let settings = &self.settings;
--- a/crates/th-steer/src/dispatch/job.rs
+++ b/crates/th-steer/src/dispatch/job.rs
@@ -20,6 +20,8 @@
     pub arrived: Time,
     /// When its answer must be complete.
     pub deadline: Time,
+    /// When it must be on its way to a backend server, if it may not wait for a slot until its deadline.
+    pub start_by: Option<Time>,
     /// Backend servers to which it has already been sent.
     pub tried: Vec<BackendId>,
     /// The organisation that makes it, if any.
@@ -60,6 +62,8 @@
     Isolated,
     /// It would finish after its deadline.
     TooLate,
+    /// It would wait for a slot beyond the time for that.
+    LongWait,
     /// Its deadline has passed, for example while it waited.
     Expired,
     /// It would not finish before the planned stop of this VM ends; another entry VM may take it.
--- a/crates/th-steer/tests/dispatch_admission.rs
+++ b/crates/th-steer/tests/dispatch_admission.rs
@@ -219,3 +219,42 @@
     let late = world.job_of(route, OBJECT);
     assert!(matches!(world.place(&late).0, Placement::Reject(Rejection::Stopping, _)));
 }
+
+/// A request that another VM passed on, at servers whose slots stay taken for longer than it may wait.
+///
+/// Guards against a wait until the deadline, which the VM that passed it on may not live to see.
+#[test]
+fn a_passed_on_request_waits_for_a_bounded_time() {
+    const MAX_WAIT: Millis = Millis(500);
+    let mut world = warm_world();
+    let route = Route { timeout: Millis(60_000), objective: Millis(10_000), ..quick_route() };
+    for _ in 0..2 {
+        let job = world.job_of(route.clone(), OBJECT);
+        world.send(&job);
+    }
+    let limited = |world: &World| {
+        let start_by = Some(world.now.after(MAX_WAIT));
+        Job { start_by, ..world.job_of(route.clone(), OBJECT) }
+    };
+    let patient = world.job_of(route.clone(), OBJECT);
+    let job = limited(&world);
+    let (placement, number) = world.place(&job);
+    assert_eq!(placement, Placement::Wait);
+    assert_eq!(world.place(&patient).0, Placement::Wait);
+    let end = world.now.after(MAX_WAIT);
+    let mut rejected = Vec::new();
+    while world.now <= end {
+        rejected.extend(world.dispatcher.place_waiting(usize::MAX, world.now));
+        world.now = world.now.after(STEP);
+    }
+    assert!(
+        matches!(rejected[..], [(it, Placement::Reject(Rejection::LongWait, _))] if Some(it) == number),
+        "{rejected:?}"
+    );
+    // Requests that must wait longer than that are rejected as they come.
+    for _ in 0..SERVED_A_SECOND {
+        world.place(&patient);
+    }
+    let late = limited(&world);
+    assert!(matches!(world.place(&late).0, Placement::Reject(Rejection::LongWait, _)));
+}
--- a/crates/th-steer/tests/dispatch_world/fleet.rs
+++ b/crates/th-steer/tests/dispatch_world/fleet.rs
@@ -155,6 +155,7 @@
             object: Some(object),
             arrived: self.now,
             deadline,
+            start_by: None,
             tried: Vec::new(),
             organisation: None,
         };
--- a/crates/th-steer/tests/dispatch_world/mod.rs
+++ b/crates/th-steer/tests/dispatch_world/mod.rs
@@ -118,6 +118,7 @@
             object: Some(object),
             arrived: self.now,
             deadline,
+            start_by: None,
             tried: Vec::new(),
             organisation: None,
         }
