Pass requests on during a planned stop with the time that is left of it

Cause: the request was passed on with the time until its own deadline, so that the other VM's admission and the wait for its answer went by a limit that the process does not live to see.

Change: a stopping VM passes requests on with the time until its last answer, and waits no longer than that.

Measured: a_stop_waits_for_another_vm_until_its_last_answer_only failed before (no answer for 5.73 s) and passes. a_stop_bounds_the_time_of_requests_that_are_passed_on (th-steer) passes.

--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -128,11 +128,12 @@
     let (mut not_executed, mut outcome) = (true, AttemptOutcome::Unreachable);
     while tried.len() < MAX_VMS && (not_executed || job.route.idempotent) {
         let now = core.now();
+        let answer_by = core.dispatcher.borrow().answer_by(job);
         let target = core.dispatcher.borrow_mut().forward_target(job, &tried, now);
-        let Some((vm, address)) = target.filter(|_| now < job.deadline) else {
+        let Some((vm, address)) = target.filter(|_| now < answer_by) else {
             break;
         };
-        let time_left = job.deadline.since(now);
+        let time_left = answer_by.since(now);
         let sent = send_to(core, outgoing, &by, &vm, address, time_left);
         let limit = time_left.plus(core.settings.answer_slack);
         let mut result = match timeout(Duration::from_millis(limit.0), sent).await {
--- a/crates/th-steer/src/dispatch/dispatcher.rs
+++ b/crates/th-steer/src/dispatch/dispatcher.rs
@@ -126,6 +126,11 @@
         self.closes = Some(end);
     }
 
+    /// By when a request must be answered: its deadline, or the end of a planned stop if that comes first.
+    pub fn answer_by(&self, job: &Job) -> Time {
+        self.closes.map_or(job.deadline, |it| it.min(job.deadline))
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> Option<&Arc<RouteTable>> {
         self.routes.as_ref()
--- a/crates/th-steer/tests/dispatch_reach.rs
+++ b/crates/th-steer/tests/dispatch_reach.rs
@@ -179,3 +179,16 @@
     assert_eq!(target(&mut world, &route, &[]).as_deref(), Some("entry-4"));
     assert_eq!(target(&mut world, &route, &[id("entry-4")]), None);
 }
+
+/// Guards against requests that a stopping VM passes on with more time than it has left itself.
+#[test]
+fn a_stop_bounds_the_time_of_requests_that_are_passed_on() {
+    let mut world = world();
+    let job = world.job(50);
+    assert_eq!(world.dispatcher.answer_by(&job), job.deadline);
+    world.dispatcher.close_by(job.deadline.after(Millis(1)));
+    assert_eq!(world.dispatcher.answer_by(&job), job.deadline);
+    let end = job.deadline.before(Millis(1));
+    world.dispatcher.close_by(end);
+    assert_eq!(world.dispatcher.answer_by(&job), end);
+}
--- a/tests/passed_on.rs
+++ b/tests/passed_on.rs
@@ -15,6 +15,8 @@
 use serde_json::{Value, json};
 use stand_in::{StandInServer, StandInStore, wait_until};
 use tokio::{
+    io::AsyncReadExt,
+    net::TcpListener,
     task::JoinHandle,
     time::{Instant, sleep},
 };
@@ -137,6 +139,43 @@
     assert!(stopped.elapsed() < GRACE, "{:?}", stopped.elapsed());
 }
 
+/// Guards against requests that a stopping VM passes on with more time than it has left itself, and that get no answer.
+#[tokio::test]
+async fn a_stop_waits_for_another_vm_until_its_last_answer_only() {
+    let store = StandInStore::start().await;
+    for id in ["i-1", "i-2"] {
+        let mut unreachable = StandInServer::start(id, RUN_TIME).await.entry("ready");
+        unreachable["address"] = json!(free());
+        store.put(&format!("servers/{id}"), &unreachable);
+    }
+    // The other VM takes requests, and answers none.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peers = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                while stream.read(&mut [0; 4096]).await.is_ok_and(|it| 0 < it) {}
+            });
+        }
+    });
+    store.put("op/config", &patient_config());
+    let mut entry = start("vm-1", "north-a", &store);
+    entry.wait_until_ready().await;
+    entry.wait_for_status("/look/first", 503).await;
+    store.put("th/vm/vm-2", &record(ListenAddresses { peers, ..ListenAddresses::free() }));
+    // Until it knows the other VM.
+    sleep(Duration::from_secs(1)).await;
+    entry.signal("-TERM");
+    let stopped = Instant::now();
+    sleep(Duration::from_millis(300)).await;
+    let answer = send(entry.listen.callers, post("/book/x", "late", "gang=7")).await.unwrap();
+    let took = stopped.elapsed();
+    let answer = answer.unwrap_or_else(|| panic!("no answer for {took:?}"));
+    assert!(matches!(answer.status, 502 | 504), "{answer:?} after {took:?}");
+    assert_eq!(entry.wait().code(), Some(0));
+    assert!(stopped.elapsed() < GRACE, "{:?}", stopped.elapsed());
+}
+
 /// Guards against passed-on requests that get no answer, or one that says that they may have run, as the VM stops where they
 /// wait or run.
 #[rstest]
