Decline the requests that wait at the port for other VMs as a planned stop ends

Cause: the port for other VMs stayed open until the process exited, and the system reset the connections that it had not accepted. The VM that passed the requests on can't tell that from a server that broke.

Change: the port for other VMs closes like the one for callers, 1 s before a stop ends or once nothing is left to do. Connections in its queue are served, and their requests declined; later ones are refused, so that the other VM knows that they were not sent. A connection counts from its acceptance, not from the first turn of its task.

--- a/crates/th-gateway/src/gateway.rs
+++ b/crates/th-gateway/src/gateway.rs
@@ -33,8 +33,14 @@
 /// A running data path. All its tasks run on the thread that started it.
 pub struct Gateway {
     core: Rc<Core>,
-    /// The port for callers.
-    callers: Port,
+    ports: Ports,
+}
+
+/// The ports that a planned stop closes.
+pub(crate) struct Ports {
+    pub(crate) callers: Port,
+    /// For other VMs.
+    pub(crate) peers: Option<Port>,
 }
 
 /// A port whose connections are accepted.
@@ -67,7 +73,7 @@
         let answer = answer(&request);
         Box::pin(async move { Ok(answer) })
     });
-    Handler { serve, ahead: None }
+    Handler { users: "operators", serve, ahead: None }
 }
 
 impl Gateway {
@@ -88,7 +94,7 @@
         });
         let shared = Rc::clone(&core);
         let ahead: StartAhead = Rc::new(move |request| serve_ahead(&shared, request));
-        let callers = Handler { serve, ahead: Some(ahead) };
+        let callers = Handler { users: "callers", serve, ahead: Some(ahead) };
         let callers = Port::open(&core, listeners.callers, callers)?;
         let shared = Rc::clone(&core);
         Port::open(&core, listeners.lookups, sync_handler(move |it| lookup(&shared, it)))?;
@@ -98,18 +104,23 @@
             let shared = Rc::clone(&core);
             Port::open(&core, address, sync_handler(move |_| metrics(&shared)))?;
         }
+        let mut peers = None;
         if let Some(address) = listeners.peers {
             let shared = Rc::clone(&core);
             let serve = Rc::new(move |request| -> HandlerFuture {
                 Box::pin(serve_peer(Rc::clone(&shared), request))
             });
-            Port::open(&core, address, Handler { serve, ahead: None })?;
+            peers = Some(Port::open(
+                &core,
+                address,
+                Handler { users: "other VMs", serve, ahead: None },
+            )?);
         }
         spawn_local(tick(Rc::clone(&core)));
         spawn_local(check_links(Rc::clone(&core)));
         spawn_local(report_usage(Rc::clone(&core)));
         log::info!(target: "entry", "vm={} callers={} Listening.", core.dispatcher.borrow().vm(), listeners.callers);
-        Ok(Gateway { core, callers })
+        Ok(Gateway { core, ports: Ports { callers, peers } })
     }
 
     /// Returns the shared state, for tasks that update it.
@@ -119,7 +130,7 @@
 
     /// Carries out a planned stop that may last for the grace period. Returns the number of requests that were cut.
     pub async fn stop(self, grace: Millis) -> u32 {
-        stop(&self.core, self.callers, grace).await
+        stop(&self.core, self.ports, grace).await
     }
 }
 
--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -50,6 +50,8 @@
 /// Handles the requests of a listener.
 #[derive(Clone)]
 pub(crate) struct Handler {
+    /// Who sends the requests, for the log.
+    pub(crate) users: &'static str,
     pub(crate) serve: Serve,
     /// Starts pipelined requests ahead of their turn.
     pub(crate) ahead: Option<StartAhead>,
@@ -77,8 +79,11 @@
     handler: Handler,
     closing: CancellationToken,
 ) {
+    let users = handler.users;
     let serve = |stream, address: SocketAddr| {
         let caller = CallerAddress(address.ip());
+        // Counted before its task runs, so that a stop waits for it.
+        core.connections.set(core.connections.get() + 1);
         spawn_local(handle_connection(Rc::clone(&core), stream, caller, handler.clone()));
     };
     loop {
@@ -95,7 +100,7 @@
         }
     }
     match serve_queued(listener, serve) {
-        Ok(queued) => log::info!(target: "stop", "queued={queued} Closed the port for callers."),
+        Ok(queued) => log::info!(target: "stop", "queued={queued} Closed the port for {users}."),
         Err(error) => {
             log::warn!(target: "stop", "Accepting the connections that wait at the port failed: {error}");
         }
@@ -159,7 +164,6 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "entry", "Setting TCP_NODELAY failed: {error}");
     }
-    core.connections.set(core.connections.get() + 1);
     let opened = core.now();
     let _memory = Reservation::connection(&core.memory);
     let limits = core.dispatcher.borrow().routes().map(|it| it.limits()).unwrap_or_default();
--- a/crates/th-gateway/src/stop.rs
+++ b/crates/th-gateway/src/stop.rs
@@ -2,12 +2,12 @@
 
 use std::{rc::Rc, time::Duration};
 
-use th_protocol::Millis;
+use th_protocol::{Millis, Time};
 use tokio::time::sleep;
 
 use crate::{
     core::{Core, Phase},
-    gateway::Port,
+    gateway::Ports,
 };
 
 /// Interval at which a stop checks whether the last request has finished.
@@ -16,12 +16,14 @@
 const EXIT_MARGIN: Millis = Millis(300);
 /// Requests that still wait are rejected this long before the stop ends, so that their callers get the answer.
 const ANSWER_MARGIN: Millis = Millis(200);
+/// The port for other VMs closes this long before the stop ends, so that the requests that they pass on until then are declined.
+const PEERS_MARGIN: Millis = Millis(1_000);
 
 /// Waits until callers use other VMs and the last request is answered. Returns the number of requests that are cut.
 ///
 /// The port for callers is closed after the linger time. Requests that become complete on open connections after that are
 /// rejected, since their servers could not finish them in time.
-pub(crate) async fn stop(core: &Rc<Core>, callers: Port, grace: Millis) -> u32 {
+pub(crate) async fn stop(core: &Rc<Core>, ports: Ports, grace: Millis) -> u32 {
     let started = core.now();
     let end = started.after(grace.minus(EXIT_MARGIN));
     let last_answer = end.before(ANSWER_MARGIN);
@@ -32,14 +34,23 @@
     let linger = core.settings.linger.min(last_answer.since(started));
     sleep(Duration::from_millis(linger.0)).await;
     core.phase.set(Phase::Closed);
-    callers.close().await;
+    ports.callers.close().await;
     core.closing.notify_waiters();
-    while (0 < core.in_flight.get() || 0 < core.connections.get()) && core.now() < end {
-        sleep(POLL_INTERVAL).await;
-        core.closing.notify_waiters();
+    finish_connections(core, end.before(PEERS_MARGIN)).await;
+    if let Some(peers) = ports.peers {
+        peers.close().await;
     }
+    finish_connections(core, end).await;
     let cut = core.in_flight.get();
     core.phase.set(Phase::Ended);
     log::info!(target: "stop", "cut={cut} Stopped.");
     cut
 }
+
+/// Closes connections once they are idle, until all are closed or `end` has come.
+async fn finish_connections(core: &Core, end: Time) {
+    while (0 < core.in_flight.get() || 0 < core.connections.get()) && core.now() < end {
+        sleep(POLL_INTERVAL).await;
+        core.closing.notify_waiters();
+    }
+}
--- a/tests/passed_on.rs
+++ b/tests/passed_on.rs
@@ -18,7 +18,7 @@
     io::AsyncReadExt,
     net::TcpListener,
     task::JoinHandle,
-    time::{Instant, sleep},
+    time::{Instant, sleep, sleep_until},
 };
 
 /// Grace period of the settings.
@@ -197,3 +197,38 @@
     assert_eq!(answer.map(|it| it.status), Some(status));
     assert_eq!(deployment.runs("taken"), u32::from(status == 200));
 }
+
+/// Guards against requests that are passed on to a VM as its planned stop ends, never run, and are answered as if they may
+/// have.
+#[rstest]
+#[case::idle(0, 2_500)]
+#[case::port_closes(1, 4_700)]
+#[case::busy(1, 5_700)]
+#[tokio::test]
+async fn a_request_passed_on_as_a_stop_ends_is_rejected_as_not_run(
+    #[case] taken: u32,
+    #[case] ends: u64,
+) {
+    /// Time for which the VM that stops does not run, from this long before `ends`.
+    const HELD: Duration = Duration::from_millis(800);
+    const HELD_BEFORE: Duration = Duration::from_millis(400);
+    const REQUESTS: usize = 10;
+    let deployment = Deployment::start().await;
+    let _taken = deployment.take_slots(taken, LONG).await;
+    deployment.other.signal("-TERM");
+    let ends = Instant::now() + Duration::from_millis(ends);
+    sleep_until(ends - HELD_BEFORE).await;
+    deployment.other.signal("-STOP");
+    let mut sent = Vec::new();
+    for number in 0..REQUESTS {
+        let request = post("/book/photo", &format!("held-{number}"), &"x".repeat(50_000));
+        sent.push(send(deployment.cut_off.listen.callers, request));
+    }
+    sleep_until(ends - HELD_BEFORE + HELD).await;
+    deployment.other.signal("-CONT");
+    for (number, sent) in sent.into_iter().enumerate() {
+        let status = sent.await.unwrap().map(|it| it.status);
+        assert_eq!(deployment.runs(&format!("held-{number}")), 0);
+        assert_eq!(status, Some(503), "held-{number} has not run");
+    }
+}
