--- a/crates/th-gateway/src/forward.rs
+++ b/crates/th-gateway/src/forward.rs
@@ -10,7 +10,7 @@
     dispatch::{AttemptOutcome, Fingerprint, Job},
     organisation::KeyDigest,
 };
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::{
     answer::{Answer, NOT_EXECUTED, reject},
@@ -37,6 +37,9 @@
 const DECLINED: HeaderName = HeaderName::from_static("th-declined");
 /// Number of VMs that a request is passed to before it is rejected.
 const MAX_VMS: usize = 3;
+/// Longest wait for a slot of a request that another VM passed on: a planned stop of that VM takes longer, so that its
+/// caller gets an answer.
+pub(crate) const FORWARDED_WAIT: Millis = Millis(2_000);
 /// Time between two checks of links to backend servers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Retry delay suggested while no VM takes a request; about the time of a check.
@@ -125,20 +128,25 @@
     let (mut not_executed, mut outcome) = (true, AttemptOutcome::Unreachable);
     while tried.len() < MAX_VMS && (not_executed || job.route.idempotent) {
         let now = core.now();
+        let answer_by = core.dispatcher.borrow().answer_by(job);
         let target = core.dispatcher.borrow_mut().forward_target(job, &tried, now);
-        let Some((vm, address)) = target.filter(|_| now < job.deadline) else {
+        let Some((vm, address)) = target.filter(|_| now < answer_by) else {
             break;
         };
-        let time_left = job.deadline.since(now);
+        let time_left = answer_by.since(now);
         let sent = send_to(core, outgoing, &by, &vm, address, time_left);
-        let limit = time_left.plus(core.settings.answer_slack);
-        let mut result = match timeout(Duration::from_millis(limit.0), sent).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(error)) => {
+        let sent = tokio::select! {
+            biased;
+            sent = sent => Some(sent),
+            () = last_answer(core, job) => None,
+        };
+        let mut result = match sent {
+            Some(Ok(result)) => result,
+            Some(Err(error)) => {
                 let unsent = error.is_unsent();
                 AttemptResult::without_answer(AttemptOutcome::Broken, unsent, error)
             }
-            Err(_) => {
+            None => {
                 AttemptResult::without_answer(AttemptOutcome::Silent, false, "no answer in time")
             }
         };
@@ -161,6 +169,22 @@
     AttemptResult::without_answer(outcome, not_executed, detail)
 }
 
+/// Waits until it is too late for an answer to a request, also if a planned stop begins in the meantime.
+async fn last_answer(core: &Core, job: &Job) {
+    loop {
+        let end = core.dispatcher.borrow().answer_by(job).after(core.settings.answer_slack);
+        let now = core.now();
+        if end <= now {
+            return;
+        }
+        tokio::select! {
+            () = sleep(Duration::from_millis(end.since(now).0)) => {}
+            // A planned stop notifies repeatedly.
+            () = core.closing.notified() => {}
+        }
+    }
+}
+
 /// Sends a request to another VM and receives its answer.
 async fn send_to(
     core: &Rc<Core>,
--- a/crates/th-gateway/src/listen.rs
+++ b/crates/th-gateway/src/listen.rs
@@ -50,6 +50,8 @@
 /// Handles the requests of a listener.
 #[derive(Clone)]
 pub(crate) struct Handler {
+    /// Who sends the requests, for the log.
+    pub(crate) users: &'static str,
     pub(crate) serve: Serve,
     /// Starts pipelined requests ahead of their turn.
     pub(crate) ahead: Option<StartAhead>,
@@ -96,6 +98,7 @@
     handler: Handler,
     closing: CancellationToken,
 ) {
+    let users = handler.users;
     let serve = |stream, address: SocketAddr| {
         let caller = CallerAddress(address.ip());
         let open = OpenConnection::new(&core);
@@ -136,7 +139,7 @@
             }
         }
     }
-    log::info!(target: "stop", "queued={queued} Closed a port.");
+    log::info!(target: "stop", "queued={queued} Closed the port for {users}.");
 }
 
 /// Accepts a connection that waits at the port; `None` if there is none.
