Do not give up a call to our own store's interface while its answer is arriving

Change: the limit is on the time without any of an answer. An answer that is arriving may take 9 s more, so one that trickles stays bounded.

--- a/crates/th-entry/src/settings/spec.rs
+++ b/crates/th-entry/src/settings/spec.rs
@@ -115,7 +115,7 @@
     pub list: Millis,
     /// Longest time that one watch of the store waits for a change.
     pub watch: Millis,
-    /// Time-out of a call to the platform's service.
+    /// Time without any of an answer after which a call to the platform's service is given up.
     pub call: Millis,
 }
 
--- a/crates/th-platform/src/counted.rs
+++ b/crates/th-platform/src/counted.rs
@@ -1,6 +1,7 @@
 //! Counts the calls to the platform's service and limits the time of each.
 
 use std::{
+    pin::pin,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -9,10 +10,12 @@
 };
 
 use async_trait::async_trait;
-use th_protocol::{Millis, Revision, VmRecord};
-use tokio::time::timeout;
+use th_protocol::{Bytes, Millis, Revision, VmRecord};
+use tokio::time::{Instant, timeout_at};
 
-use crate::{CallKind, Entry, Key, LeaseId, Platform, PlatformError, Result, WriteOutcome};
+use crate::{
+    CallKind, Entry, Key, LeaseId, MAX_TRANSFER, Platform, PlatformError, Result, WriteOutcome,
+};
 
 /// Counters of the calls of each kind, and of those that failed or have an unknown outcome.
 #[derive(Debug, Default)]
@@ -33,7 +36,7 @@
     }
 }
 
-/// A wrapper that counts the calls to a platform and ends each within a time-out.
+/// A wrapper that counts the calls to a platform, and ends each that is silent for a time-out.
 pub struct CountedPlatform {
     inner: Arc<dyn Platform>,
     timeout: Millis,
@@ -41,7 +44,8 @@
 }
 
 impl CountedPlatform {
-    /// Wraps `inner` and ends each call after `timeout`; a watch after its wait plus `timeout`.
+    /// Wraps `inner` and ends each call after `timeout`, or a watch after its wait plus `timeout`, unless answers are
+    /// arriving. How long an answer takes depends on its size, so it has [`MAX_TRANSFER`] more as long as something arrives.
     pub fn new(inner: Arc<dyn Platform>, timeout: Millis) -> CountedPlatform {
         CountedPlatform { inner, timeout, calls: Arc::default() }
     }
@@ -58,12 +62,29 @@
         call: impl Future<Output = T>,
     ) -> Result<T, PlatformError> {
         self.calls.made[kind as usize].fetch_add(1, Ordering::Relaxed);
-        let limit = Duration::from_millis(self.timeout.plus(wait).0);
-        timeout(limit, call).await.map_err(|_| PlatformError {
-            kind,
-            peer: "the platform".to_owned(),
-            cause: format!("no answer within {}", self.timeout.plus(wait)),
-        })
+        let mut call = pin!(call);
+        let limit = self.timeout.plus(wait);
+        let mut due = Instant::now() + Duration::from_millis(limit.0);
+        let end = due + Duration::from_millis(MAX_TRANSFER.0);
+        let mut received = self.inner.received();
+        loop {
+            if let Ok(answer) = timeout_at(due, &mut call).await {
+                return Ok(answer);
+            }
+            let arrived = self.inner.received().minus(received);
+            let cause = match arrived {
+                Bytes::ZERO => format!("no answer within {limit}"),
+                _ if end <= due => {
+                    format!("the answer did not end within {}", limit.plus(MAX_TRANSFER))
+                }
+                _ => {
+                    received += arrived;
+                    due = end.min(due + Duration::from_millis(self.timeout.0));
+                    continue;
+                }
+            };
+            return Err(PlatformError { kind, peer: "the platform".to_owned(), cause });
+        }
     }
 
     fn record_result(&self, kind: CallKind, failed: bool) {
@@ -128,4 +149,8 @@
     async fn vms(&self) -> Result<Vec<VmRecord>> {
         self.run_read(CallKind::VmList, Millis::ZERO, self.inner.vms()).await
     }
+
+    fn received(&self) -> Bytes {
+        self.inner.received()
+    }
 }
--- a/crates/th-platform/src/http.rs
+++ b/crates/th-platform/src/http.rs
@@ -1,15 +1,18 @@
 //! Client of the platform's service over HTTP.
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use async_trait::async_trait;
 use reqwest::{Client, RequestBuilder};
 use serde::de::DeserializeOwned;
-use th_protocol::{Millis, Revision, VmRecord};
+use th_protocol::{Bytes, Millis, Revision, VmRecord};
 
 use crate::{
-    CallKind, CasAnswer, CasRequest, Entry, KeepAliveAnswer, Key, LeaseId, LeaseRequest, Platform,
-    PlatformError, Result, WriteOutcome,
+    AnswerLimits, CallKind, CasAnswer, CasRequest, Entry, KeepAliveAnswer, Key, LeaseId,
+    LeaseRequest, MAX_TRANSFER, Platform, PlatformError, Result, WriteOutcome, receive,
 };
 
 /// Time-outs of calls.
@@ -17,7 +20,7 @@
 pub struct HttpSettings {
     /// Time-out of a connection attempt.
     pub connect_timeout: Millis,
-    /// Time-out of a call; for a watch, in addition to its wait.
+    /// Time without any of an answer after which a call is given up; for a watch, in addition to its wait.
     pub call_timeout: Millis,
 }
 
@@ -32,6 +35,7 @@
     url: String,
     client: Client,
     settings: HttpSettings,
+    received: AtomicU64,
 }
 
 impl HttpPlatform {
@@ -47,7 +51,8 @@
             .no_proxy()
             .build()
             .expect("building an HTTP client without TLS does not fail");
-        HttpPlatform { url: url.trim_end_matches('/').to_owned(), client, settings }
+        let url = url.trim_end_matches('/').to_owned();
+        HttpPlatform { url, client, settings, received: AtomicU64::default() }
     }
 
     fn error(&self, kind: CallKind, cause: impl ToString) -> PlatformError {
@@ -60,28 +65,23 @@
         request: RequestBuilder,
         wait: Millis,
     ) -> Result<T> {
-        let timeout = Duration::from_millis(self.settings.call_timeout.plus(wait).0);
-        let answer = request.timeout(timeout).send().await;
-        let answer = answer.map_err(|it| self.error(kind, format_with_sources(&it)))?;
-        if !answer.status().is_success() {
-            return Err(self.error(kind, format!("status {}", answer.status())));
+        let start = self.settings.call_timeout.plus(wait);
+        let limits = AnswerLimits {
+            start,
+            stall: self.settings.call_timeout,
+            total: Some(start.plus(MAX_TRANSFER)),
+        };
+        let count = |it: crate::Progress| {
+            self.received.fetch_add(it.part.0, Ordering::Relaxed);
+        };
+        let answer = receive(request, limits, count).await.map_err(|it| self.error(kind, it))?;
+        if !answer.status.is_success() {
+            return Err(self.error(kind, format!("status {}", answer.status)));
         }
-        answer.json().await.map_err(|it| self.error(kind, format_with_sources(&it)))
+        serde_json::from_slice(&answer.body).map_err(|it| self.error(kind, it))
     }
 }
 
-/// Formats an error with its sources: the outermost error seldom states the cause.
-fn format_with_sources(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(it) = source {
-        text.push_str(": ");
-        text.push_str(&it.to_string());
-        source = it.source();
-    }
-    text
-}
-
 #[async_trait]
 impl Platform for HttpPlatform {
     async fn read(&self, key: &Key) -> Result<Option<Entry>> {
@@ -137,4 +137,7 @@
         let request = self.client.get(format!("{}/v1/vms", self.url));
         self.send(CallKind::VmList, request, Millis::ZERO).await
     }
+    fn received(&self) -> Bytes {
+        Bytes(self.received.load(Ordering::Relaxed))
+    }
 }
--- a/crates/th-platform/src/platform.rs
+++ b/crates/th-platform/src/platform.rs
@@ -4,13 +4,17 @@
 
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
-use th_protocol::{Millis, Revision, VmRecord};
+use th_protocol::{Bytes, Millis, Revision, VmRecord};
 
 use crate::{PlatformError, Result, wire::base64_bytes};
 
 /// Largest value that the service stores, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// Longest time for an answer that has begun: four of the largest values at once, base64-encoded, take a link of 10 Mbit/s
+/// 4.5 s, and callers' requests may have half of the link.
+pub const MAX_TRANSFER: Millis = Millis(9_000);
+
 /// The name of a value in the key-value store.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -107,4 +111,9 @@
 
     /// Returns the list of live and leaving VMs.
     async fn vms(&self) -> Result<Vec<VmRecord>>;
+
+    /// Size of the answers received so far, unfinished ones included; zero if answers arrive whole.
+    fn received(&self) -> Bytes {
+        Bytes::ZERO
+    }
 }
