Give an upload to the store the time that its size takes

Callers saw nothing yet; `thctl` cannot roll a bundle with a part of 1 MB over a link of 10 Mbit/s of which callers' requests use half.

Cause: the answer of a write had to begin within 2 s, whatever the write's size. 1.4 MB take half of such a link 2.24 s, and each retry begins from nothing.

Change: the time until the answer of a write must begin includes the time that its value takes over 5 Mbit/s. Parts are written under their digest and with a compare-and-swap, so a repeat changes nothing, as before.

--- a/crates/th-platform/src/counted.rs
+++ b/crates/th-platform/src/counted.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     CallKind, Entry, Key, LeaseId, MAX_TRANSFER, Platform, PlatformError, Result, WriteOutcome,
+    upload_time,
 };
 
 /// Counters of the calls of each kind, and of those that failed or have an unknown outcome.
@@ -107,12 +108,11 @@
     async fn run_write<T>(
         &self,
         kind: CallKind,
+        upload: Millis,
         call: impl Future<Output = WriteOutcome<T>>,
     ) -> WriteOutcome<T> {
-        let answer = self
-            .run_with_timeout(kind, Millis::ZERO, call)
-            .await
-            .unwrap_or_else(WriteOutcome::Unknown);
+        let answer =
+            self.run_with_timeout(kind, upload, call).await.unwrap_or_else(WriteOutcome::Unknown);
         self.record_result(kind, matches!(answer, WriteOutcome::Unknown(_)));
         answer
     }
@@ -131,15 +131,16 @@
         value: Option<Vec<u8>>,
         lease: Option<LeaseId>,
     ) -> WriteOutcome<Revision> {
-        self.run_write(CallKind::Cas, self.inner.cas(key, expected, value, lease)).await
+        let upload = upload_time(value.as_deref());
+        self.run_write(CallKind::Cas, upload, self.inner.cas(key, expected, value, lease)).await
     }
 
     async fn lease(&self, ttl: Millis) -> WriteOutcome<LeaseId> {
-        self.run_write(CallKind::Lease, self.inner.lease(ttl)).await
+        self.run_write(CallKind::Lease, Millis::ZERO, self.inner.lease(ttl)).await
     }
 
     async fn keep_alive(&self, lease: LeaseId) -> WriteOutcome<()> {
-        self.run_write(CallKind::KeepAlive, self.inner.keep_alive(lease)).await
+        self.run_write(CallKind::KeepAlive, Millis::ZERO, self.inner.keep_alive(lease)).await
     }
 
     async fn watch(&self, prefix: &str, after: Revision, wait: Millis) -> Result<Vec<Entry>> {
--- a/crates/th-platform/src/http.rs
+++ b/crates/th-platform/src/http.rs
@@ -13,6 +13,7 @@
 use crate::{
     AnswerLimits, CallKind, CasAnswer, CasRequest, Entry, KeepAliveAnswer, Key, LeaseId,
     LeaseRequest, MAX_TRANSFER, Platform, PlatformError, Result, WriteOutcome, receive,
+    upload_time,
 };
 
 /// Time-outs of calls.
@@ -96,9 +97,10 @@
         value: Option<Vec<u8>>,
         lease: Option<LeaseId>,
     ) -> WriteOutcome<Revision> {
+        let upload = upload_time(value.as_deref());
         let body = CasRequest { key: key.clone(), expected, value, lease };
         let request = self.client.post(format!("{}/v1/cas", self.url)).json(&body);
-        match self.send(CallKind::Cas, request, Millis::ZERO).await {
+        match self.send(CallKind::Cas, request, upload).await {
             Ok(CasAnswer::Applied(revision)) => WriteOutcome::Applied(revision),
             Ok(CasAnswer::Refused(entry)) => WriteOutcome::Refused(entry),
             Err(error) => WriteOutcome::Unknown(error),
--- a/crates/th-platform/src/lib.rs
+++ b/crates/th-platform/src/lib.rs
@@ -14,6 +14,7 @@
 pub use counted::{CallCounters, CountedPlatform};
 pub use error::{CallKind, PlatformError, Result};
 pub use http::{HttpPlatform, HttpSettings};
+pub(crate) use platform::upload_time;
 pub use platform::{Entry, Key, LeaseId, MAX_TRANSFER, MAX_VALUE_BYTES, Platform, WriteOutcome};
 pub use receive::{AnswerLimits, Progress, ReceiveError, Received, receive};
 pub use wire::{CasAnswer, CasRequest, KeepAliveAnswer, LeaseRequest};
--- a/crates/th-platform/src/platform.rs
+++ b/crates/th-platform/src/platform.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
-use th_protocol::{Bytes, Millis, Revision, VmRecord};
+use th_protocol::{Bytes, Mbit, Millis, Revision, VmRecord};
 
 use crate::{PlatformError, Result, wire::base64_bytes};
 
@@ -15,6 +15,15 @@
 /// 4.5 s, and callers' requests may have half of the link.
 pub const MAX_TRANSFER: Millis = Millis(9_000);
 
+/// Half of the link of a small VM; callers' requests may have the other half.
+const UPLOAD_RATE: Mbit = Mbit(5);
+
+/// Longest time that a value takes to the service; base64 makes four bytes of three.
+pub(crate) fn upload_time(value: Option<&[u8]>) -> Millis {
+    let size = value.map_or(0, <[u8]>::len) as u64;
+    Millis(size * 4 / 3 / UPLOAD_RATE.bytes_per_ms())
+}
+
 /// The name of a value in the key-value store.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
