Do not fetch a part of a bundle again while it may still be arriving

Callers saw nothing yet; an entry VM with a link of 10 Mbit/s fetched the same parts of a bundle twice beside each other, which slows both.

Cause: a part that had not arrived whole after 1 s was fetched from the next source, too, whatever its size. Four parts of 0.4 MB, which are fetched at once, take such a link 1.3 s.

Change: parts have 5 s: the four largest ones, as the store encodes them, take such a link 4.5 s. Manifests keep their 1 s.

Measured: a_part_has_the_time_of_its_transfer_before_it_is_fetched_elsewhere_too fails before and passes; the other tests of spread.rs and of the model pass.

--- a/crates/th-steer/src/member/spread/state.rs
+++ b/crates/th-steer/src/member/spread/state.rs
@@ -246,15 +246,15 @@
     }
 
     fn start_fetches(&mut self, now: Time, actions: &mut Vec<SpreadAction>) {
-        let timeout = self.settings.timeout;
+        let (timeout, transfer) = (self.settings.timeout, self.settings.transfer);
         let Some(fetch) = &mut self.fetch else { return };
         if now < fetch.not_before {
             return;
         }
         let Some(sources) = self.offers.get(&fetch.head) else { return };
-        let is_overdue = |pending: &PendingFetch| timeout <= now.since(pending.sent);
+        let is_overdue = |it: &PendingFetch, limit: Millis| limit <= now.since(it.sent);
         let Some(missing) = fetch.missing(&self.parts) else {
-            if fetch.manifest_fetch.as_ref().is_some_and(|it| !is_overdue(it)) {
+            if fetch.manifest_fetch.as_ref().is_some_and(|it| !is_overdue(it, timeout)) {
                 return;
             }
             let Some(from) = fetch.next_source(sources) else { return };
@@ -263,7 +263,7 @@
             return;
         };
         for digest in missing.into_iter().take(self.settings.parallel) {
-            if fetch.part_fetches.get(&digest).is_some_and(|it| !is_overdue(it)) {
+            if fetch.part_fetches.get(&digest).is_some_and(|it| !is_overdue(it, transfer)) {
                 continue;
             }
             let Some(from) = fetch.next_source(sources) else { return };
--- a/crates/th-steer/tests/spread.rs
+++ b/crates/th-steer/tests/spread.rs
@@ -134,6 +134,25 @@
     assert_eq!(spread.tick(false, Time(1_010), &mut rng).len(), 1);
 }
 
+/// Guards against parts that never arrive over a narrow link, because the same bytes are fetched again beside themselves
+/// while they arrive.
+#[test]
+fn a_part_has_the_time_of_its_transfer_before_it_is_fetched_elsewhere_too() {
+    let mut rng = rng();
+    let mut spread = spread_with_bundle(4, &mut rng);
+    spread.on_head(peer(1), head(5, 5));
+    spread.on_head(peer(2), head(5, 5));
+    spread.tick(false, Time(0), &mut rng);
+    let parts = (5..=8).map(part).collect();
+    let manifest = FetchResult::Good(ManifestInfo { head: head(5, 5), parts });
+    spread.on_manifest(head(5, 5), &peer(1), manifest, Time(0), &mut rng);
+    let first = spread.tick(false, Time(0), &mut rng);
+    // Four parts of the largest size take a link of 10 Mbit/s 4.5 s.
+    assert!(spread.tick(false, Time(4_500), &mut rng).is_empty());
+    let second = spread.tick(false, Time(5_000), &mut rng);
+    assert_eq!((first.len(), second.len()), (4, 4));
+}
+
 #[test]
 fn a_vm_without_a_bundle_reports_why_and_fetches_the_highest() {
     let mut rng = rng();
