Do not give up a part of a bundle from another VM while it is arriving

Callers saw nothing yet; an entry VM with a link of 10 Mbit/s never has a bundle in force that it must fetch from other VMs, if the parts that it fetches at once take the link more than 1 s.

Cause: the same as in the calls to the store: one time-out of 1 s on the whole call, and each retry begins from nothing.

Change: calls that fetch parts, manifests or all records are received as answers of the store are (th-platform, receive.rs): 1 s without any of the answer, 10 s in all. Control messages keep 0.5 s in all.

--- a/crates/th-entry/src/peer/client.rs
+++ b/crates/th-entry/src/peer/client.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use reqwest::{RequestBuilder, Response, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
+use th_platform::{AnswerLimits, MAX_TRANSFER, ReceiveError, receive};
 use th_protocol::{Millis, header};
 use thiserror::Error;
 
@@ -20,7 +21,7 @@
 
 /// Time-out of a control call.
 const CONTROL_TIMEOUT: Millis = Millis(500);
-/// Time-out of a call that fetches a bundle's part or manifest, or all records.
+/// Time without any of the answer after which a call that fetches a bundle's part or manifest, or all records, is given up.
 const BUNDLE_TIMEOUT: Millis = Millis(1_000);
 
 /// The kind of a call to a peer.
@@ -50,11 +51,12 @@
         }
     }
 
-    fn timeout(self) -> Millis {
-        match self {
-            Route::Bundle | Route::Records => BUNDLE_TIMEOUT,
-            _ => CONTROL_TIMEOUT,
-        }
+    fn limits(self) -> AnswerLimits {
+        let (silence, total) = match self {
+            Route::Bundle | Route::Records => (BUNDLE_TIMEOUT, BUNDLE_TIMEOUT.plus(MAX_TRANSFER)),
+            _ => (CONTROL_TIMEOUT, CONTROL_TIMEOUT),
+        };
+        AnswerLimits { start: silence, stall: silence, total: Some(total) }
     }
 }
 
@@ -84,6 +86,11 @@
     PeerError { route, peer, cause: error.to_string(), is_unsent, timed_out, is_busy: false }
 }
 
+fn receive_error(route: Route, peer: SocketAddr, error: &ReceiveError) -> PeerError {
+    let (is_unsent, timed_out) = (error.is_connect(), error.is_timeout());
+    PeerError { route, peer, cause: error.to_string(), is_unsent, timed_out, is_busy: false }
+}
+
 fn status_error(route: Route, peer: SocketAddr, status: StatusCode) -> PeerError {
     let is_busy = status == StatusCode::TOO_MANY_REQUESTS;
     let is_unsent = status == StatusCode::UNAUTHORIZED;
@@ -111,15 +118,13 @@
 ) -> Result<A> {
     let body = encode(message);
     entry.metrics.control.with_label_values(&["out"]).inc_by(body.len() as u64);
-    let timeout = Duration::from_millis(route.timeout().0);
-    let answer = request(entry, route, peer, body).timeout(timeout).send().await;
-    let answer = answer.map_err(|it| transport_error(route, peer, &it))?;
-    if !answer.status().is_success() {
-        return Err(status_error(route, peer, answer.status()));
+    let answer = receive(request(entry, route, peer, body), route.limits(), |_| {}).await;
+    let answer = answer.map_err(|it| receive_error(route, peer, &it))?;
+    if !answer.status.is_success() {
+        return Err(status_error(route, peer, answer.status));
     }
-    let bytes = answer.bytes().await.map_err(|it| transport_error(route, peer, &it))?;
-    entry.metrics.control.with_label_values(&["in"]).inc_by(bytes.len() as u64);
-    decode(&bytes).map_err(|it| decode_error(route, peer, it.to_string()))
+    entry.metrics.control.with_label_values(&["in"]).inc_by(answer.body.len() as u64);
+    decode(&answer.body).map_err(|it| decode_error(route, peer, it.to_string()))
 }
 
 fn decode_error(route: Route, peer: SocketAddr, cause: String) -> PeerError {
