Fetch an overdue part of a bundle from another source than before

Cause: sources are used in turn. With four parts and two sources, each part that is overdue went to the same source again, so that a source that sends too slowly delayed the bundle until its calls were given up.

Change: the source of an overdue fetch is used again only if it is the only one.

Measured: a_part_that_is_overdue_is_fetched_from_another_source fails before and passes; spread.rs 17 of 17, the model's 7 of 7, bundle_update, bad_bundle, narrow_parts, store (9), thctl (35), endless_answers (7) and narrow_reads (38) pass, 1 run each.

--- a/crates/th-steer/src/member/spread/fetch.rs
+++ b/crates/th-steer/src/member/spread/fetch.rs
@@ -87,12 +87,19 @@
     }
 
     /// Returns the next source in turn. The store, whose read rate is limited, is used only if no
-    /// peer offers the bundle or peers are busy.
-    pub(crate) fn next_source(&mut self, sources: &[Source]) -> Option<Source> {
+    /// peer offers the bundle or peers are busy. `overdue` is used again only if it is the only one.
+    pub(crate) fn next_source(
+        &mut self,
+        sources: &[Source],
+        overdue: Option<&Source>,
+    ) -> Option<Source> {
         let mut usable: Vec<&Source> = sources.iter().collect();
         if !self.peer_busy && usable.iter().any(|it| **it != Source::Store) {
             usable.retain(|it| **it != Source::Store);
         }
+        if 1 < usable.len() {
+            usable.retain(|it| Some(*it) != overdue);
+        }
         if usable.is_empty() {
             return None;
         }
--- a/crates/th-steer/src/member/spread/state.rs
+++ b/crates/th-steer/src/member/spread/state.rs
@@ -257,7 +257,8 @@
             if fetch.manifest_fetch.as_ref().is_some_and(|it| !is_overdue(it, timeout)) {
                 return;
             }
-            let Some(from) = fetch.next_source(sources) else { return };
+            let overdue = fetch.manifest_fetch.as_ref().map(|it| it.from.clone());
+            let Some(from) = fetch.next_source(sources, overdue.as_ref()) else { return };
             fetch.manifest_fetch = Some(PendingFetch { from: from.clone(), sent: now });
             actions.push(SpreadAction::FetchManifest { head: fetch.head, from });
             return;
@@ -266,7 +267,8 @@
             if fetch.part_fetches.get(&digest).is_some_and(|it| !is_overdue(it, transfer)) {
                 continue;
             }
-            let Some(from) = fetch.next_source(sources) else { return };
+            let overdue = fetch.part_fetches.get(&digest).map(|it| it.from.clone());
+            let Some(from) = fetch.next_source(sources, overdue.as_ref()) else { return };
             fetch.part_fetches.insert(digest, PendingFetch { from: from.clone(), sent: now });
             actions.push(SpreadAction::FetchPart { digest, from });
         }
--- a/crates/th-steer/tests/spread.rs
+++ b/crates/th-steer/tests/spread.rs
@@ -153,6 +153,24 @@
     assert_eq!((first.len(), second.len()), (4, 4));
 }
 
+/// Guards against parts that stay with a slow source, because the sources take turns in step with the parts.
+#[test]
+fn a_part_that_is_overdue_is_fetched_from_another_source() {
+    let mut rng = rng();
+    let mut spread = spread_with_bundle(4, &mut rng);
+    spread.on_head(peer(1), head(5, 5));
+    spread.on_head(peer(2), head(5, 5));
+    spread.tick(false, Time(0), &mut rng);
+    let parts = (5..=8).map(part).collect();
+    let manifest = FetchResult::Good(ManifestInfo { head: head(5, 5), parts });
+    spread.on_manifest(head(5, 5), &peer(1), manifest, Time(0), &mut rng);
+    let first = spread.tick(false, Time(0), &mut rng);
+    let second = spread.tick(false, Time(5_000), &mut rng);
+    for fetch in &second {
+        assert!(!first.contains(fetch), "the same source again: {fetch:?}");
+    }
+}
+
 #[test]
 fn a_vm_without_a_bundle_reports_why_and_fetches_the_highest() {
     let mut rng = rng();
