--- a/tests/process.rs
+++ b/tests/process.rs
@@ -1,38 +1,18 @@
 //! The compiled program: checks of its settings, its start, and its end by signals.
 
 mod common;
+mod program;
 mod tool;
 
-use std::{
-    io::{BufRead, BufReader},
-    net::SocketAddr,
-    process::{Child, Command, ExitStatus, Stdio},
-    sync::mpsc::{Receiver, channel},
-};
+use std::process::Command;
 
 use common::*;
-use serde_json::{Value, json};
+use program::{start_with_process, valid_settings};
+use serde_json::json;
 use th_entry::Settings;
-use th_protocol::{Millis, Signer, VmRecord, VmRole, VmState};
-use th_testing::{Deployment, DeploymentSpec, PlatformServer};
+use th_protocol::Millis;
 use tool::TestFolder;
 
-fn valid_settings(store: &str) -> Value {
-    let ana = Signer::new("ana".parse().unwrap(), [7; 32]);
-    json!({
-        "vm": "process",
-        "zone": "north-a",
-        "listen": { "callers": "127.0.0.1:0", "peers": "127.0.0.1:0" },
-        "store": store,
-        "keys": {
-            "peer": PEER_KEY,
-            "tickets": [hex::encode([9; 32])],
-            "operators": { "ana": ana.public_key_hex() },
-        },
-        "stop": { "linger": 100, "limit": 60_000 },
-    })
-}
-
 /// Runs the program with `--check`; returns the exit code and the lines of standard error.
 fn check(test: &str, settings: &str) -> (i32, Vec<String>) {
     let folder = TestFolder::new(test);
@@ -91,93 +71,6 @@
     }
 }
 
-/// A running process, killed when dropped.
-struct Process {
-    child: Child,
-    lines: Receiver<String>,
-    callers: SocketAddr,
-    _folder: TestFolder,
-}
-
-impl Process {
-    fn start(test: &str, settings: &Value) -> Process {
-        let folder = TestFolder::new(test);
-        let path = folder.file("settings.json");
-        std::fs::write(&path, settings.to_string()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_tanagerhollow"))
-            .arg(&path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let (sender, lines) = channel();
-        let reader = BufReader::new(child.stderr.take().unwrap());
-        std::thread::spawn(move || {
-            for line in reader.lines().map_while(Result::ok) {
-                let _ = sender.send(line);
-            }
-        });
-        let mut process =
-            Process { child, lines, callers: SocketAddr::from(([0; 4], 0)), _folder: folder };
-        let line = process.wait_for_line("Listening for callers at ");
-        let rest = line.split("callers at ").nth(1).unwrap();
-        process.callers = rest.split(',').next().unwrap().parse().unwrap();
-        process
-    }
-
-    /// Waits for the next line that contains `part`.
-    fn wait_for_line(&self, part: &str) -> String {
-        loop {
-            let line = self
-                .lines
-                .recv_timeout(WAIT_LIMIT)
-                .unwrap_or_else(|e| panic!("no line with {part:?} within {WAIT_LIMIT:?}: {e}"));
-            if line.contains(part) {
-                return line;
-            }
-        }
-    }
-
-    fn terminate(&self) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
-    }
-
-    async fn wait_for_exit(&mut self) -> ExitStatus {
-        let mut status = None;
-        let has_exited = || {
-            status = self.child.try_wait().unwrap();
-            status.is_some()
-        };
-        wait_until("the process ended", has_exited).await;
-        status.unwrap()
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// Starts a deployment whose only entry VM is a separate process.
-async fn start_with_process(test: &str) -> (Deployment, PlatformServer, Process) {
-    let spec = DeploymentSpec { deadline: Millis(60_000), ..one_zone(0, 1) };
-    let deployment = Deployment::start(spec).await.unwrap();
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let server = PlatformServer::start(deployment.platform.clone(), any).await.unwrap();
-    let process = Process::start(test, &valid_settings(&server.url()));
-    deployment.platform.list_vm(VmRecord {
-        vm: "process".parse().unwrap(),
-        zone: zone(),
-        address: process.callers,
-        state: VmState::Live,
-        role: VmRole::Entry,
-    });
-    wait_until_serving(process.callers).await;
-    (deployment, server, process)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn sigterm_ends_the_process_without_cutting_requests() {
     let (deployment, _server, mut process) = start_with_process("term").await;
