Close the connections of our own interface only with nothing unread

Cause: the framework's server polls the notice to close and the connection in random order; where the notice comes first, the HTTP library takes the connection for idle, and what its socket holds is discarded.

Change: the framework still routes requests, but the listener and its connections are our own. A connection is polled first, once more with a read that asks the socket itself, and is closed only if all that its caller has sent is answered. The logic is that of th-gateway; the code is not shared, since th-gateway's runs on one thread and belongs to its pipelining.

--- a/crates/th-entry/src/lib.rs
+++ b/crates/th-entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod in_flight;
 mod io;
+mod listen;
 mod logs;
 mod metrics;
 mod peer;
--- /dev/null
+++ b/crates/th-entry/src/listen/listener.rs
@@ -0,0 +1,153 @@
+//! A listener and its connections.
+
+use std::{future::pending, io, net::SocketAddr, pin::pin, sync::Arc, task::Poll, time::Duration};
+
+use futures_util::poll;
+use http::uri::Scheme;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use salvo::{Router, Service};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+    time::{sleep, timeout},
+};
+
+use super::{stream::CallerStream, unanswered::Unanswered};
+use crate::settings::Limits;
+
+/// Pause after a failed accept, for example when file descriptors have run out.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Interval at which a connection that is to be closed is checked for requests.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time-out for a listener to answer what has arrived and to close.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A running listener.
+pub(crate) struct Listener {
+    closing: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Listener {
+    /// Serves `router` at the address of `listener`.
+    pub(crate) fn start(
+        listener: TcpListener,
+        router: Router,
+        limits: Limits,
+    ) -> io::Result<Listener> {
+        let address = listener.local_addr()?;
+        let mut builder = http1::Builder::new();
+        builder
+            .max_buf_size(limits.head.0 as usize)
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(limits.slow.0));
+        let (closing, receiver) = watch::channel(false);
+        let service = Service::new(router);
+        let server = Server { address, service, builder, closing: receiver };
+        Ok(Listener { closing, task: tokio::spawn(run(listener, Arc::new(server))) })
+    }
+
+    /// Closes the port and the connections at once.
+    pub(crate) fn kill(&self) {
+        self.task.abort();
+    }
+
+    /// Closes the port and the connections at once, and waits until that is done.
+    pub(crate) async fn cut(self) {
+        self.task.abort();
+        // The error says that the task was aborted.
+        let _ = self.task.await;
+    }
+
+    /// Closes the port and the connections once what has arrived is answered.
+    pub(crate) async fn close(mut self) {
+        self.closing.send_replace(true);
+        if timeout(CLOSE_TIMEOUT, &mut self.task).await.is_err() {
+            log::warn!(target: "stop", "A listener did not close within {CLOSE_TIMEOUT:?}; its connections are cut.");
+            self.cut().await;
+        }
+    }
+}
+
+/// What the connections of a listener share.
+struct Server {
+    address: SocketAddr,
+    service: Service,
+    builder: http1::Builder,
+    closing: watch::Receiver<bool>,
+}
+
+impl Server {
+    /// Waits until the listener is to close.
+    async fn closing(&self) {
+        let mut closing = self.closing.clone();
+        while !*closing.borrow_and_update() {
+            if closing.changed().await.is_err() {
+                // Nobody can stop the listener any more.
+                pending::<()>().await;
+            }
+        }
+    }
+}
+
+/// Accepts connections until the listener is to close; then waits until all have ended.
+async fn run(listener: TcpListener, server: Arc<Server>) {
+    let mut connections = JoinSet::new();
+    let mut closing = pin!(server.closing());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+            () = &mut closing => break,
+        };
+        match accepted {
+            Ok((stream, address)) => {
+                connections.spawn(serve(Arc::clone(&server), stream, address));
+            }
+            Err(error) => {
+                log::warn!(target: "entry", "Accepting a connection at {} failed: {error}.", server.address);
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    drop(listener);
+    log::info!(target: "stop", "Closed the port {}.", server.address);
+    while connections.join_next().await.is_some() {}
+}
+
+/// Serves a connection. Once the listener is to close, the connection is closed as soon as all that has arrived is
+/// answered.
+async fn serve(server: Arc<Server>, stream: TcpStream, address: SocketAddr) {
+    let unanswered = Arc::new(Unanswered::new());
+    let stream = CallerStream::new(stream, Arc::clone(&unanswered));
+    let (local, remote) = (server.address.into(), address.into());
+    let handler = server.service.hyper_handler(local, remote, Scheme::HTTP, None, None);
+    let mut connection = pin!(server.builder.serve_connection(TokioIo::new(stream), handler));
+    let mut wait = pin!(server.closing());
+    let ended = tokio::select! {
+        biased;
+        ended = &mut connection => Some(ended),
+        () = &mut wait => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => loop {
+            unanswered.check_socket();
+            if let Poll::Ready(ended) = poll!(&mut connection) {
+                break ended;
+            }
+            if unanswered.may_close() {
+                connection.as_mut().graceful_shutdown();
+                break connection.await;
+            }
+            if let Ok(ended) = timeout(CHECK_INTERVAL, &mut connection).await {
+                break ended;
+            }
+        },
+    };
+    if let Err(error) = ended {
+        log::debug!(target: "entry", "The connection of {address} ended: {error}.");
+    }
+}
--- a/crates/th-entry/src/server.rs
+++ b/crates/th-entry/src/server.rs
@@ -7,9 +7,7 @@
 };
 
 use eyre::{Result, WrapErr};
-use hyper_util::rt::TokioTimer;
 use rand::Rng;
-use salvo::{Router, Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use th_platform::{BootClock, Clock, CountedPlatform, Platform};
 use th_protocol::{Incarnation, PeerRecord, Status, Time};
 use th_steer::engine::EngineSettings;
@@ -22,6 +20,7 @@
 use crate::{
     caller,
     entry::{Addresses, Entry, StartInfo},
+    listen::Listener,
     peer,
     settings::Settings,
     task::{perform, poll_vms, run_ticks, watch_store},
@@ -38,11 +37,6 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-struct Listener {
-    handle: ServerHandle,
-    task: JoinHandle<()>,
-}
-
 /// Handle to the number of requests in flight of an entry process.
 pub struct RequestCount(Arc<Entry>);
 
@@ -74,14 +68,15 @@
     let callers = bind(settings.listen.callers).await?;
     let peers = bind(settings.listen.peers).await?;
     let addresses = Addresses { callers: callers.local_addr()?, peers: peers.local_addr()? };
+    let limits = settings.limits;
     let clock: Arc<dyn Clock> = Arc::new(BootClock);
     let store = CountedPlatform::new(store, settings.pace.call);
     let start_info = start_info(clock.now());
     let entry = Entry::new(settings, engine_settings, store, clock, addresses, start_info);
     let entry = Arc::new(entry);
     let listeners = vec![
-        serve(callers, caller::router(&entry), &entry)?,
-        serve(peers, peer::router(&entry), &entry)?,
+        Listener::start(callers, caller::router(&entry), limits)?,
+        Listener::start(peers, peer::router(&entry), limits)?,
     ];
     let tasks = vec![
         tokio::spawn(run_ticks(Arc::clone(&entry))),
@@ -110,23 +105,6 @@
     }
 }
 
-fn serve(listener: TcpListener, router: Router, entry: &Entry) -> Result<Listener> {
-    let mut server = Server::new(TcpAcceptor::try_from(listener)?);
-    let limits = entry.settings.limits;
-    server
-        .http1_mut()
-        .max_buf_size(limits.head.0 as usize)
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.slow.0));
-    let handle = server.handle();
-    let task = tokio::spawn(async move {
-        if let Err(error) = server.try_serve(router).await {
-            log::error!(target: "entry", "A listener stopped with an error: {error}.");
-        }
-    });
-    Ok(Listener { handle, task })
-}
-
 /// Sends a heartbeat to each peer of the settings, and fetches the peer records from the first that returns them.
 async fn contact_peers(entry: Arc<Entry>) {
     let mut has_records = false;
@@ -195,8 +173,7 @@
     /// Ends the process's tasks and connections immediately, as a loss of the VM would.
     pub fn kill(self) {
         for listener in &self.listeners {
-            // This ends the listener's task and closes its connections.
-            listener.handle.stop_forcible();
+            listener.kill();
         }
         for task in &self.tasks {
             task.abort();
@@ -249,15 +226,9 @@
         }
         for listener in self.listeners {
             match is_graceful {
-                true => listener.handle.stop_graceful(CLOSE_TIMEOUT),
-                false => listener.handle.stop_forcible(),
-            }
-            if timeout(CLOSE_TIMEOUT, listener.task).await.is_err() {
-                log::warn!(target: "stop", "A listener did not close before its time-out.");
+                true => listener.close().await,
+                false => listener.cut().await,
             }
         }
     }
 }
-
-/// Time-out for a listener to send its last answers and close.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
