Serve the connections that wait to be accepted when our own interface closes

Cause: the listener stopped accepting, then dropped the port with what waited there.

Change: it accepts what is in the queue, asking the system rather than the last report of readiness, before it drops the port.

--- a/crates/th-entry/src/listen/listener.rs
+++ b/crates/th-entry/src/listen/listener.rs
@@ -1,6 +1,14 @@
 //! A listener and its connections.
 
-use std::{future::pending, io, net::SocketAddr, pin::pin, sync::Arc, task::Poll, time::Duration};
+use std::{
+    future::pending,
+    io::{self, ErrorKind},
+    net::SocketAddr,
+    pin::pin,
+    sync::Arc,
+    task::Poll,
+    time::Duration,
+};
 
 use futures_util::poll;
 use http::uri::Scheme;
@@ -92,7 +100,8 @@
     }
 }
 
-/// Accepts connections until the listener is to close; then waits until all have ended.
+/// Accepts connections until the listener is to close, those that have arrived by then included; then waits until all
+/// have ended.
 async fn run(listener: TcpListener, server: Arc<Server>) {
     let mut connections = JoinSet::new();
     let mut closing = pin!(server.closing());
@@ -112,11 +121,41 @@
             }
         }
     }
-    drop(listener);
-    log::info!(target: "stop", "Closed the port {}.", server.address);
+    let mut queued = 0;
+    let accepted = accept_queued(listener, |stream, address| {
+        queued += 1;
+        connections.spawn(serve(Arc::clone(&server), stream, address));
+    });
+    if let Err(error) = accepted {
+        log::warn!(target: "stop", "Accepting the connections that wait at {} failed: {error}.", server.address);
+    }
+    log::info!(target: "stop", "Closed the port {}, where {queued} connections waited.", server.address);
     while connections.join_next().await.is_some() {}
 }
 
+/// Closes a port, and hands over the connections that wait to be accepted, which the system would reset.
+fn accept_queued(
+    listener: TcpListener,
+    mut serve: impl FnMut(TcpStream, SocketAddr),
+) -> io::Result<()> {
+    // The system knows of connections that have not been reported yet.
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, address)) => {
+                stream.set_nonblocking(true)?;
+                serve(TcpStream::from_std(stream)?, address);
+            }
+            Err(error) => match error.kind() {
+                ErrorKind::WouldBlock => return Ok(()),
+                // The caller has gone, or a signal came.
+                ErrorKind::ConnectionAborted | ErrorKind::Interrupted => {}
+                _ => return Err(error),
+            },
+        }
+    }
+}
+
 /// Serves a connection. Once the listener is to close, the connection is closed as soon as all that has arrived is
 /// answered.
 async fn serve(server: Arc<Server>, stream: TcpStream, address: SocketAddr) {
