Wait for the first request of a new connection before our own interface closes it

Cause: a connection that has carried nothing counted as idle.

Change: its caller has a second from the accept for its first request, which is rejected as not run. A stop lasts up to a second longer for each listener, and only where a connection was opened right before its end.

--- a/crates/th-entry/src/listen/unanswered.rs
+++ b/crates/th-entry/src/listen/unanswered.rs
@@ -5,11 +5,11 @@
     time::{Duration, Instant},
 };
 
-/// Time that a caller has for the rest of a request that has begun.
+/// Time that a caller has for its first request on a connection, and for the rest of a request that has begun.
 const REQUEST_WAIT: Duration = Duration::from_secs(1);
 
 struct State {
-    /// When the caller last sent something, if nothing was written since.
+    /// When the caller opened the connection or last sent something, if nothing was written since.
     since: Option<Instant>,
     /// Whether the next read asks the socket even if it is not reported as readable.
     check: bool,
@@ -21,7 +21,7 @@
 impl Unanswered {
     /// Creates the state of a connection that has just been accepted.
     pub(super) fn new() -> Unanswered {
-        Unanswered(Mutex::new(State { since: None, check: false }))
+        Unanswered(Mutex::new(State { since: Some(Instant::now()), check: false }))
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
