Reject what a stop has not read when it reaches its time limit

Cause: at the limit all connections were cut at once, not only those of requests in flight.

Change: the listeners close as in a stop in time, with 0.5 s each; what is in flight then is cut. The number of cut requests is counted at that moment, in every stop, so that requests which a slow listener cuts count too.

--- a/crates/th-entry/src/listen/listener.rs
+++ b/crates/th-entry/src/listen/listener.rs
@@ -29,8 +29,6 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Interval at which a connection that is to be closed is checked for requests.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time-out for a listener to answer what has arrived and to close.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A running listener.
 pub(crate) struct Listener {
@@ -62,19 +60,20 @@
         self.task.abort();
     }
 
-    /// Closes the port and the connections at once, and waits until that is done.
-    pub(crate) async fn cut(self) {
-        self.task.abort();
-        // The error says that the task was aborted.
-        let _ = self.task.await;
+    /// Closes the port, and the connections once what has arrived is answered. Waits for that at most for `limit`.
+    pub(crate) async fn close(&mut self, limit: Duration) {
+        self.closing.send_replace(true);
+        if timeout(limit, &mut self.task).await.is_err() {
+            log::warn!(target: "stop", "A listener has not answered all that had arrived within {limit:?}; its connections are cut.");
+        }
     }
 
-    /// Closes the port and the connections once what has arrived is answered.
-    pub(crate) async fn close(mut self) {
-        self.closing.send_replace(true);
-        if timeout(CLOSE_TIMEOUT, &mut self.task).await.is_err() {
-            log::warn!(target: "stop", "A listener did not close within {CLOSE_TIMEOUT:?}; its connections are cut.");
-            self.cut().await;
+    /// Closes the connections that are left.
+    pub(crate) async fn cut(self) {
+        if !self.task.is_finished() {
+            self.task.abort();
+            // The error says that the task was aborted.
+            let _ = self.task.await;
         }
     }
 }
--- a/crates/th-entry/src/server.rs
+++ b/crates/th-entry/src/server.rs
@@ -29,6 +29,11 @@
 /// Number of random low bits of an incarnation, so that two starts within the same millisecond differ.
 const INCARNATION_RANDOM_BITS: u32 = 10;
 
+/// Time-out for a listener to answer what has arrived.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The same for a stop that has reached its time limit, which only rejects what has not been read.
+const LIMIT_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A running entry process.
 pub struct Running {
     entry: Arc<Entry>,
@@ -198,7 +203,6 @@
         entry.with_engine(|engine, _| engine.close());
         let time_left = Duration::from_millis((stop.limit - stop.linger).0);
         let is_idle = timeout(time_left, entry.in_flight.wait_idle()).await.is_ok();
-        let cut = if is_idle { 0 } else { entry.in_flight.count() };
         if is_idle {
             self.release_shards().await;
             // Callers may use cached look-up answers until these expire. Until then this VM stays reachable and tells
@@ -208,7 +212,7 @@
                 ttl.plus(stop.linger).min(stop.limit).minus(entry.now().since(began));
             sleep(Duration::from_millis(lookup_ttl_left.0)).await;
         }
-        self.close(is_idle).await;
+        let cut = self.close(if is_idle { CLOSE_TIMEOUT } else { LIMIT_CLOSE_TIMEOUT }).await;
         log::info!(target: "stop", "Stopped; {cut} requests were cut.");
         Stopped { cut }
     }
@@ -220,15 +224,18 @@
         }
     }
 
-    async fn close(self, is_graceful: bool) {
+    /// Ends the tasks, and closes each listener within `limit`. Returns the number of requests that are cut.
+    async fn close(mut self, limit: Duration) -> u32 {
         for task in &self.tasks {
             task.abort();
         }
+        for listener in &mut self.listeners {
+            listener.close(limit).await;
+        }
+        let cut = self.entry.in_flight.count();
         for listener in self.listeners {
-            match is_graceful {
-                true => listener.close().await,
-                false => listener.cut().await,
-            }
+            listener.cut().await;
         }
+        cut
     }
 }
--- a/tests/stopped_calls.rs
+++ b/tests/stopped_calls.rs
@@ -27,11 +27,11 @@
 /// Size of a call's body, in bytes: as much as the kernel takes for a process that does not read.
 const SIZE: usize = 50_000;
 
-/// A moment of a planned stop.
+/// A moment of a planned stop, in ms after SIGTERM.
 #[derive(Debug, Clone, Copy)]
 enum Moment {
-    Rejects,
-    Closes,
+    Rejects = LINGER as isize,
+    Closes = LIMIT as isize,
 }
 
 /// What a call is sent on.
@@ -126,21 +126,19 @@
     );
 }
 
-/// Guards against calls that a planned stop loses unread in the sockets of a process that does not run for a moment.
-#[rstest]
-#[tokio::test(flavor = "multi_thread")]
-async fn calls_that_are_not_read_are_answered(
-    #[values(Moment::Rejects, Moment::Closes)] moment: Moment,
-    #[values(Connection::Queued, Connection::New, Connection::Kept)] connection: Connection,
-    #[values(Port::Callers, Port::Peers)] port: Port,
-) {
-    let test = format!("unread-{moment:?}-{connection:?}-{port:?}");
-    let (deployment, _store, mut process) = start(&test).await;
-    let address = port.address(&process);
+/// Stops the process, holds it up around `moment`, and sends it calls that it cannot read before. Returns their ids and
+/// connections.
+async fn stop_and_send(
+    process: &Process,
+    moment: Moment,
+    connection: Connection,
+    port: Port,
+) -> Vec<(String, RawCaller)> {
+    let address = port.address(process);
     let ticket = lookup(process.callers, "book").await.ticket.unwrap();
     let mut calls = Vec::new();
     for number in 0..CALLS {
-        let id = format!("{test}-{number}");
+        let id = format!("{connection:?}-{port:?}-{number}");
         calls.push((port.call(number, &id, &ticket), id));
     }
     let mut opened = Vec::new();
@@ -157,11 +155,7 @@
         sleep(Duration::from_millis(200)).await;
     }
     process.terminate();
-    let after = match moment {
-        Moment::Rejects => LINGER,
-        Moment::Closes => LIMIT,
-    };
-    let due = Instant::now() + Duration::from_millis(after);
+    let due = Instant::now() + Duration::from_millis(moment as u64);
     sleep_until(due - HELD_BEFORE).await;
     process.signal("-STOP");
     let mut callers = Vec::new();
@@ -176,10 +170,43 @@
     assert!(Instant::now() < due, "the calls were sent too late");
     sleep_until(due - HELD_BEFORE + HELD).await;
     process.signal("-CONT");
+    callers
+}
+
+/// Guards against calls that a planned stop loses unread in the sockets of a process that does not run for a moment.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_are_not_read_are_answered(
+    #[values(Moment::Rejects, Moment::Closes)] moment: Moment,
+    #[values(Connection::Queued, Connection::New, Connection::Kept)] connection: Connection,
+    #[values(Port::Callers, Port::Peers)] port: Port,
+) {
+    let test = format!("unread-{moment:?}-{connection:?}-{port:?}");
+    let (deployment, _store, mut process) = start(&test).await;
+    let callers = stop_and_send(&process, moment, connection, port).await;
     check_answers(&deployment, callers).await;
     assert_eq!(process.wait_for_exit().await.code(), Some(0));
 }
 
+/// Guards against calls that a stop at its time limit loses unread: it cuts only what it has sent to a server.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_are_not_read_are_answered_by_a_stop_at_its_limit(
+    #[values(Connection::Queued, Connection::New, Connection::Kept)] connection: Connection,
+) {
+    let test = format!("limit-{connection:?}");
+    let (deployment, _store, mut process) = start(&test).await;
+    deployment.backends[&backend_id(0)].update_behaviour(|it| it.unresponsive = true);
+    let mut held = RawCaller::connect(process.callers).await;
+    write(&mut held, CallRequest::check("held").to_http().as_bytes()).await;
+    wait_until("the call runs", || run_count(&deployment, "held") == 1).await;
+    let callers = stop_and_send(&process, Moment::Closes, connection, Port::Callers).await;
+    check_answers(&deployment, callers).await;
+    assert_eq!(held.answer().await, None);
+    assert_eq!(process.wait_for_line("the stop cut"), "the stop cut 1 request");
+    assert_eq!(process.wait_for_exit().await.code(), Some(1));
+}
+
 /// Guards against connections that a stop closes while their first calls are on the way.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
