Check the notices of calls around a stop, and calls passed on to the owner of their ticket

Cause: tests/stopped_calls.rs took any answer but 200 for a rejection, and sent other VMs' calls only as calls to be placed.

Change: a rejection must be not-run for the reason stopping; a third of other VMs' calls are passed on to the owner of their ticket. The raw caller of the tests reads both headers.

--- a/tests/raw_caller/mod.rs
+++ b/tests/raw_caller/mod.rs
@@ -19,11 +19,13 @@
     received: Vec<u8>,
 }
 
-/// Status and attempt id of an answer, and whether it closes the connection.
+/// Status and attempt id of an answer, its verdict and reason if it has them, and whether it closes the connection.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct Answer {
     pub(crate) status: u16,
     pub(crate) id: String,
+    pub(crate) verdict: String,
+    pub(crate) reason: String,
     pub(crate) closes: bool,
 }
 
@@ -64,6 +66,8 @@
                     return Some(Answer {
                         status: text[9..12].parse().unwrap(),
                         id: field("attempt-id").unwrap_or_default(),
+                        verdict: field("th-verdict").unwrap_or_default(),
+                        reason: field("th-reason").unwrap_or_default(),
                         closes: field("connection").as_deref() == Some("close"),
                     });
                 }
--- a/tests/stopped_calls.rs
+++ b/tests/stopped_calls.rs
@@ -41,7 +41,7 @@
     Queued,
     /// Accepted; carries nothing before.
     New,
-    /// Has carried a request.
+    /// Accepted; has carried a request.
     Kept,
 }
 
@@ -60,7 +60,7 @@
         }
     }
 
-    /// Returns a call: every other one is not idempotent.
+    /// Returns a call; at least every other one is not idempotent.
     fn call(self, number: usize, id: &str, ticket: &str) -> Vec<u8> {
         match self {
             Port::Callers => {
@@ -71,15 +71,19 @@
                 CallRequest { body: "x".repeat(SIZE), ..call }.to_http().into_bytes()
             }
             Port::Peers => {
-                let operation = ["check", "book"][number % 2];
+                let (path, operation) =
+                    [("execute", "check"), ("execute", "book"), ("own", "book")][number % 3];
                 let mut message = forwarded_request_json(number, operation);
+                if path == "own" {
+                    message["ticket"] = ticket.into();
+                }
                 message["key"] = id.into();
                 message["headers"] = serde_json::json!([["x-request", id.as_bytes()]]);
                 message["body"] = vec![b'x'; SIZE].into();
                 let body = rmp_serde::to_vec_named(&message).unwrap();
                 let (name, length) = (header::PEER_KEY, body.len());
                 let head = format!(
-                    "POST /peer/execute HTTP/1.1\r\nhost: th\r\n{name}: {PEER_KEY}\r\ncontent-length: {length}\r\n\r\n"
+                    "POST /peer/{path} HTTP/1.1\r\nhost: th\r\n{name}: {PEER_KEY}\r\ncontent-length: {length}\r\n\r\n"
                 );
                 [head.into_bytes(), body].concat()
             }
@@ -116,8 +120,13 @@
             lost.push(id);
             continue;
         };
-        let expected = u32::from(answer.status == 200);
-        assert_eq!(run_count(deployment, &id), expected, "{id}: {answer:?}");
+        if answer.status == 200 {
+            assert_eq!(run_count(deployment, &id), 1, "{id}: {answer:?}");
+            continue;
+        }
+        let notice = (answer.verdict.as_str(), answer.reason.as_str());
+        assert_eq!(notice, ("not-run", "stopping"), "{id}: {answer:?}");
+        assert_eq!(run_count(deployment, &id), 0, "{id}: {answer:?}");
     }
     assert!(
         lost.is_empty(),
