--- a/crates/th-entry/src/server.rs
+++ b/crates/th-entry/src/server.rs
@@ -7,9 +7,7 @@
 };
 
 use eyre::{Result, WrapErr};
-use hyper_util::rt::TokioTimer;
 use rand::Rng;
-use salvo::{Router, Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use th_platform::{BootClock, Clock, CountedPlatform, Platform};
 use th_protocol::{Incarnation, PeerRecord, Status, Time};
 use th_steer::engine::EngineSettings;
@@ -22,6 +20,7 @@
 use crate::{
     caller,
     entry::{Addresses, Entry, StartInfo},
+    listen::Listener,
     peer,
     settings::Settings,
     task::{perform, poll_vms, run_ticks, watch_store},
@@ -30,6 +29,11 @@
 /// Number of random low bits of an incarnation, so that two starts within the same millisecond differ.
 const INCARNATION_RANDOM_BITS: u32 = 10;
 
+/// Time-out for a listener to answer what has arrived.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The same for a stop that has reached its time limit, which only rejects what has not been read.
+const LIMIT_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A running entry process.
 pub struct Running {
     entry: Arc<Entry>,
@@ -38,11 +42,6 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-struct Listener {
-    handle: ServerHandle,
-    task: JoinHandle<()>,
-}
-
 /// Handle to the number of requests in flight of an entry process.
 pub struct RequestCount(Arc<Entry>);
 
@@ -74,14 +73,15 @@
     let callers = bind(settings.listen.callers).await?;
     let peers = bind(settings.listen.peers).await?;
     let addresses = Addresses { callers: callers.local_addr()?, peers: peers.local_addr()? };
+    let limits = settings.limits;
     let clock: Arc<dyn Clock> = Arc::new(BootClock);
     let store = CountedPlatform::new(store, settings.pace.call);
     let start_info = start_info(clock.now());
     let entry = Entry::new(settings, engine_settings, store, clock, addresses, start_info);
     let entry = Arc::new(entry);
     let listeners = vec![
-        serve(callers, caller::router(&entry), &entry)?,
-        serve(peers, peer::router(&entry), &entry)?,
+        Listener::start(callers, caller::router(&entry), limits)?,
+        Listener::start(peers, peer::router(&entry), limits)?,
     ];
     let tasks = vec![
         tokio::spawn(run_ticks(Arc::clone(&entry))),
@@ -110,23 +110,6 @@
     }
 }
 
-fn serve(listener: TcpListener, router: Router, entry: &Entry) -> Result<Listener> {
-    let mut server = Server::new(TcpAcceptor::try_from(listener)?);
-    let limits = entry.settings.limits;
-    server
-        .http1_mut()
-        .max_buf_size(limits.head.0 as usize)
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.slow.0));
-    let handle = server.handle();
-    let task = tokio::spawn(async move {
-        if let Err(error) = server.try_serve(router).await {
-            log::error!(target: "entry", "A listener stopped with an error: {error}.");
-        }
-    });
-    Ok(Listener { handle, task })
-}
-
 /// Sends a heartbeat to each peer of the settings, and fetches the peer records from the first that returns them.
 async fn contact_peers(entry: Arc<Entry>) {
     let mut has_records = false;
@@ -195,8 +178,7 @@
     /// Ends the process's tasks and connections immediately, as a loss of the VM would.
     pub fn kill(self) {
         for listener in &self.listeners {
-            // This ends the listener's task and closes its connections.
-            listener.handle.stop_forcible();
+            listener.kill();
         }
         for task in &self.tasks {
             task.abort();
@@ -221,7 +203,6 @@
         entry.with_engine(|engine, _| engine.close());
         let time_left = Duration::from_millis((stop.limit - stop.linger).0);
         let is_idle = timeout(time_left, entry.in_flight.wait_idle()).await.is_ok();
-        let cut = if is_idle { 0 } else { entry.in_flight.count() };
         if is_idle {
             self.release_shards().await;
             // Callers may use cached look-up answers until these expire. Until then this VM stays reachable and tells
@@ -231,7 +212,7 @@
                 ttl.plus(stop.linger).min(stop.limit).minus(entry.now().since(began));
             sleep(Duration::from_millis(lookup_ttl_left.0)).await;
         }
-        self.close(is_idle).await;
+        let cut = self.close(if is_idle { CLOSE_TIMEOUT } else { LIMIT_CLOSE_TIMEOUT }).await;
         log::info!(target: "stop", "Stopped; {cut} requests were cut.");
         Stopped { cut }
     }
@@ -243,21 +224,18 @@
         }
     }
 
-    async fn close(self, is_graceful: bool) {
+    /// Ends the tasks, and closes each listener within `limit`. Returns the number of requests that are cut.
+    async fn close(mut self, limit: Duration) -> u32 {
         for task in &self.tasks {
             task.abort();
         }
+        for listener in &mut self.listeners {
+            listener.close(limit).await;
+        }
+        let cut = self.entry.in_flight.count();
         for listener in self.listeners {
-            match is_graceful {
-                true => listener.handle.stop_graceful(CLOSE_TIMEOUT),
-                false => listener.handle.stop_forcible(),
-            }
-            if timeout(CLOSE_TIMEOUT, listener.task).await.is_err() {
-                log::warn!(target: "stop", "A listener did not close before its time-out.");
-            }
+            listener.cut().await;
         }
+        cut
     }
 }
-
-/// Time-out for a listener to send its last answers and close.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
