Tell watches that the store cuts from an outage

A store may cut a watch that waits at any time.

Cause: each call that failed counted as an outage. After one, removals wait 2.2 s for entries to be written again, and the delay before the answer that shows them had grown to 0.5 s.

Change: a watch whose connection ends before its answer begins is repeated after 50 to 200 ms, and is an outage only once what is known is older than VMs may pass on (1.55 s of a limit of 2.5 s), or if a call fails in another way. No entry expires for want of a store that is away for less. If the store has dropped its history after a cut, removals wait as after an outage.

--- a/crates/th-steer/src/relay/mod.rs
+++ b/crates/th-steer/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod last_writes;
 mod news;
 mod pace;
+mod reach;
 mod upstream;
 
 pub use change_log::{ChangeLog, ItemChange};
@@ -16,4 +17,5 @@
 pub use last_writes::{LastWrites, Write, WriteMark, WriteOrder};
 pub use news::{News, NewsError};
 pub use pace::{PaceError, WatchPace};
+pub use reach::{Outage, StoreReach};
 pub use upstream::{Source, Upstream};
--- a/crates/th-steer/src/relay/pace.rs
+++ b/crates/th-steer/src/relay/pace.rs
@@ -20,6 +20,8 @@
 const MIN_DELAY: Millis = Millis(50);
 /// Number of times that the delay after failed calls doubles.
 const MAX_DOUBLINGS: u32 = 1;
+/// Number of times that the delay after cut watches doubles.
+const MAX_CUT_DOUBLINGS: u32 = 2;
 /// Shortest interval of watches.
 const MIN_INTERVAL: Millis = Millis(600);
 /// Longest wait of a watch. It is short, because an unresponsive connection shows only once the answer is overdue, and other
@@ -99,6 +101,12 @@
         grown.minus(took).max(MIN_DELAY)
     }
 
+    /// The delay after a watch that was cut, with so many in a row. The store answers other calls meanwhile.
+    pub fn cut_delay(&self, cuts: u32) -> Millis {
+        let doublings = cuts.saturating_sub(1).min(MAX_CUT_DOUBLINGS);
+        Millis(MIN_DELAY.0 << doublings).min(self.delay.max(MIN_DELAY))
+    }
+
     /// The longest time from the store's return to the first call that it answers, whatever was under way.
     pub fn longest_gap(&self) -> Millis {
         let silent = self.wait.plus(self.repeat);
--- a/tests/late_changes.rs
+++ b/tests/late_changes.rs
@@ -15,6 +15,7 @@
 use rstest::rstest;
 use serde_json::json;
 use stand_in::{StandInStore, wait_until};
+use th_gateway::Core;
 use th_protocol::BackendId;
 use tokio::{
     task::LocalSet,
@@ -125,6 +126,41 @@
     assert!(lost.iter().all(in_time), "lost by phase: {lost:?}");
 }
 
+/// The time from the removal of a server that leaves right after watches in a row were cut until all VMs of a data centre have
+/// dropped it.
+async fn lost_after_cuts(vms: usize, phase: Duration, cuts: u32) -> Duration {
+    let store = StandInStore::start().await;
+    let entry = json!({"service": "desk", "address": "127.0.0.1:9", "zone": "north-a", "version": "v1", "slots": 4,
+        "state": "ready", "cold_remaining_ms": 0, "sequence": 4});
+    store.put("servers/i-1", &entry);
+    let started = start_vms(vms, &store, LIMIT).await;
+    let cores = cores(&started);
+    sleep(LIMIT + phase).await;
+    store.cut_watches(cuts, "servers/i-1");
+    wait_until("the watches are cut", || store.has_cut_all()).await;
+    let left = Instant::now();
+    let id: BackendId = "i-1".parse().unwrap();
+    let has = |core: &Rc<Core>| core.dispatcher.borrow().backend(&id).is_some();
+    while cores.iter().any(has) && left.elapsed() < 2 * LIMIT {
+        sleep(Duration::from_millis(10)).await;
+    }
+    left.elapsed()
+}
+
+/// Guards against requests to servers that left while the store cut watches and answered other calls: cuts were taken for an
+/// outage, after which removals wait for entries that may be written again.
+#[rstest]
+#[tokio::test]
+async fn servers_that_leave_after_cut_watches_are_dropped_in_time(
+    #[values(1, 3)] vms: usize,
+    #[values(1, 2, 4)] cuts: u32,
+) {
+    let plays = (0..PHASES).map(|it| lost_after_cuts(vms, it * STEP, cuts));
+    let took = LocalSet::new().run_until(join_all(plays)).await;
+    let late: Vec<_> = took.iter().enumerate().filter(|(_, it)| LIMIT < **it).collect();
+    assert!(late.is_empty(), "late by phase: {late:?}; of {took:?}");
+}
+
 /// The time after which a process uses a configuration that is written at the end of a silence.
 async fn process_latest(phase: Duration, silence: Duration) -> Duration {
     let store = StandInStore::start().await;
