--- a/crates/th-platform/src/receive.rs
+++ b/crates/th-platform/src/receive.rs
@@ -1,6 +1,6 @@
 //! Receipt of the answers to HTTP calls, part by part.
 
-use std::{future::pending, pin::pin, time::Duration};
+use std::{error::Error as _, future::pending, io, pin::pin, time::Duration};
 
 use reqwest::{RequestBuilder, StatusCode, header::HeaderMap};
 use th_protocol::{Bytes, Millis};
@@ -59,6 +59,27 @@
     pub fn is_connect(&self) -> bool {
         matches!(self, ReceiveError::Call(error) if error.is_connect())
     }
+
+    /// Whether the connection was closed or reset before the answer began.
+    pub fn is_cut(&self) -> bool {
+        let ReceiveError::Call(error) = self else {
+            return false;
+        };
+        if !error.is_request() || error.is_connect() {
+            return false;
+        }
+        let mut source = error.source();
+        while let Some(cause) = source {
+            let is_reset = |it: &io::Error| it.kind() == io::ErrorKind::ConnectionReset;
+            if cause.downcast_ref().is_some_and(hyper::Error::is_incomplete_message)
+                || cause.downcast_ref().is_some_and(is_reset)
+            {
+                return true;
+            }
+            source = cause.source();
+        }
+        false
+    }
 }
 
 /// Formats an error with its sources: the outermost error seldom states the cause.
