--- a/crates/th-platform/src/receive.rs
+++ b/crates/th-platform/src/receive.rs
@@ -10,6 +10,9 @@
 /// The result of receiving an answer.
 pub(crate) type Result<T, E = ReceiveError> = std::result::Result<T, E>;
 
+/// Maximum size of an answer's body; far more than a page of items or the largest value.
+const MAX_ANSWER: Bytes = Bytes(64 << 20);
+
 /// Limits on the time of a call. The size of an answer and the link that it comes over decide how long it takes, so a limit
 /// on the whole is only a bound on answers that trickle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +44,9 @@
         /// Size of the body, if it was stated.
         size: Option<u64>,
     },
+    /// The answer is larger than any that is expected.
+    #[error("the answer is larger than {0}")]
+    TooLarge(Bytes),
     /// The answer arrived too slowly.
     #[error("the answer did not end within {0}")]
     Slow(Millis),
@@ -51,6 +57,7 @@
     pub fn is_timeout(&self) -> bool {
         match self {
             ReceiveError::Call(error) => error.is_timeout(),
+            ReceiveError::TooLarge(_) => false,
             ReceiveError::Overdue(_) | ReceiveError::Stalled { .. } | ReceiveError::Slow(_) => true,
         }
     }
@@ -160,6 +167,9 @@
         let Some(part) = part? else {
             return Ok(Received { status, headers, body });
         };
+        if MAX_ANSWER < received + Bytes(part.len() as u64) {
+            return Err(ReceiveError::TooLarge(MAX_ANSWER));
+        }
         body.extend_from_slice(&part);
         let part = Bytes(part.len() as u64);
         on_part(Progress { part, received: received + part, size, took: begun.elapsed() });
--- a/crates/th-testing/tests/slow_answers.rs
+++ b/crates/th-testing/tests/slow_answers.rs
@@ -76,3 +76,19 @@
     let limit = Duration::from_millis(call.plus(call).plus(call).0);
     assert!(begun.elapsed() < limit, "{:?}", begun.elapsed());
 }
+
+/// Guards against answers without end, which arrive as fast as they can be read.
+#[tokio::test]
+async fn an_answer_without_end_is_given_up() {
+    let address = serve(async |mut stream| {
+        let part = vec![b' '; 1 << 20];
+        let mut sent = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await;
+        while sent.is_ok() {
+            sent = stream.write_all(&part).await;
+        }
+    })
+    .await;
+    let client = HttpPlatform::new(&format!("http://{address}"));
+    let error = client.read(&Key::new("part/large")).await.unwrap_err();
+    assert!(error.to_string().contains("the answer is larger than"), "{error}");
+}
