--- a/tests/passed_on.rs
+++ b/tests/passed_on.rs
@@ -198,8 +198,12 @@
     let deployment = Deployment::start().await;
     let _taken = deployment.take_slots(taken, work).await;
     let sent = send(deployment.cut_off.listen.callers, post("/book/x", "taken", "gang=7"));
-    // Until it has arrived at the other VM.
-    sleep(Duration::from_millis(300)).await;
+    if status == 200 {
+        wait_until("it runs", || deployment.runs("taken") == 1).await;
+    } else {
+        // Until it has arrived at the other VM.
+        sleep(Duration::from_millis(300)).await;
+    }
     deployment.other.signal("-TERM");
     let answer = sent.await.unwrap();
     assert_eq!(answer.map(|it| it.status), Some(status));
