Look at a caller's socket without a further file descriptor in our own interface too

With no descriptor left, a stop closed connections whose first calls were on the way; one failed accept ended the port with all that waited there.

Change: the socket is used as it is, and the port is tried again after a pause.

--- a/crates/th-entry/src/listen/listener.rs
+++ b/crates/th-entry/src/listen/listener.rs
@@ -120,41 +120,57 @@
             }
         }
     }
-    let mut queued = 0;
-    let accepted = accept_queued(listener, |stream, address| {
-        queued += 1;
-        connections.spawn(serve(Arc::clone(&server), stream, address));
-    });
-    if let Err(error) = accepted {
-        log::warn!(target: "stop", "Accepting the connections that wait at {} failed: {error}.", server.address);
-    }
+    // The system resets the connections in the queue of a closed port, and knows of some that have not been reported yet.
+    let queued = match listener.into_std() {
+        Ok(listener) => {
+            let serve = |stream, address| {
+                connections.spawn(serve(Arc::clone(&server), stream, address));
+            };
+            accept_queued(&listener, server.address, serve).await
+        }
+        Err(error) => {
+            log::error!(target: "stop", "Accepting the connections that wait at {} failed: {error}.", server.address);
+            0
+        }
+    };
     log::info!(target: "stop", "Closed the port {}, where {queued} connections waited.", server.address);
     while connections.join_next().await.is_some() {}
 }
 
-/// Closes a port, and hands over the connections that wait to be accepted, which the system would reset.
-fn accept_queued(
-    listener: TcpListener,
+/// Hands over the connections that wait at a port. Returns their number.
+async fn accept_queued(
+    listener: &std::net::TcpListener,
+    address: SocketAddr,
     mut serve: impl FnMut(TcpStream, SocketAddr),
-) -> io::Result<()> {
-    // The system knows of connections that have not been reported yet.
-    let listener = listener.into_std()?;
+) -> u32 {
+    let mut queued = 0;
     loop {
-        match listener.accept() {
-            Ok((stream, address)) => {
-                stream.set_nonblocking(true)?;
-                serve(TcpStream::from_std(stream)?, address);
+        match try_accept(listener) {
+            Ok(Some((stream, caller))) => {
+                serve(stream, caller);
+                queued += 1;
+            }
+            Ok(None) => return queued,
+            Err(error) => {
+                log::warn!(target: "stop", "Accepting a connection that waits at {address} failed: {error}.");
+                sleep(ACCEPT_RETRY_DELAY).await;
             }
-            Err(error) => match error.kind() {
-                ErrorKind::WouldBlock => return Ok(()),
-                // The caller has gone, or a signal came.
-                ErrorKind::ConnectionAborted | ErrorKind::Interrupted => {}
-                _ => return Err(error),
-            },
         }
     }
 }
 
+/// Accepts a connection that waits; `None` if there is none.
+fn try_accept(listener: &std::net::TcpListener) -> io::Result<Option<(TcpStream, SocketAddr)>> {
+    match listener.accept() {
+        Ok((stream, address)) => {
+            stream.set_nonblocking(true)?;
+            Ok(Some((TcpStream::from_std(stream)?, address)))
+        }
+        Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
 /// Serves a connection. Once the listener is to close, the connection is closed as soon as all that has arrived is
 /// answered.
 async fn serve(server: Arc<Server>, stream: TcpStream, address: SocketAddr) {
--- a/crates/th-entry/src/listen/stream.rs
+++ b/crates/th-entry/src/listen/stream.rs
@@ -2,12 +2,12 @@
 
 use std::{
     io::{ErrorKind, IoSlice, Read, Result},
-    os::fd::AsFd,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -28,14 +28,15 @@
 
     /// Reads from the socket whether or not it is reported as readable.
     fn read_unreported(&self, out: &mut ReadBuf<'_>) -> Poll<Result<()>> {
-        let socket = self.stream.as_fd().try_clone_to_owned()?;
-        match std::net::TcpStream::from(socket).read(out.initialize_unfilled()) {
+        match (&*SockRef::from(&self.stream)).read(out.initialize_unfilled()) {
             Ok(length) => {
                 out.advance(length);
                 Poll::Ready(Ok(()))
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => Poll::Pending,
-            Err(error) => Poll::Ready(Err(error)),
+            Err(error) => match error.kind() {
+                ErrorKind::WouldBlock | ErrorKind::Interrupted => Poll::Pending,
+                _ => Poll::Ready(Err(error)),
+            },
         }
     }
 
--- a/tests/program/mod.rs
+++ b/tests/program/mod.rs
@@ -86,6 +86,13 @@
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
+    /// Sets how many file descriptors the process may have; those that it has stay open.
+    pub(crate) fn limit_descriptors(&self, limit: u32) {
+        let (id, limit) = (self.child.id().to_string(), format!("--nofile={limit}:"));
+        let set = Command::new("prlimit").args(["--pid", &id, &limit]).status();
+        assert!(set.unwrap().success());
+    }
+
     pub(crate) fn terminate(&self) {
         self.signal("-TERM");
     }
