Upload to stopping VMs in the soak, and hold VMs up in planned stops

Callers saw (users' record, docs/incidents/lost.md): an upload that was sent whole ended with a closed connection around SIGTERM. The soak sent no such uploads: its callers went through a proxy, which takes a connection and what is sent on it whatever the VM does.

Cause: callers of the soak keep their connections, and no process was held up in a stop.

Change: 24 callers upload straight to the VMs, each upload on a new connection, and record when it was connected, written and ended. No existing check changes; the checks of all requests also hold for uploads.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -18,8 +18,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    fleet::{Fleet, VMS},
+    fleet::{Fleet, ZONES},
     stand_in::SIZE_MARK,
+    uploads::Upload,
 };
 
 /// Number of concurrent callers.
@@ -27,7 +28,7 @@
 /// Time-out of a caller for an answer; longer than every limit of the system.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Interval of a caller's look-ups.
-const LOOKUP_PERIOD: Duration = Duration::from_millis(1_000);
+pub(crate) const LOOKUP_PERIOD: Duration = Duration::from_millis(1_000);
 const CALL_PAUSE: Duration = Duration::from_millis(15);
 /// Number of further callers, which take large answers, and take them slowly.
 const SLOW_CALLERS: u64 = 3;
@@ -67,6 +68,7 @@
 #[derive(Default)]
 pub(crate) struct CallLog {
     pub(crate) sent: Mutex<Vec<SentRequest>>,
+    pub(crate) uploads: Mutex<Vec<Upload>>,
     count: AtomicU64,
     ended: AtomicBool,
 }
@@ -76,6 +78,43 @@
     pub(crate) fn end(&self) {
         self.ended.store(true, Ordering::Relaxed);
     }
+
+    /// Returns a number for the next request.
+    pub(crate) fn next_number(&self) -> u64 {
+        self.count.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(crate) fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+}
+
+/// The last answer that a caller got to a look-up.
+#[derive(Default)]
+pub(crate) struct Lookup {
+    pub(crate) addresses: Vec<SocketAddr>,
+    at: Option<Instant>,
+}
+
+impl Lookup {
+    /// Asks that VM. A failed look-up leaves the last answer.
+    pub(crate) async fn renew(&mut self, vm: SocketAddr, zone: &str, client: &Client) {
+        let url = format!("http://{vm}/-/resolve?name=desk.example&zone={zone}");
+        let answer = client.get(url).timeout(Duration::from_millis(400)).send().await;
+        let Ok(answer) = answer else { return };
+        let Ok(answer) = answer.json::<Value>().await else { return };
+        self.addresses.clear();
+        for address in answer["addresses"].as_array().into_iter().flatten() {
+            if let Some(address) = address.as_str().and_then(|it| it.parse().ok()) {
+                self.addresses.push(address);
+            }
+        }
+        self.at = Some(Instant::now());
+    }
+
+    pub(crate) fn is_due(&self, max_age: Duration) -> bool {
+        self.at.is_none_or(|it| max_age <= it.elapsed())
+    }
 }
 
 struct Caller {
@@ -84,8 +123,7 @@
     client: Client,
     rng: ChaCha8Rng,
     slow: bool,
-    addresses: Vec<SocketAddr>,
-    looked_up: Option<Instant>,
+    lookup: Lookup,
 }
 
 impl Caller {
@@ -94,31 +132,20 @@
     }
 
     async fn look_up(&mut self) {
-        if self.looked_up.is_some_and(|it| it.elapsed() < LOOKUP_PERIOD) {
+        if !self.lookup.is_due(LOOKUP_PERIOD) {
             return;
         }
-        let vm = self.below(VMS as u64) as usize;
-        let address = self.fleet.vms[vm].listen.lookups;
-        let url = format!("http://{address}/-/resolve?name=desk.example&zone=north-a");
-        let answer = self.client.get(url).timeout(Duration::from_millis(400)).send().await;
-        let Ok(answer) = answer else { return };
-        let Ok(answer) = answer.json::<Value>().await else { return };
-        self.addresses.clear();
-        for address in answer["addresses"].as_array().into_iter().flatten() {
-            if let Some(address) = address.as_str().and_then(|it| it.parse().ok()) {
-                self.addresses.push(address);
-            }
-        }
-        self.looked_up = Some(Instant::now());
+        let vm = self.below(self.fleet.vms.len() as u64) as usize;
+        self.lookup.renew(self.fleet.vms[vm].listen.lookups, ZONES[0], &self.client).await;
     }
 
     async fn call(&mut self) {
         self.look_up().await;
-        let count = self.addresses.len().max(1) as u64;
+        let count = self.lookup.addresses.len().max(1) as u64;
         let pick = self.below(count) as usize;
-        let vm = self.addresses.get(pick).and_then(|it| self.fleet.vm_of(*it));
-        let vm = vm.unwrap_or(self.below(VMS as u64) as usize);
-        let number = self.log.count.fetch_add(1, Ordering::Relaxed);
+        let vm = self.lookup.addresses.get(pick).and_then(|it| self.fleet.vm_of(*it));
+        let vm = vm.unwrap_or(self.below(self.fleet.vms.len() as u64) as usize);
+        let number = self.log.next_number();
         let (id, length) = (format!("soak-{number}"), self.below(3_000) as usize);
         let version = self.fleet.configs.lock().unwrap().keys().next_back().copied();
         let (safe, version, path) = match self.below(10) {
@@ -180,11 +207,10 @@
             client: Client::builder().no_proxy().build().unwrap(),
             rng: ChaCha8Rng::seed_from_u64(seed * 1_000 + number),
             slow: CALLERS <= number,
-            addresses: Vec::new(),
-            looked_up: None,
+            lookup: Lookup::default(),
         };
         tasks.push(tokio::spawn(async move {
-            while !caller.log.ended.load(Ordering::Relaxed) {
+            while !caller.log.has_ended() {
                 caller.call().await;
                 sleep(CALL_PAUSE).await;
             }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -3,7 +3,6 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    process::Stdio,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU32, AtomicU64, Ordering},
@@ -15,26 +14,30 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    entry::{EntryProcess, ListenAddresses, settings},
+    entry::EntryProcess,
+    options::Options,
     plan::Event,
     proxy::{NetworkFault, Proxy},
     stand_in::{Reply, StandInServer, StandInStore},
+    vm::Vm,
 };
 
-/// Number of entry VMs.
-pub(crate) const VMS: usize = 4;
 /// Number of backend servers at any time.
 pub(crate) const SERVERS: usize = 8;
 /// Time for which a backend server runs a request.
-const RUN_TIME: Duration = Duration::from_millis(30);
+pub(crate) const RUN_TIME: Duration = Duration::from_millis(30);
 /// Time after the store is back from an older copy within which operators and servers have written again; the platform's pages
 /// say about two seconds.
 const REWRITE_TIME: Duration = Duration::from_secs(1);
 /// Time for which a write of a server is held up, and from that to its next one.
 const HELD_TIME: Duration = Duration::from_millis(700);
+/// Time from SIGTERM until the port for callers closes.
+pub(crate) const LINGER: Duration = Duration::from_millis(2_500);
 /// Maximum time from SIGTERM to the exit of a process: the grace period of the settings and a margin.
 const STOP_TIMEOUT: Duration = Duration::from_millis(7_500);
-const ZONES: [&str; 2] = ["north-a", "south-a"];
+/// Time limit of uploads, as callers and their route state it.
+pub(crate) const UPLOAD_LIMIT: Duration = Duration::from_secs(4);
+pub(crate) const ZONES: [&str; 2] = ["north-a", "south-a"];
 
 /// A backend server behind a proxy.
 #[derive(Clone)]
@@ -59,16 +62,6 @@
     }
 }
 
-/// An entry VM with the proxies between it and its callers, and between it and the store.
-pub(crate) struct Vm {
-    name: String,
-    zone: &'static str,
-    pub(crate) listen: ListenAddresses,
-    pub(crate) callers: Proxy,
-    store: Proxy,
-    entry: Mutex<Option<EntryProcess>>,
-}
-
 /// Periods in which one or all VMs are exempt from the invariants that hold for undisturbed VMs.
 #[derive(Default)]
 pub(crate) struct Disturbances(Mutex<Vec<(Option<usize>, Instant, Instant)>>);
@@ -97,6 +90,8 @@
     /// Servers that drained and were replaced; their runs still count.
     pub(crate) replaced: Mutex<Vec<Server>>,
     pub(crate) disturbed: Disturbances,
+    /// VMs that got SIGTERM, and when.
+    pub(crate) stops: Mutex<Vec<(usize, Instant)>>,
     /// Versions of the configurations, and when the store accepted each.
     pub(crate) configs: Mutex<BTreeMap<u64, Instant>>,
     /// Number of evacuations in force.
@@ -113,46 +108,20 @@
             "target_latency_ms": 600, "priority": 1, "service": "desk", "max_attempts": 2, "sticky": true})
     };
     let own = format!("/v{version}/");
+    let mut photo = route("photo", "/photo/", "upload");
+    photo["timeout_ms"] = json!(UPLOAD_LIMIT.as_millis() as u64);
     json!({"version": format!("{version:08x}"),
         "routes": [route("look", "/look/", "safe"), route("book", "/book/", "unsafe"), route("load", "/load/", "download"),
-            route("own", &own, "safe")],
+            route("own", &own, "safe"), photo],
         "services": [{"name": "desk", "cold_per_s": 4.1}], "limits": {}})
 }
 
-impl Vm {
-    fn start(&self) {
-        let settings = settings(&self.name, self.zone, self.listen, self.store.address);
-        let entry = EntryProcess::start(self.listen, &settings, Stdio::null());
-        *self.entry.lock().unwrap() = Some(entry);
-    }
-
-    fn signal(&self, name: &str) {
-        if let Some(entry) = self.entry.lock().unwrap().as_ref() {
-            entry.signal(name);
-        }
-    }
-
-    pub(crate) async fn is_ready(&self, client: &reqwest::Client) -> bool {
-        let url = format!("http://{}/-/readiness", self.listen.ready);
-        let answer = client.get(url).timeout(Duration::from_millis(500)).send().await;
-        answer.is_ok_and(|it| it.status() == 200)
-    }
-}
-
 impl Fleet {
-    pub(crate) async fn start() -> Arc<Fleet> {
+    pub(crate) async fn start(seed: u64, options: &Options) -> Arc<Fleet> {
         let store = StandInStore::start().await;
         let mut vms = Vec::new();
-        for number in 0..VMS {
-            let listen = ListenAddresses::free();
-            vms.push(Vm {
-                name: format!("vm-{number}"),
-                zone: ZONES[number % ZONES.len()],
-                listen,
-                callers: Proxy::start(listen.callers).await,
-                store: Proxy::start(store.address).await,
-                entry: Mutex::default(),
-            });
+        for number in 0..options.vms {
+            vms.push(Vm::new(number, seed, store.address, options).await);
         }
         let fleet = Arc::new(Fleet {
             store,
@@ -160,6 +129,7 @@
             servers: Mutex::default(),
             replaced: Mutex::default(),
             disturbed: Disturbances::default(),
+            stops: Mutex::default(),
             configs: Mutex::default(),
             evacuations: AtomicU32::new(0),
             exits: AtomicU32::new(0),
@@ -233,6 +203,7 @@
     pub(crate) async fn inject(self: Arc<Fleet>, event: Event) {
         match event {
             Event::Stop(vm) => self.stop(vm).await,
+            Event::HoldUp(vm, span) => self.vms[vm].hold_up(span).await,
             Event::Reload(vm) => self.reload(vm).await,
             Event::Kill(vm, span) => {
                 self.disturbed.add(Some(vm), span + Duration::from_secs(2));
@@ -346,14 +317,16 @@
 
     async fn stop(&self, vm: usize) {
         let taken = self.vms[vm].entry.lock().unwrap().take();
-        let Some(mut entry) = taken else { return };
+        let Some(entry) = taken else { return };
         entry.signal("-TERM");
-        let end = Instant::now() + STOP_TIMEOUT;
-        while entry.exit_status().is_none() && Instant::now() < end {
+        *self.vms[vm].stopping.lock().unwrap() = Some(entry);
+        let start = Instant::now();
+        self.stops.lock().unwrap().push((vm, start));
+        while !self.vms[vm].has_stopped() && start.elapsed() < STOP_TIMEOUT {
             sleep(Duration::from_millis(20)).await;
         }
         // A process that still runs was delayed by another fault; it is killed, as the platform would do.
-        drop(entry);
+        drop(self.vms[vm].stopping.lock().unwrap().take());
         self.vms[vm].start();
     }
 
--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     callers::{CallOutcome, SentRequest},
-    fleet::Fleet,
-    stand_in::{Run, answer_text},
+    fleet::{Fleet, RUN_TIME, UPLOAD_LIMIT},
+    stand_in::{Run, answer_text, stated_work},
+    uploads::Upload,
 };
 
 /// Time without disturbance after which the time limits hold for a VM (the settle window of the platform's pages).
@@ -20,16 +21,28 @@
 /// Share of requests, in ‰, that may take longer on a busy machine.
 const MAX_SLOW_PERMILLE: usize = 5;
 
+/// Time from SIGTERM for which an upload that ends without an answer counts as lost by the stop.
+const STOP_WINDOW: Duration = Duration::from_secs(7);
+/// Time from SIGTERM to the last sixth of the grace period.
+const LAST_SIXTH: Duration = Duration::from_secs(5);
+/// Time from SIGTERM within which an upload is written that may be cut in the last sixth.
+const LATEST_WRITE: Duration = Duration::from_secs(3);
+
 /// The invariants of a run and their violations.
 pub(crate) struct Invariants<'a> {
     fleet: &'a Fleet,
     sent: &'a [SentRequest],
+    uploads: &'a [Upload],
     runs: BTreeMap<String, Vec<(String, Run)>>,
     pub(crate) violations: Vec<String>,
 }
 
 impl<'a> Invariants<'a> {
-    pub(crate) fn new(fleet: &'a Fleet, sent: &'a [SentRequest]) -> Invariants<'a> {
+    pub(crate) fn new(
+        fleet: &'a Fleet,
+        sent: &'a [SentRequest],
+        uploads: &'a [Upload],
+    ) -> Invariants<'a> {
         let mut runs: BTreeMap<String, Vec<(String, Run)>> = BTreeMap::new();
         for server in fleet.all_servers() {
             for (request, list) in server.server.all_runs() {
@@ -39,7 +52,7 @@
                     .extend(list.into_iter().map(|it| (id.clone(), it)));
             }
         }
-        Invariants { fleet, sent, runs, violations: Vec::new() }
+        Invariants { fleet, sent, uploads, runs, violations: Vec::new() }
     }
 
     fn fail(&mut self, rule: &str, sent: &SentRequest, why: &str) {
@@ -58,8 +71,10 @@
 
     /// Checks the invariants that hold at any time, however slow the machine is.
     pub(crate) fn check_always(&mut self) {
+        let uploads = self.uploads.iter().map(|it| &it.sent);
+        let all: Vec<&SentRequest> = self.sent.iter().chain(uploads).collect();
         let known: BTreeMap<&str, &SentRequest> =
-            self.sent.iter().map(|it| (it.id.as_str(), it)).collect();
+            all.iter().map(|it| (it.id.as_str(), *it)).collect();
         for (id, runs) in &self.runs {
             for (server, run) in runs {
                 let good = known.get(id.as_str());
@@ -68,7 +83,7 @@
                 }
             }
         }
-        for sent in self.sent {
+        for sent in all {
             let count = self.count(sent);
             if !sent.safe && 1 < count {
                 self.fail("twice", sent, "an unsafe request ran more than once");
@@ -104,6 +119,48 @@
         if 0 < self.fleet.exits.load(std::sync::atomic::Ordering::Relaxed) {
             self.violations.push("exit: a process exited unexpectedly".to_owned());
         }
+        self.check_uploads();
+    }
+
+    /// Checks that planned stops lose no uploads that were written whole.
+    fn check_uploads(&mut self) {
+        let stops = self.fleet.stops.lock().unwrap().clone();
+        for upload in self.uploads {
+            let sent = &upload.sent;
+            let (CallOutcome::Cut(_), Some(written)) = (&sent.outcome, upload.written) else {
+                continue;
+            };
+            let stop = stops.iter().find(|(vm, at)| {
+                *vm == sent.vm && *at <= sent.end && sent.end <= *at + STOP_WINDOW
+            });
+            let Some((_, stop)) = stop else { continue };
+            let is_late = UPLOAD_LIMIT <= sent.end - sent.at;
+            if is_late || self.may_be_cut(upload, *stop) || !self.is_undisturbed(sent) {
+                continue;
+            }
+            let since = |it: Instant| match it.checked_duration_since(*stop) {
+                Some(span) => span.as_secs_f64(),
+                None => -(*stop - it).as_secs_f64(),
+            };
+            let times = [upload.connected.unwrap_or(sent.at), sent.at, written, sent.end];
+            let why = format!(
+                "lost around a stop; connected, begun, written and ended {:.3?} s after SIGTERM",
+                times.map(since)
+            );
+            self.fail("uploads", sent, &why);
+        }
+    }
+
+    /// Whether a server was still at work on an upload in the last sixth of the grace period, and the upload was written early.
+    fn may_be_cut(&self, upload: &Upload, stop: Instant) -> bool {
+        let last = stop + LAST_SIXTH;
+        let is_early = upload.written.is_some_and(|it| it <= stop + LATEST_WRITE);
+        let mut runs = self.runs.get(&upload.sent.id).into_iter().flatten();
+        let works = |run: &Run| {
+            let end = run.at + stated_work(&run.path).unwrap_or(RUN_TIME);
+            run.at <= upload.sent.end && last <= end
+        };
+        is_early && last <= upload.sent.end && runs.any(|(_, run)| works(run))
     }
 
     /// Checks the invariants with time limits, for undisturbed VMs. Not meant for a machine that is busy with other
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,19 +6,24 @@
 mod entry;
 mod fleet;
 mod invariants;
+mod options;
 mod plan;
 mod proxy;
 #[path = "../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
+mod uploads;
+mod vm;
 
 use std::{collections::BTreeMap, env, sync::Arc, time::Duration};
 
 use callers::{CallLog, CallOutcome, run_callers};
 use fleet::Fleet;
 use invariants::Invariants;
+use options::Options;
 use plan::Plan;
 use reqwest::Client;
 use tokio::time::{Instant, sleep, sleep_until};
+use uploads::run_uploads;
 
 /// Seeds of a run in CI: one with planned work only, one with a mix of events, one whose store comes back from older copies. Add seeds that failed, with a line on
 /// the cause.
@@ -41,15 +46,17 @@
 }
 
 /// Runs the events of a seed. Returns the violations of invariants.
-async fn run_seed(seed: u64, length: Duration, timed: bool) -> Vec<String> {
-    let fleet = Fleet::start().await;
+async fn run_seed(seed: u64, length: Duration, timed: bool, options: &Options) -> Vec<String> {
+    let fleet = Fleet::start(seed, options).await;
     let client = Client::builder().no_proxy().build().unwrap();
     wait_until_all_ready(&fleet, &client).await;
-    let plan = Plan::new(seed, length);
+    let plan = Plan::new(seed, length, options);
     let log = Arc::new(CallLog::default());
     let callers = {
         let (fleet, log) = (Arc::clone(&fleet), Arc::clone(&log));
-        tokio::spawn(async move { run_callers(&fleet, &log, seed).await })
+        tokio::spawn(async move {
+            tokio::join!(run_callers(&fleet, &log, seed), run_uploads(&fleet, &log, seed))
+        })
     };
     let watched = Arc::clone(&fleet);
     let watch = tokio::spawn(async move {
@@ -77,7 +84,8 @@
     watch.abort();
     sleep(FINISH_TIME.min(length)).await;
     let sent = log.sent.lock().unwrap().clone();
-    let mut invariants = Invariants::new(&fleet, &sent);
+    let uploads = log.uploads.lock().unwrap().clone();
+    let mut invariants = Invariants::new(&fleet, &sent, &uploads);
     invariants.check_always();
     if timed {
         invariants.check_timed();
@@ -91,9 +99,13 @@
         };
         *ends.entry(end).or_default() += 1;
     }
+    let mut uploaded: BTreeMap<String, usize> = BTreeMap::new();
+    for it in &uploads {
+        *uploaded.entry(it.end()).or_default() += 1;
+    }
     let planned = plan.events.iter().all(|it| it.1.is_planned());
     println!(
-        "seed {seed}: {} events{}, requests {ends:?}, {} violations",
+        "seed {seed}: {} events{}, requests {ends:?}, uploads {uploaded:?}, {} violations",
         plan.events.len(),
         if planned { " (planned work alone)" } else { "" },
         invariants.violations.len(),
@@ -135,9 +147,12 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn faults_violate_no_invariant() {
     let (seeds, length) = seeds();
+    let options = Options::from_env();
+    // Many VMs on one machine are slower than the limits of undisturbed ones allow.
+    let timed = length.is_some() && options.vms <= options::DEFAULT_VMS;
     let mut failed = Vec::new();
     for seed in seeds {
-        let violations = run_seed(seed, length.unwrap_or(SHORT_LENGTH), length.is_some()).await;
+        let violations = run_seed(seed, length.unwrap_or(SHORT_LENGTH), timed, &options).await;
         for it in &violations {
             println!("{it}");
         }
