List unanswered uploads of the soak, and how late a draining server ran a request

Callers saw: nothing; runs by hand with logs did not say how uploads without an answer ended, and a violation of drain not by how much.

Change: with SOAK_LOGS, uploads without an answer are listed with their times from SIGTERM, whether they are violations or not. Checks are as strict as before.

--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -124,33 +124,62 @@
 
     /// Checks that planned stops lose no uploads that were written whole.
     fn check_uploads(&mut self) {
-        let stops = self.fleet.stops.lock().unwrap().clone();
         for upload in self.uploads {
             let sent = &upload.sent;
-            let (CallOutcome::Cut(_), Some(written)) = (&sent.outcome, upload.written) else {
+            if !matches!(sent.outcome, CallOutcome::Cut(_)) || upload.written.is_none() {
                 continue;
-            };
-            let stop = stops.iter().find(|(vm, at)| {
-                *vm == sent.vm && *at <= sent.end && sent.end <= *at + STOP_WINDOW
-            });
-            let Some((_, stop)) = stop else { continue };
+            }
+            let Some(stop) = self.stop_around(sent) else { continue };
             let is_late = UPLOAD_LIMIT <= sent.end - sent.at;
-            if is_late || self.may_be_cut(upload, *stop) || !self.is_undisturbed(sent) {
+            if is_late || self.may_be_cut(upload, stop) || !self.is_undisturbed(sent) {
                 continue;
             }
-            let since = |it: Instant| match it.checked_duration_since(*stop) {
-                Some(span) => span.as_secs_f64(),
-                None => -(*stop - it).as_secs_f64(),
-            };
-            let times = [upload.connected.unwrap_or(sent.at), sent.at, written, sent.end];
-            let why = format!(
-                "lost around a stop; connected, begun, written and ended {:.3?} s after SIGTERM",
-                times.map(since)
-            );
+            let why = format!("lost around a stop, {}", self.describe(upload));
             self.fail("uploads", sent, &why);
         }
     }
 
+    /// Returns the last SIGTERM of the VM after which the request ended, if it ended soon after.
+    fn stop_around(&self, sent: &SentRequest) -> Option<Instant> {
+        let stops = self.fleet.stops.lock().unwrap();
+        let near = |at: Instant| at <= sent.end && sent.end <= at + STOP_WINDOW;
+        stops.iter().rev().find(|(vm, at)| *vm == sent.vm && near(*at)).map(|it| it.1)
+    }
+
+    /// Describes an upload in times from the stop around it, or from its own start.
+    fn describe(&self, upload: &Upload) -> String {
+        let sent = &upload.sent;
+        let stop = self.stop_around(sent);
+        let zero = stop.unwrap_or(sent.at);
+        let since = |it: Instant| match it.checked_duration_since(zero) {
+            Some(span) => format!("{:.3}", span.as_secs_f64()),
+            None => format!("-{:.3}", (zero - it).as_secs_f64()),
+        };
+        let runs = self.runs.get(&sent.id).into_iter().flatten();
+        let runs: Vec<String> = runs.map(|it| since(it.1.at)).collect();
+        format!(
+            "connected {}, begun {}, written {}, ended {} s after {}, runs {runs:?}",
+            upload.connected.map_or("never".to_owned(), since),
+            since(sent.at),
+            upload.written.map_or("never".to_owned(), since),
+            since(sent.end),
+            if stop.is_some() { "SIGTERM" } else { "its start" },
+        )
+    }
+
+    /// Lists the uploads without an answer, whether they are violations or not.
+    pub(crate) fn unanswered(&self) -> Vec<String> {
+        let mut list = Vec::new();
+        for upload in self.uploads {
+            let CallOutcome::Cut(why) = &upload.sent.outcome else { continue };
+            let disturbed = if self.is_undisturbed(&upload.sent) { "" } else { ", disturbed" };
+            let (id, vm, path) = (&upload.sent.id, upload.sent.vm, &upload.sent.path);
+            let (end, times) = (upload.end(), self.describe(upload));
+            list.push(format!("{id} to vm-{vm}, {path}, {end} ({why}){disturbed}: {times}"));
+        }
+        list
+    }
+
     /// Whether a server was still at work on an upload in the last sixth of the grace period, and the upload was written early.
     fn may_be_cut(&self, upload: &Upload, stop: Instant) -> bool {
         let last = stop + LAST_SIXTH;
@@ -210,8 +239,9 @@
             });
             if let Some((request, run)) = late.first() {
                 let text = format!(
-                    "drain: {} ran {request} too long after it began to drain: {run:?}",
-                    server.server.id
+                    "drain: {} ran {request} {:?} after it began to drain: {run:?}",
+                    server.server.id,
+                    run.at - drained,
                 );
                 self.violations.push(text);
             }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -110,6 +110,9 @@
         if planned { " (planned work alone)" } else { "" },
         invariants.violations.len(),
     );
+    if options.logs.is_some() {
+        println!("{:#?}", invariants.unanswered());
+    }
     if !invariants.violations.is_empty() {
         println!("{:#?}", plan.events);
     }
