Write the head of a slow upload at once in the soak

Callers saw: nothing; a fault of the test. Slow uploads wrote their heads in parts too, those of small ones up to 1 s late, so that callers gave up before the VM's own time limit was over, which runs from the head.

Change: the head is written at once, then the body in parts. No check changes; fewer uploads are excused as out of time.

--- a/tests/soak/uploads.rs
+++ b/tests/soak/uploads.rs
@@ -122,8 +122,7 @@
                 connected = Some(Instant::now());
                 sleep(opened).await;
                 at = Instant::now();
-                let bytes = [head.into_bytes(), vec![b'x'; length]].concat();
-                exchange(stream, &bytes, writing, &mut written).await
+                exchange(stream, &head, &vec![b'x'; length], writing, &mut written).await
             }
             Ok(Err(_)) | Err(_) => CallOutcome::Refused,
         };
@@ -140,7 +139,8 @@
 /// Writes a request and reads its answer, which may come before the request is written.
 async fn exchange(
     stream: TcpStream,
-    bytes: &[u8],
+    head: &str,
+    body: &[u8],
     span: Duration,
     written: &mut Option<Instant>,
 ) -> CallOutcome {
@@ -152,7 +152,7 @@
     let writing = async {
         // The other half sees how the connection ends. It stays open on this side.
         let mut writer = writer;
-        if write(&mut writer, bytes, span).await.is_ok() {
+        if write(&mut writer, head, body, span).await.is_ok() {
             *written = Some(Instant::now());
         }
         std::future::pending::<()>().await;
@@ -167,12 +167,18 @@
     }
 }
 
-/// Writes over some time, in parts if there is any.
-async fn write(writer: &mut OwnedWriteHalf, bytes: &[u8], span: Duration) -> io::Result<()> {
+/// Writes a request; its body over some time, in parts, if there is any.
+async fn write(
+    writer: &mut OwnedWriteHalf,
+    head: &str,
+    body: &[u8],
+    span: Duration,
+) -> io::Result<()> {
     if span.is_zero() {
-        return writer.write_all(bytes).await;
+        return writer.write_all(&[head.as_bytes(), body].concat()).await;
     }
-    for part in bytes.chunks(bytes.len().div_ceil(PARTS)) {
+    writer.write_all(head.as_bytes()).await?;
+    for part in body.chunks(body.len().div_ceil(PARTS).max(1)) {
         sleep(span / PARTS as u32).await;
         writer.write_all(part).await?;
     }
