Test that calls which a proxy closes count as an outage

Cause: watches that are cut no longer count as an outage at once. Nothing showed that they do while the store is away.

Change: the stand-in store can close the connection of each call. lost_after of tests/late_changes.rs takes how the store is away; its existing tests run as before, with the same bounds.

--- a/tests/late_changes.rs
+++ b/tests/late_changes.rs
@@ -14,7 +14,7 @@
 use reqwest::Method;
 use rstest::rstest;
 use serde_json::json;
-use stand_in::{StandInStore, wait_until};
+use stand_in::{StandInStore, StoreFault, wait_until};
 use th_gateway::Core;
 use th_protocol::BackendId;
 use tokio::{
@@ -72,9 +72,32 @@
 /// Time after the store's return from which a VM must act on what the store says.
 const SETTLE_TIME: Duration = Duration::from_millis(3_000);
 
-/// The time from the store's return to the removal of a server whose entry expired while the store was silent; `None` if it
+/// How calls fail while the store is away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Away {
+    /// They get no answer.
+    Silent,
+    /// Their connections are closed.
+    Closed,
+}
+
+impl Away {
+    fn set(self, store: &StandInStore, is_away: bool) {
+        match self {
+            Away::Silent => store.set_silent(is_away),
+            Away::Closed => store.set_fault(is_away.then_some(StoreFault::Closed)),
+        }
+    }
+}
+
+/// The time from the store's return to the removal of a server whose entry expired while the store was away; `None` if it
 /// is kept. Unless it is gone, it writes its entry again.
-async fn lost_after(phase: Duration, silence: Duration, gone: bool) -> Option<Duration> {
+async fn lost_after(
+    away: Away,
+    phase: Duration,
+    silence: Duration,
+    gone: bool,
+) -> Option<Duration> {
     let store = StandInStore::start().await;
     write_config(&store, 1);
     let entry = json!({"service": "desk", "address": "127.0.0.1:9", "zone": "north-a", "version": "v1", "slots": 4,
@@ -84,10 +107,10 @@
     let cores = [Rc::clone(gateway.core())];
     in_force(&cores, 1, LIMIT).await;
     sleep(LIMIT + phase).await;
-    store.set_silent(true);
+    away.set(&store, true);
     store.remove("servers/i-1");
     sleep(silence).await;
-    store.set_silent(false);
+    away.set(&store, false);
     let (back, mut written) = (Instant::now(), gone);
     let id: BackendId = "i-1".parse().unwrap();
     while back.elapsed() < 2 * LIMIT {
@@ -109,7 +132,21 @@
 async fn servers_whose_entries_expired_are_kept_until_they_can_be_back(
     #[values(700, 1_500, 3_000, 6_100)] silence: u64,
 ) {
-    let plays = (0..PHASES).map(|it| lost_after(it * STEP, Duration::from_millis(silence), false));
+    let silence = Duration::from_millis(silence);
+    let plays = (0..PHASES).map(|it| lost_after(Away::Silent, it * STEP, silence, false));
+    let lost = LocalSet::new().run_until(join_all(plays)).await;
+    assert!(lost.iter().all(Option::is_none), "lost by phase: {lost:?}");
+}
+
+/// Guards against sound servers that are dropped because a proxy closes all calls while the store behind it is away, as if only
+/// watches were cut.
+#[rstest]
+#[tokio::test]
+async fn servers_whose_entries_expired_behind_a_proxy_are_kept_until_they_can_be_back(
+    #[values(3_000, 6_100)] away: u64,
+) {
+    let away = Duration::from_millis(away);
+    let plays = (0..PHASES).map(|it| lost_after(Away::Closed, it * STEP, away, false));
     let lost = LocalSet::new().run_until(join_all(plays)).await;
     assert!(lost.iter().all(Option::is_none), "lost by phase: {lost:?}");
 }
@@ -120,7 +157,8 @@
 async fn servers_that_left_during_a_silence_are_dropped_in_time(
     #[values(700, 3_000, 6_100)] silence: u64,
 ) {
-    let plays = (0..PHASES).map(|it| lost_after(it * STEP, Duration::from_millis(silence), true));
+    let silence = Duration::from_millis(silence);
+    let plays = (0..PHASES).map(|it| lost_after(Away::Silent, it * STEP, silence, true));
     let lost = LocalSet::new().run_until(join_all(plays)).await;
     let in_time = |it: &Option<Duration>| it.is_some_and(|it| it <= SETTLE_TIME);
     assert!(lost.iter().all(in_time), "lost by phase: {lost:?}");
