--- a/crates/th-platform/src/platform.rs
+++ b/crates/th-platform/src/platform.rs
@@ -11,8 +11,7 @@
 /// Largest value that the service stores, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
-/// Longest time for an answer that has begun: four of the largest values at once, base64-encoded, take a link of 10 Mbit/s
-/// 4.5 s, and callers' requests may have half of the link.
+/// Longest time for an answer that has begun.
 pub const MAX_TRANSFER: Millis = Millis(9_000);
 
 /// Half of the link of a small VM; callers' requests may have the other half.
