--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -18,7 +18,6 @@
             esac
         done < "$folder/ids"
     fi
-    [ -n "${KEEP:-}" ] && cp "$folder"/*.log "$KEEP"/
     rm -rf "$folder"
 }
 trap ended EXIT
