--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs one case of the second review: case-2.sh CASE RECORD. Ends all processes that the case started.
+# Runs one case of the second review: case-2.sh CASE RECORD TROUBLE. Ends all processes that the case started.
 set -u
 cd "$(dirname "$0")/.." || exit 2
 for program in target/release/tanagerhollow target/review/stand_in_2; do
@@ -21,7 +21,7 @@
     rm -rf "$folder"
 }
 trap ended EXIT
-timeout -k 2 115 target/review/stand_in_2 "$1" "$folder" "$2"
+TROUBLE="$3" timeout -k 2 115 target/review/stand_in_2 "$1" "$folder" "$2"
 status=$?
 case $status in
     0 | 1) exit $status ;;
--- a/review/stand_in_2/full_memory.rs
+++ b/review/stand_in_2/full_memory.rs
@@ -25,11 +25,11 @@
 /// `timeout_ms` of the route of small requests.
 const TIMEOUT: Duration = Duration::from_millis(3_000);
 /// `timeout_ms` of the route of uploads.
-const UPLOAD_TIMEOUT: Duration = Duration::from_millis(8_000);
+const UPLOAD_TIMEOUT: Duration = Duration::from_millis(6_000);
 /// Time after it within which an answer is due.
 const SLACK: Duration = Duration::from_millis(500);
 /// Time for which clients wait.
-const DEADLINE: Duration = Duration::from_millis(8_000);
+const DEADLINE: Duration = Duration::from_millis(6_000);
 /// Clients that upload, the size of their bodies, and the pause from one to the next: together 400 Mbit/s, on a link of 1,000.
 /// `body_bytes` of the configuration is 67,108,864.
 const UPLOADERS: u64 = 13;
@@ -38,7 +38,7 @@
 /// Clients that send small requests, in each of three waves, and the sizes of their bodies in turn.
 const SMALL: u64 = 64;
 const BODIES: [usize; 4] = [1_200, 600, 200, 0];
-const WAVE_PAUSE: Duration = Duration::from_millis(200);
+const WAVE_PAUSE: Duration = Duration::from_millis(500);
 /// Backends, of each service, as many as a small deployment has.
 const BACKENDS: u64 = 12;
 /// What the record calls an upload.
@@ -133,7 +133,7 @@
     thread::sleep(Duration::from_secs(1));
     for _ in 0..UPLOADERS {
         if trouble {
-            start(1, UPLOADS, "/photo/work-3500/x", UPLOAD);
+            start(1, UPLOADS, "/photo/work-3480/x", UPLOAD);
         }
         thread::sleep(UPLOAD_PAUSE);
     }
--- a/review/stand_in_2/main.rs
+++ b/review/stand_in_2/main.rs
@@ -39,7 +39,7 @@
     let routes = [
         route("r-quote", "/look/", "safe", 3_000, "bookings"),
         route("r-book", "/claim/", "unsafe", 3_000, "bookings"),
-        route("r-photo", "/photo/", "upload", 8_000, "surveys"),
+        route("r-photo", "/photo/", "upload", 6_000, "surveys"),
     ];
     let services = [service("bookings"), service("surveys")].join(",");
     let routes = routes.join(",");
